--- /dev/null
+++ b/crates/cactusyoke/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process and the command line of cactusyoke.
--- /dev/null
+++ b/crates/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP listener for callers.
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic decisions: admission, limits, retries, routing, membership, idempotency keys.
--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! The demonstration and the measurements on loopback.
--- /dev/null
+++ b/crates/model/src/class_rank.rs
@@ -0,0 +1,19 @@
+use {
+  serde::{Deserialize, Serialize},
+  std::fmt::{self, Display, Formatter},
+};
+
+/// Place of a class in the preset's order; zero is the most important.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ClassRank(pub u8);
+
+impl ClassRank {
+  /// Largest rank; higher values would collide with [`crate::Level::ALL`].
+  pub const MAX: Self = Self(31);
+}
+
+impl Display for ClassRank {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    self.0.fmt(f)
+  }
+}
--- /dev/null
+++ b/crates/model/src/clock.rs
@@ -0,0 +1,72 @@
+//! Time as a passed-in interface.
+
+use std::{
+  fmt::Debug,
+  sync::Mutex,
+  time::{Duration, Instant, SystemTime},
+};
+
+/// Source of time.
+pub trait Clock: Debug + Send + Sync {
+  /// Monotonic time.
+  fn now(&self) -> Instant;
+  /// Wall-clock time, for records that people read.
+  fn wall(&self) -> SystemTime;
+}
+
+/// The machine's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+  fn now(&self) -> Instant {
+    Instant::now()
+  }
+
+  fn wall(&self) -> SystemTime {
+    SystemTime::now()
+  }
+}
+
+/// Clock that moves only when it is told to.
+#[derive(Debug)]
+pub struct ManualClock {
+  start: Instant,
+  elapsed: Mutex<Duration>,
+}
+
+impl Default for ManualClock {
+  fn default() -> Self {
+    Self {
+      start: Instant::now(),
+      elapsed: Mutex::new(Duration::ZERO),
+    }
+  }
+}
+
+impl ManualClock {
+  /// Moves the clock forward.
+  pub fn advance(&self, by: Duration) {
+    *self
+      .elapsed
+      .lock()
+      .expect("no thread panics while it holds the lock") += by;
+  }
+
+  fn elapsed(&self) -> Duration {
+    *self
+      .elapsed
+      .lock()
+      .expect("no thread panics while it holds the lock")
+  }
+}
+
+impl Clock for ManualClock {
+  fn now(&self) -> Instant {
+    self.start + self.elapsed()
+  }
+
+  fn wall(&self) -> SystemTime {
+    SystemTime::UNIX_EPOCH + self.elapsed()
+  }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,47 @@
+//! Checked types shared by every package of cactusyoke.
+//!
+//! Raw input becomes one of these types once, at the boundary where it arrives; past that point
+//! no package checks it again. The types do no input or output, and times reach them through
+//! [`Clock`] or as arguments.
+
+mod answer;
+mod body;
+mod call;
+mod class_rank;
+mod clock;
+mod config;
+mod context;
+mod failure;
+mod idempotency_key;
+mod level;
+mod name;
+mod node_id;
+mod preset;
+mod preset_error;
+mod priority;
+mod raw_preset;
+mod report;
+mod request_id;
+mod route;
+mod units;
+
+pub use answer::Answer;
+pub use body::{Body, BodyError, empty_body, full_body};
+pub use call::{Call, CallHead};
+pub use class_rank::ClassRank;
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use config::{Change, ChangeId, Config, ConfigDelta, Edit, Revision};
+pub use context::{CONTEXT_HEADER, Context, ContextError};
+pub use failure::{CallFailure, NotRunReason, UnknownReason};
+pub use idempotency_key::{IdempotencyKey, KEY_HEADER, KeyError};
+pub use level::Level;
+pub use name::{ClassName, DataCentre, NameError, PresetName, RouteName, ServiceName};
+pub use node_id::{Incarnation, NodeId};
+pub use preset::Preset;
+pub use preset_error::PresetError;
+pub use priority::Priority;
+pub use raw_preset::{RawPreset, RawRoute};
+pub use report::Report;
+pub use request_id::{RequestId, SpanId};
+pub use route::Route;
+pub use units::{ByteSize, Connections, Retries, Slots, UnitError};
--- /dev/null
+++ b/crates/model/src/preset_error.rs
@@ -0,0 +1,85 @@
+use {
+  crate::{ClassName, ClassRank, RouteName},
+  std::fmt::{self, Display, Formatter},
+};
+
+/// Why a preset cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PresetError {
+  /// The text is not a preset.
+  Syntax(String),
+  /// No class.
+  NoClasses,
+  /// More classes than ranks.
+  TooManyClasses(usize),
+  /// A class stands twice in the order.
+  DuplicateClass(ClassName),
+  /// Two routes share a name.
+  DuplicateRoute(RouteName),
+  /// A route names a class without a place in the order.
+  UnknownClass(RouteName, ClassName),
+  /// A route has no method, or one that HTTP does not allow.
+  Method(RouteName, String),
+  /// A path does not begin with a slash.
+  Path(RouteName, String),
+  /// A time cannot be read or is out of range.
+  Time(String, String),
+  /// An earlier route takes every request of this one.
+  Unreachable(RouteName, RouteName),
+  /// The retry ratio is over 100.
+  Ratio(u8),
+}
+
+impl Display for PresetError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Syntax(message) => write!(f, "the preset cannot be read: {message}"),
+      Self::NoClasses => f.write_str("the preset has no class: list at least one under `classes`"),
+      Self::TooManyClasses(count) => write!(
+        f,
+        "the preset has {count} classes: list at most {}, most important first",
+        u16::from(ClassRank::MAX.0) + 1
+      ),
+      Self::DuplicateClass(class) => {
+        write!(
+          f,
+          "class `{class}` stands twice under `classes`: keep one place in the order"
+        )
+      }
+      Self::DuplicateRoute(route) => {
+        write!(f, "two routes are named `{route}`: rename one of them")
+      }
+      Self::UnknownClass(route, class) => write!(
+        f,
+        "route `{route}` names class `{class}`, which has no place in the order: add it under `classes`"
+      ),
+      Self::Method(route, method) => write!(
+        f,
+        "route `{route}` has method `{}`: list one or more HTTP methods such as `GET`",
+        method.escape_debug()
+      ),
+      Self::Path(route, path) => write!(
+        f,
+        "route `{route}` has path `{}`: begin it with `/` and leave out the query",
+        path.escape_debug()
+      ),
+      Self::Time(field, text) => write!(
+        f,
+        "`{field}` is `{}`: write a time between 1ms and 7days, such as `250ms` or `2s`",
+        text.escape_debug()
+      ),
+      Self::Unreachable(route, earlier) => write!(
+        f,
+        "route `{route}` never matches, since `{earlier}` before it takes its requests: move it up"
+      ),
+      Self::Ratio(ratio) => {
+        write!(
+          f,
+          "`retry_ratio` is {ratio}: write a percentage from 0 to 100"
+        )
+      }
+    }
+  }
+}
+
+impl std::error::Error for PresetError {}
--- /dev/null
+++ b/crates/model/src/priority.rs
@@ -0,0 +1,30 @@
+use {
+  crate::{ClassRank, RequestId},
+  serde::{Deserialize, Serialize},
+  std::fmt::{self, Display, Formatter},
+};
+
+/// Class rank and sub-level of a request; lower values are more important.
+///
+/// The sub-level is a hash of the root request id, so that every hop that sheds part of a class
+/// sheds the same requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Priority(pub u16);
+
+impl Priority {
+  /// Priority of a root request within a class.
+  pub fn new(rank: ClassRank, root: RequestId) -> Self {
+    Self(u16::from(rank.0) << 8 | u16::from(root.sub_level()))
+  }
+
+  /// Rank of the class.
+  pub const fn rank(self) -> ClassRank {
+    ClassRank((self.0 >> 8) as u8)
+  }
+}
+
+impl Display for Priority {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    write!(f, "{}.{}", self.0 >> 8, self.0 & 0xff)
+  }
+}
--- /dev/null
+++ b/crates/model/src/report.rs
@@ -0,0 +1,30 @@
+//! What each answer tells the hops above it.
+
+use {
+  crate::{Level, Retries},
+  serde::{Deserialize, Serialize},
+  std::time::Duration,
+};
+
+/// Load and retry allowance that travel with an answer or a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+  /// Strictest admission level met at or below the answering hop.
+  pub level: Level,
+  /// Time since that level was measured.
+  pub age: Duration,
+  /// Calls in flight and queued at the answering node.
+  pub load: u32,
+  /// Retries of the allowance that were not spent.
+  pub unused: Retries,
+}
+
+impl Report {
+  /// Report of a hop without load: admits everything, returns nothing.
+  pub const IDLE: Self = Self {
+    level: Level::ALL,
+    age: Duration::ZERO,
+    load: 0,
+    unused: Retries::ZERO,
+  };
+}
--- /dev/null
+++ b/crates/model/src/units.rs
@@ -0,0 +1,137 @@
+//! Sizes and counts with their units.
+
+use {
+  serde::{Deserialize, Serialize},
+  std::{
+    fmt::{self, Display, Formatter},
+    str::FromStr,
+  },
+};
+
+/// Why text is not a count or size.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnitError {
+  text: String,
+  expected: &'static str,
+}
+
+impl Display for UnitError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    write!(f, "`{}` is not {}", self.text.escape_debug(), self.expected)
+  }
+}
+
+impl std::error::Error for UnitError {}
+
+macro_rules! count {
+  ($(#[$doc:meta])* $name:ident($inner:ty), $expected:literal) => {
+    $(#[$doc])*
+    #[derive(
+      Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    )]
+    pub struct $name(pub $inner);
+
+    impl Display for $name {
+      fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+      }
+    }
+
+    impl FromStr for $name {
+      type Err = UnitError;
+
+      fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.parse().map(Self).map_err(|_error| UnitError { text: s.into(), expected: $expected })
+      }
+    }
+  };
+}
+
+count! {
+  /// Requests that an upstream runs at once.
+  Slots(u32), "a number of slots: use a whole number"
+}
+count! {
+  /// Open connections to an upstream.
+  Connections(u32), "a number of connections: use a whole number"
+}
+count! {
+  /// Retries that a call tree may spend.
+  Retries(u16), "a number of retries: use a whole number up to 65535"
+}
+
+impl Retries {
+  /// No retries.
+  pub const ZERO: Self = Self(0);
+
+  /// Takes half of what is left, rounded up.
+  #[must_use]
+  pub const fn take_share(&mut self) -> Self {
+    let share = self.0.div_ceil(2);
+    self.0 -= share;
+    Self(share)
+  }
+
+  /// Takes one; false when none is left.
+  #[must_use]
+  pub const fn take_one(&mut self) -> bool {
+    let left = self.0 > 0;
+    self.0 = self.0.saturating_sub(1);
+    left
+  }
+}
+
+/// Size, bytes. Text form: a whole number with `B`, `KiB`, `MiB` or `GiB`.
+#[derive(
+  Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct ByteSize(pub u64);
+
+const UNITS: [(&str, u64); 4] = [
+  ("GiB", 1 << 30),
+  ("MiB", 1 << 20),
+  ("KiB", 1 << 10),
+  ("B", 1),
+];
+
+impl Display for ByteSize {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    let (unit, scale) = UNITS
+      .into_iter()
+      .find(|(_, scale)| self.0 >= *scale && self.0.is_multiple_of(*scale))
+      .unwrap_or(("B", 1));
+    write!(f, "{}{unit}", self.0 / scale)
+  }
+}
+
+impl FromStr for ByteSize {
+  type Err = UnitError;
+
+  fn from_str(s: &str) -> Result<Self, Self::Err> {
+    let error = || UnitError {
+      text: s.into(),
+      expected: "a size: use a whole number with B, KiB, MiB or GiB, such as `16MiB`",
+    };
+    let (number, scale) = UNITS
+      .into_iter()
+      .find_map(|(unit, scale)| Some((s.strip_suffix(unit)?, scale)))
+      .ok_or_else(error)?;
+    let number = number.trim_end().parse::<u64>().map_err(|_error| error())?;
+    number.checked_mul(scale).map(Self).ok_or_else(error)
+  }
+}
+
+impl TryFrom<String> for ByteSize {
+  type Error = UnitError;
+
+  fn try_from(s: String) -> Result<Self, Self::Error> {
+    s.parse()
+  }
+}
+
+impl From<ByteSize> for String {
+  fn from(size: ByteSize) -> Self {
+    size.to_string()
+  }
+}
--- /dev/null
+++ b/crates/nodes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links and membership between the nodes of the system.
--- /dev/null
+++ b/crates/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! The listener for operators, its client and the metrics.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform, upstreams and load, for tests and the demonstration.
--- /dev/null
+++ b/crates/upstreams/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announcements, calls and outgoing calls of the upstream beside the node.
