--- /dev/null
+++ b/crates/model/tests/text_forms.rs
@@ -0,0 +1,101 @@
+//! Text forms of ids and units: each reads back as written, and bad text is refused.
+
+use {
+  cactusyoke_model::{
+    ByteSize, ClassRank, Context, DataCentre, IdempotencyKey, Level, Priority, RequestId, Retries,
+    ServiceName, SpanId,
+  },
+  std::time::Duration,
+  yare::parameterized,
+};
+
+#[test]
+fn a_context_reads_back_as_written() {
+  let context = Context {
+    root: RequestId(0xabc),
+    span: SpanId(7),
+    priority: Priority::new(ClassRank(3), RequestId(0xabc)),
+    remaining: Duration::from_millis(1500),
+    retries: Retries(2),
+  };
+  assert_eq!(context.to_string().parse(), Ok(context));
+}
+
+#[parameterized(
+  empty = { "" },
+  version = { "2;abc;7;0300;1500;2" },
+  short = { "1;abc;7;0300;1500" },
+  number = { "1;abc;7;0300;1500;many" },
+)]
+fn a_damaged_context_is_refused(text: &str) {
+  assert!(text.parse::<Context>().is_err());
+}
+
+#[parameterized(
+  bytes = { "17B", 17 },
+  kib = { "64KiB", 65_536 },
+  mib = { "16MiB", 16_777_216 },
+)]
+fn a_size_reads_back_as_written(text: &str, bytes: u64) {
+  assert_eq!(text.parse(), Ok(ByteSize(bytes)));
+  assert_eq!(ByteSize(bytes).to_string(), text);
+}
+
+#[test]
+fn a_size_without_a_unit_is_refused() {
+  let error = "16".parse::<ByteSize>().expect_err("the unit is missing");
+  assert_eq!(
+    error.to_string(),
+    "`16` is not a size: use a whole number with B, KiB, MiB or GiB, such as `16MiB`"
+  );
+}
+
+#[test]
+fn a_name_with_capitals_is_refused() {
+  let error = "Orders"
+    .parse::<ServiceName>()
+    .expect_err("capitals are not allowed");
+  assert_eq!(
+    error.to_string(),
+    "`Orders` is not a name: use 1 to 64 of a-z, 0-9, `-` and `_`, beginning with a letter"
+  );
+}
+
+// A share that rounded down would leave the last retry unused for ever; a sum above the allowance
+// would multiply retries down the chain.
+#[test]
+fn shares_of_an_allowance_add_up_to_it() {
+  let mut left = Retries(5);
+  let shares = std::iter::from_fn(|| Some(left.take_share()).filter(|share| share.0 > 0));
+  assert_eq!(
+    shares.collect::<Vec<Retries>>(),
+    [Retries(3), Retries(1), Retries(1)]
+  );
+  assert!(!left.take_one());
+}
+
+// Two data centres that computed different homes for a key could both run it.
+#[test]
+fn a_key_has_one_home() {
+  let centre = |name: &str| name.parse::<DataCentre>().expect("the name is correct");
+  let centres = [centre("concord"), centre("keene"), centre("nashua")];
+  let turned = [centre("nashua"), centre("concord"), centre("keene")];
+  for number in 0..100 {
+    let key = format!("order-{number}")
+      .parse::<IdempotencyKey>()
+      .expect("the key is correct");
+    assert_eq!(key.home(&centres), key.home(&turned));
+  }
+  let named = "keene/order-1"
+    .parse::<IdempotencyKey>()
+    .expect("the key is correct");
+  assert_eq!(named.home(&centres), Some(&centre("keene")));
+}
+
+#[test]
+fn a_level_sheds_the_less_important_first() {
+  let (first, last) = (Priority(0), Priority::new(ClassRank::MAX, RequestId(1)));
+  assert!(Level::ALL.admits(last));
+  assert!(Level(1).admits(first) && !Level(1).admits(last));
+  assert!(!Level::NONE.admits(first));
+}
