Add the load decisions

Admission gate, levels, retry ledgers, retry ratio, router and quarantine as state machines without input or output.

--- /dev/null
+++ b/crates/decisions/src/load.rs
@@ -0,0 +1,51 @@
+//! Load decisions: admission, levels, retry budgets, routing and quarantine.
+//!
+//! Each type is a state machine without input or output. Time is an argument, and randomness comes
+//! from a generator that the caller passes, so every run can be repeated from its seed.
+
+mod candidate;
+mod completion;
+mod end;
+mod fingerprint;
+mod gate;
+mod gate_config;
+mod ledger;
+mod ledgers;
+mod levels;
+mod limit;
+mod offer;
+mod peer;
+mod quarantine;
+mod queue;
+mod retry_ratio;
+mod router;
+mod threshold;
+
+pub use candidate::Candidate;
+pub use completion::Completion;
+pub use end::{CallEnd, Completed};
+pub use fingerprint::Fingerprint;
+pub use gate::Gate;
+pub use gate_config::GateConfig;
+pub use ledgers::Ledgers;
+pub use levels::Levels;
+pub use offer::{GateAction, Offer};
+pub use quarantine::{Notice, Quarantine};
+pub use queue::QueueOrder;
+pub use retry_ratio::RetryRatio;
+pub use router::Router;
+
+use {
+  ledger::Ledger,
+  limit::Limit,
+  peer::Peer,
+  queue::{Entry, Queue},
+  std::{
+    collections::HashMap,
+    hash::{BuildHasherDefault, DefaultHasher},
+  },
+  threshold::Threshold,
+};
+
+/// Hash table with fixed keys, so that a run does not depend on a global random source.
+type Table<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
--- /dev/null
+++ b/crates/decisions/src/load/candidate.rs
@@ -0,0 +1,15 @@
+use {
+  cactusyoke_model::{NodeId, Slots},
+  std::time::Instant,
+};
+
+/// Serving instance of a service that a call can be sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+  /// Node next to the instance.
+  pub node: NodeId,
+  /// Serving since.
+  pub since: Instant,
+  /// Announced slots.
+  pub slots: Slots,
+}
--- /dev/null
+++ b/crates/decisions/src/load/gate.rs
@@ -0,0 +1,277 @@
+use {
+  super::{
+    Completion, Entry, GateAction, GateConfig, Limit, Offer, Queue, QueueOrder, Table, Threshold,
+    threshold::Pressure,
+  },
+  cactusyoke_model::{Level, NotRunReason, Priority, Slots},
+  std::time::{Duration, Instant},
+};
+
+/// Interval at which limit and level are adapted. It is of the order of the time that a report
+/// takes to reach the senders; shorter intervals adapt again before the last step shows.
+const TICK: Duration = Duration::from_millis(50);
+/// Share of the longest wait that is tolerated before the level falls.
+const TARGET_SHARE: f64 = 0.25;
+/// Time without any event after which earlier load says nothing.
+const STALE: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug)]
+enum Place {
+  Queued { class: usize },
+  Running { since: Instant },
+}
+
+/// Admission next to one upstream: a concurrency limit, a priority queue and an admission level.
+#[derive(Debug)]
+pub struct Gate {
+  bound: usize,
+  queue_wait: Duration,
+  queue: Queue,
+  tickets: Table<u64, Place>,
+  in_flight: u32,
+  limit: Limit,
+  threshold: Threshold,
+  ticked: Instant,
+  /// Earliest time at which a waiting call can expire; may be too early, never too late.
+  expiry: Option<Instant>,
+  /// Calls started since the last tick and the sum of their waits.
+  started: u32,
+  waited: Duration,
+  last_wait: Duration,
+}
+
+impl Gate {
+  /// Gate of an upstream that began to serve at `now`.
+  pub fn new(config: GateConfig, now: Instant) -> Self {
+    Self::with_order(config, QueueOrder::default(), now)
+  }
+
+  /// Gate with a queue order other than the default.
+  pub fn with_order(config: GateConfig, order: QueueOrder, now: Instant) -> Self {
+    Self {
+      bound: config.queue,
+      queue_wait: config.queue_wait,
+      queue: Queue::new(order),
+      tickets: Table::default(),
+      in_flight: 0,
+      limit: Limit::new(config.slots, config.cold_start, now),
+      threshold: Threshold::new(),
+      ticked: now,
+      expiry: None,
+      started: 0,
+      waited: Duration::ZERO,
+      last_wait: Duration::ZERO,
+    }
+  }
+
+  /// Offers a call. `ticket` identifies it and must not be in use at this gate.
+  pub fn offer(
+    &mut self,
+    ticket: u64,
+    priority: Priority,
+    deadline: Instant,
+    now: Instant,
+  ) -> Offer {
+    self.tick(now);
+    if self.tickets.contains_key(&ticket) {
+      return Offer::Refused(NotRunReason::BadRequest);
+    }
+    self.threshold.arrived(priority);
+    if !self.threshold.enforced().admits(priority) {
+      return Offer::Refused(NotRunReason::Shed);
+    }
+    let latest = now + self.limit.fastest();
+    if deadline <= latest {
+      return Offer::Refused(NotRunReason::Deadline);
+    }
+    if self.queue.len() == 0 && self.in_flight < self.limit.current() {
+      self.start(ticket, now, now);
+      return Offer::Start;
+    }
+    let class = Queue::class(priority);
+    if deadline <= latest + self.expected_wait(class) {
+      return Offer::Refused(NotRunReason::Deadline);
+    }
+    let mut evicted = None;
+    if self.queue.len() >= self.bound {
+      let Some(entry) = self.queue.evict_below(class) else {
+        return Offer::Refused(NotRunReason::QueueFull);
+      };
+      self.tickets.remove(&entry.ticket);
+      evicted = Some(entry.ticket);
+    }
+    self.enqueue(class, ticket, deadline, now);
+    Offer::Queued { evicted }
+  }
+
+  /// Ends a call that was started. Other tickets are ignored.
+  pub fn finish(&mut self, ticket: u64, done: Completion, now: Instant) {
+    let Some(Place::Running { since }) = self.tickets.get(&ticket).copied() else {
+      return;
+    };
+    self.tickets.remove(&ticket);
+    self.limit.observe(self.in_flight, now);
+    self.in_flight -= 1;
+    self.limit.completed(since, done, now);
+    self.tick(now);
+  }
+
+  /// Removes a waiting call. False when the ticket does not wait.
+  pub fn cancel(&mut self, ticket: u64) -> bool {
+    let Some(Place::Queued { class }) = self.tickets.get(&ticket).copied() else {
+      return false;
+    };
+    self.tickets.remove(&ticket);
+    self.queue.remove(class, ticket)
+  }
+
+  /// Appends what to do with waiting calls.
+  pub fn poll(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
+    self.tick(now);
+    if self.expiry.is_some_and(|expiry| expiry <= now) {
+      self.expire(now, actions);
+    }
+    while self.in_flight < self.limit.current() {
+      let Some(entry) = self.queue.pop() else {
+        break;
+      };
+      if entry.deadline <= now + self.limit.fastest() {
+        self.tickets.remove(&entry.ticket);
+        actions.push(GateAction::Drop(entry.ticket, NotRunReason::Deadline));
+        continue;
+      }
+      self.start(entry.ticket, entry.queued, now);
+      actions.push(GateAction::Start(entry.ticket));
+    }
+    if self.queue.len() == 0 {
+      self.expiry = None;
+    }
+  }
+
+  /// Time of the next poll when no event comes before.
+  pub fn next_poll(&self) -> Option<Instant> {
+    let busy = self.queue.len() > 0 || self.threshold.level() != Level::ALL;
+    let tick = busy.then(|| self.ticked + TICK);
+    self.expiry.into_iter().chain(tick).min()
+  }
+
+  /// Admission level to report to senders.
+  pub fn level(&self, now: Instant) -> Level {
+    if self.queue.len() == 0 && now.saturating_duration_since(self.ticked) >= STALE {
+      return Level::ALL;
+    }
+    self.threshold.level()
+  }
+
+  /// Calls in flight and waiting.
+  pub fn load(&self) -> u32 {
+    self.in_flight + self.queued()
+  }
+
+  /// Calls that may be in flight.
+  pub fn limit(&self) -> u32 {
+    self.limit.current()
+  }
+
+  /// Calls in flight.
+  pub const fn in_flight(&self) -> u32 {
+    self.in_flight
+  }
+
+  /// Calls waiting.
+  pub fn queued(&self) -> u32 {
+    self.queue.len() as u32
+  }
+
+  /// Wait of the call that started last.
+  pub const fn last_wait(&self) -> Duration {
+    self.last_wait
+  }
+
+  /// Replaces the announced slots. Calls in flight above them finish.
+  pub fn set_slots(&mut self, slots: Slots, now: Instant) {
+    self.limit.set_slots(slots, now);
+  }
+
+  /// Replaces the longest wait, also for calls that wait already.
+  pub fn set_queue_wait(&mut self, queue_wait: Duration) {
+    self.queue_wait = queue_wait;
+    self.expiry = self.next_expiry();
+  }
+
+  fn start(&mut self, ticket: u64, queued: Instant, now: Instant) {
+    self.limit.observe(self.in_flight, now);
+    self.in_flight += 1;
+    self.tickets.insert(ticket, Place::Running { since: now });
+    self.last_wait = now.saturating_duration_since(queued);
+    self.waited += self.last_wait;
+    self.started += 1;
+  }
+
+  fn enqueue(&mut self, class: usize, ticket: u64, deadline: Instant, now: Instant) {
+    self.tickets.insert(ticket, Place::Queued { class });
+    self.queue.push(
+      class,
+      Entry {
+        ticket,
+        queued: now,
+        deadline,
+      },
+    );
+    let latest = deadline.checked_sub(self.limit.fastest()).unwrap_or(now);
+    let expiry = latest.min(now + self.queue_wait);
+    self.expiry = Some(self.expiry.map_or(expiry, |earliest| earliest.min(expiry)));
+  }
+
+  fn expected_wait(&self, class: usize) -> Duration {
+    let ahead = self.queue.ahead(class) as f64;
+    self.limit.capacity().map_or(Duration::ZERO, |capacity| {
+      Duration::from_secs_f64(ahead / capacity)
+    })
+  }
+
+  fn expire(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
+    let latest = now + self.limit.fastest();
+    let tickets = &mut self.tickets;
+    self.queue.expire(now, self.queue_wait, latest, |entry| {
+      tickets.remove(&entry.ticket);
+      // A call that waited too long was shed, whether or not its deadline has come.
+      let reason = if entry.deadline <= latest {
+        NotRunReason::Deadline
+      } else {
+        NotRunReason::Shed
+      };
+      actions.push(GateAction::Drop(entry.ticket, reason));
+    });
+    self.expiry = self.next_expiry();
+  }
+
+  fn next_expiry(&self) -> Option<Instant> {
+    self
+      .queue
+      .next_expiry(self.queue_wait, self.limit.fastest())
+  }
+
+  fn tick(&mut self, now: Instant) {
+    let elapsed = now.saturating_duration_since(self.ticked);
+    if elapsed < TICK {
+      return;
+    }
+    self.ticked = now;
+    self.limit.observe(self.in_flight, now);
+    self.limit.tick(now);
+    if elapsed >= STALE && self.queue.len() == 0 {
+      self.threshold.reset();
+    } else if let Some(capacity) = self.limit.capacity() {
+      self.threshold.tick(&Pressure {
+        elapsed: elapsed.as_secs_f64(),
+        capacity,
+        wait: self.waited.as_secs_f64() / f64::from(self.started.max(1)),
+        target: self.queue_wait.as_secs_f64() * TARGET_SHARE,
+        queue: &self.queue,
+      });
+    }
+    self.started = 0;
+    self.waited = Duration::ZERO;
+  }
+}
--- /dev/null
+++ b/crates/decisions/src/load/quarantine.rs
@@ -0,0 +1,190 @@
+use {
+  super::{Fingerprint, Table},
+  serde::{Deserialize, Serialize},
+  std::time::{Duration, Instant},
+};
+
+/// Two crashes within this time quarantine a fingerprint. Callers retry a poison request within
+/// seconds to a few minutes.
+const CRASH_WINDOW: Duration = Duration::from_mins(5);
+/// Longer than the crash window, so that a caller that retries all along does not get through
+/// in between.
+const QUARANTINE_TIME: Duration = Duration::from_mins(10);
+/// Bound on memory: 64 bytes or so for each entry.
+const MAX_ENTRIES: usize = 1024;
+
+/// Quarantined fingerprint, as exchanged between nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+  /// Fingerprint.
+  pub fingerprint: Fingerprint,
+  /// Time left in quarantine.
+  pub remaining: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+  /// Crashed one upstream.
+  Suspect,
+  Quarantined,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+  state: State,
+  until: Instant,
+}
+
+/// Requests that crashed upstreams, by fingerprint.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+  entries: Table<Fingerprint, Entry>,
+  heads: Table<u64, u32>,
+}
+
+impl Quarantine {
+  /// Empty quarantine.
+  pub fn new() -> Self {
+    Self::default()
+  }
+
+  /// Records a crash during a request. The second one within the window quarantines the
+  /// fingerprint and returns the notice for the other nodes.
+  pub fn crashed(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<Notice> {
+    if self.current(fingerprint, now).is_none() {
+      self.insert(fingerprint, State::Suspect, now + CRASH_WINDOW, now);
+      return None;
+    }
+    self.insert(fingerprint, State::Quarantined, now + QUARANTINE_TIME, now);
+    Some(Notice {
+      fingerprint,
+      remaining: QUARANTINE_TIME,
+    })
+  }
+
+  /// Records a whole response. It clears a suspicion, since requests that were merely in flight
+  /// during a crash are suspected too, but never a quarantine.
+  pub fn completed(&mut self, fingerprint: Fingerprint) {
+    if let Some(Entry {
+      state: State::Suspect,
+      ..
+    }) = self.entries.get(&fingerprint)
+    {
+      self.remove(fingerprint);
+    }
+  }
+
+  /// Adopts another node's notice. The longer quarantine counts.
+  pub fn adopt(&mut self, notice: Notice, now: Instant) {
+    let until = now + notice.remaining.min(QUARANTINE_TIME);
+    match self.current(notice.fingerprint, now) {
+      Some(Entry {
+        state: State::Quarantined,
+        until: own,
+      }) if own >= until => {}
+      _ => self.insert(notice.fingerprint, State::Quarantined, until, now),
+    }
+  }
+
+  /// True when the request is not to be run.
+  pub fn blocks(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+    matches!(
+      self.current(fingerprint, now),
+      Some(Entry {
+        state: State::Quarantined,
+        ..
+      })
+    )
+  }
+
+  /// True when a request with this head has crashed an upstream, so that the body of a request
+  /// with the same head has to be compared too.
+  pub fn suspects_head(&self, head: Fingerprint) -> bool {
+    !self.heads.is_empty() && self.heads.contains_key(&head.head_half())
+  }
+
+  /// All fingerprints in quarantine, ordered.
+  pub fn list(&self, now: Instant) -> Vec<Notice> {
+    let mut notices = self
+      .entries
+      .iter()
+      .filter(|(_, entry)| matches!(entry.state, State::Quarantined) && entry.until > now)
+      .map(|(fingerprint, entry)| Notice {
+        fingerprint: *fingerprint,
+        remaining: entry.until - now,
+      })
+      .collect::<Vec<Notice>>();
+    notices.sort_unstable_by_key(|notice| notice.fingerprint);
+    notices
+  }
+
+  /// Ends a quarantine early. False when the fingerprint is not known.
+  pub fn release(&mut self, fingerprint: Fingerprint) -> bool {
+    self.remove(fingerprint)
+  }
+
+  fn current(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<Entry> {
+    let entry = *self.entries.get(&fingerprint)?;
+    if entry.until <= now {
+      self.remove(fingerprint);
+      return None;
+    }
+    Some(entry)
+  }
+
+  fn insert(&mut self, fingerprint: Fingerprint, state: State, until: Instant, now: Instant) {
+    if !self.entries.contains_key(&fingerprint) {
+      self.make_room(now);
+      *self.heads.entry(fingerprint.head_half()).or_default() += 1;
+    }
+    self.entries.insert(fingerprint, Entry { state, until });
+  }
+
+  fn remove(&mut self, fingerprint: Fingerprint) -> bool {
+    if self.entries.remove(&fingerprint).is_none() {
+      return false;
+    }
+    let head = fingerprint.head_half();
+    if let Some(count) = self.heads.get_mut(&head) {
+      *count -= 1;
+      if *count == 0 {
+        self.heads.remove(&head);
+      }
+    }
+    true
+  }
+
+  /// Removes expired entries at the bound, or else the one with the least to lose: suspects
+  /// before quarantined ones, and those that end soonest first.
+  fn make_room(&mut self, now: Instant) {
+    if self.entries.len() < MAX_ENTRIES {
+      return;
+    }
+    let expired = self
+      .entries
+      .iter()
+      .filter(|(_, entry)| entry.until <= now)
+      .map(|(fingerprint, _)| *fingerprint)
+      .collect::<Vec<Fingerprint>>();
+    for fingerprint in expired {
+      self.remove(fingerprint);
+    }
+    if self.entries.len() < MAX_ENTRIES {
+      return;
+    }
+    let victim = self
+      .entries
+      .iter()
+      .min_by_key(|(fingerprint, entry)| {
+        (
+          matches!(entry.state, State::Quarantined),
+          entry.until,
+          **fingerprint,
+        )
+      })
+      .map(|(fingerprint, _)| *fingerprint);
+    if let Some(fingerprint) = victim {
+      self.remove(fingerprint);
+    }
+  }
+}
