Add the public interface of links and membership

Other packages build against these types while the bodies are written: calls fail as not run and the membership publishes an empty view.

--- /dev/null
+++ b/crates/nodes/src/ask_error.rs
@@ -0,0 +1,69 @@
+use {
+  cactusyoke_model::NodeId,
+  std::{
+    fmt::{self, Display, Formatter},
+    time::Duration,
+  },
+};
+
+/// Why a control message got no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskError {
+  /// The message exceeds [`crate::MAX_ASK`].
+  Oversized {
+    /// Length, bytes.
+    len: usize,
+  },
+  /// No link to the node, or the link was lost.
+  Connection {
+    /// The node asked.
+    node: NodeId,
+  },
+  /// No reply in time.
+  Timeout {
+    /// The node asked.
+    node: NodeId,
+    /// Time allowed.
+    after: Duration,
+  },
+  /// The node declined to reply.
+  Refused {
+    /// The node asked.
+    node: NodeId,
+  },
+  /// Too many calls and messages in flight on the link.
+  Busy {
+    /// The node asked.
+    node: NodeId,
+  },
+}
+
+impl Display for AskError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Oversized { len } => write!(
+        f,
+        "the control message has {len} bytes, more than {}: split it",
+        crate::MAX_ASK
+      ),
+      Self::Connection { node } => write!(
+        f,
+        "the link to node `{node}` cannot be opened or was lost: try another node or later"
+      ),
+      Self::Timeout { node, after } => write!(
+        f,
+        "node `{node}` did not reply within {after:?}: try another node or later"
+      ),
+      Self::Refused { node } => write!(
+        f,
+        "node `{node}` declined to reply: try another node or later"
+      ),
+      Self::Busy { node } => write!(
+        f,
+        "too many calls are in flight on the link to node `{node}`: try another node or later"
+      ),
+    }
+  }
+}
+
+impl std::error::Error for AskError {}
--- a/crates/nodes/src/lib.rs
+++ b/crates/nodes/src/lib.rs
@@ -1,1 +1,41 @@
 //! Links and membership between the nodes of the system.
+//!
+//! [`Links`] carries calls and control messages over TCP, multiplexed on one connection for each
+//! node called. [`Membership`] runs the membership state machine over UDP and publishes
+//! [`MembersView`]. The wire format is described in docs/protocol.md.
+
+#![expect(
+  clippy::unused_async,
+  reason = "the bodies that wait are not written yet"
+)]
+
+mod ask_error;
+mod ask_responder;
+mod hop;
+mod incoming;
+mod link_stats;
+mod links;
+mod links_config;
+mod members_view;
+mod membership;
+mod membership_config;
+mod membership_error;
+mod membership_handle;
+mod responder;
+
+pub use ask_error::AskError;
+pub use ask_responder::AskResponder;
+pub use hop::Hop;
+pub use incoming::{Incoming, IncomingAsk, IncomingCall};
+pub use link_stats::LinkStats;
+pub use links::Links;
+pub use links_config::LinksConfig;
+pub use members_view::MembersView;
+pub use membership::Membership;
+pub use membership_config::MembershipConfig;
+pub use membership_error::MembershipError;
+pub use membership_handle::MembershipHandle;
+pub use responder::Responder;
+
+/// Longest control message or reply, bytes.
+pub const MAX_ASK: usize = 1 << 20;
--- /dev/null
+++ b/crates/nodes/src/membership_config.rs
@@ -0,0 +1,25 @@
+use {
+  cactusyoke_model::{Clock, DataCentre, Incarnation, NodeId},
+  std::{net::SocketAddr, sync::Arc},
+};
+
+/// Settings of the membership of one node.
+#[derive(Clone, Debug)]
+pub struct MembershipConfig {
+  /// Address at which other nodes reach this one.
+  pub node: NodeId,
+  /// Address of the UDP socket.
+  pub bind: SocketAddr,
+  /// Start time of this node.
+  pub incarnation: Incarnation,
+  /// Data centre of this node.
+  pub data_centre: DataCentre,
+  /// Nodes to contact first, of any data centre.
+  pub contacts: Vec<NodeId>,
+  /// Source of time.
+  pub clock: Arc<dyn Clock>,
+  /// Seed of the random choices.
+  pub seed: u64,
+  /// Bytes a second that may be sent.
+  pub bytes_per_second: u32,
+}
