Add the signatures of the HTTP boundaries and the shared server

The callers' and the egress listener need the same server, and peer packages do not depend on each other, so that it lives in a new package, cactusyoke-http.

The server is complete but not yet tested.

--- /dev/null
+++ b/crates/http/src/failure_response.rs
@@ -0,0 +1,198 @@
+//! HTTP form of the two ways in which a call ends without an answer.
+
+use {
+  cactusyoke_model::{Body, CallFailure, NotRunReason, UnknownReason, full_body},
+  http::{HeaderName, HeaderValue, Response, StatusCode, header},
+};
+
+/// Header that says how a request ended: `answered`, `not-run` or `unknown`.
+pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("cactusyoke-outcome");
+
+/// Header that says why a request was not answered.
+pub const REASON_HEADER: HeaderName = HeaderName::from_static("cactusyoke-reason");
+
+/// Seconds after which an overloaded or restarting service is worth another attempt.
+const RETRY_SOON: u64 = 1;
+
+/// Seconds after which a lost data centre or lost witnesses are worth another attempt; these need
+/// a roster change or a repair.
+const RETRY_LATER: u64 = 5;
+
+/// Response for a call that has no answer.
+pub(crate) fn failure_response(failure: &CallFailure) -> Response<Body> {
+  match failure {
+    CallFailure::NotRun { reason, .. } => {
+      let (status, retry_after, text) = not_run(*reason);
+      let text = format!("not run ({reason}): {text}");
+      outcome_response(
+        status,
+        "not-run",
+        reason.as_str(),
+        retry_after,
+        text_body(&text),
+      )
+    }
+    CallFailure::Unknown { reason } => {
+      let (status, text) = unknown(*reason);
+      let text = format!(
+        "unknown ({reason}): {text}; send it again only if it may run twice, or with the same `idempotency-key`"
+      );
+      outcome_response(status, "unknown", reason.as_str(), None, text_body(&text))
+    }
+  }
+}
+
+/// Response that the node itself writes.
+pub(crate) fn outcome_response(
+  status: StatusCode,
+  outcome: &'static str,
+  reason: &'static str,
+  retry_after: Option<u64>,
+  body: Body,
+) -> Response<Body> {
+  let mut response = Response::new(body);
+  *response.status_mut() = status;
+  let headers = response.headers_mut();
+  headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
+  headers.insert(REASON_HEADER, HeaderValue::from_static(reason));
+  headers.insert(
+    header::CONTENT_TYPE,
+    HeaderValue::from_static("text/plain; charset=utf-8"),
+  );
+  if let Some(seconds) = retry_after {
+    headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+  }
+  response
+}
+
+/// One line of text.
+pub(crate) fn text_body(line: &str) -> Body {
+  full_body(format!("{line}\n"))
+}
+
+fn not_run(reason: NotRunReason) -> (StatusCode, Option<u64>, &'static str) {
+  let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+  let soon = Some(RETRY_SOON);
+  let later = Some(RETRY_LATER);
+  match reason {
+    NotRunReason::Shed => (
+      unavailable,
+      soon,
+      "the service is overloaded and serves more important requests first; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::Evicted => (
+      unavailable,
+      soon,
+      "a more important request took its place in the queue; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::QueueFull => (
+      unavailable,
+      soon,
+      "the queue is full; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::Deadline => (
+      unavailable,
+      soon,
+      "it could not start before its deadline; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::Draining => (
+      unavailable,
+      soon,
+      "the upstream or its node is leaving; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::NoUpstream => (
+      unavailable,
+      soon,
+      "no upstream of the service can be reached; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::NoRoute => (
+      StatusCode::NOT_FOUND,
+      None,
+      "no route of the preset in force matches its method and path; do not send it again unchanged",
+    ),
+    NotRunReason::NoPreset => (
+      unavailable,
+      soon,
+      "the node has no configuration yet; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::Quarantined => (
+      unavailable,
+      None,
+      "earlier runs of the same request crashed the service, and it is refused for a time; do not send it again unchanged",
+    ),
+    NotRunReason::NoRetries => (
+      unavailable,
+      None,
+      "the retries of its call tree are used up; do not send it again for the same root request",
+    ),
+    NotRunReason::NoWitnesses => (
+      unavailable,
+      later,
+      "too few nodes that keep its `idempotency-key` can be reached; send it again with the same key after the time in `retry-after`",
+    ),
+    NotRunReason::HomeUnreachable => (
+      unavailable,
+      later,
+      "the data centre that owns its `idempotency-key` cannot be reached; send it again with the same key after the time in `retry-after`",
+    ),
+    NotRunReason::Limit => (
+      StatusCode::TOO_MANY_REQUESTS,
+      soon,
+      "a limit on keys, connections or bytes is reached; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::Withdrawn => (
+      unavailable,
+      soon,
+      "the run of its `idempotency-key` was withdrawn; send it again with the same key after the time in `retry-after`",
+    ),
+    NotRunReason::KeyMismatch => (
+      unavailable,
+      None,
+      "its `idempotency-key` belongs to a different request; send it again with a new key",
+    ),
+    NotRunReason::Connection => (
+      unavailable,
+      soon,
+      "the connection to the upstream was lost before the request left; send it again after the time in `retry-after`",
+    ),
+    NotRunReason::BadRequest => (
+      StatusCode::BAD_REQUEST,
+      None,
+      "the request is malformed; do not send it again unchanged",
+    ),
+    NotRunReason::Cancelled => (
+      unavailable,
+      soon,
+      "it was cancelled before it started; send it again after the time in `retry-after`",
+    ),
+  }
+}
+
+const fn unknown(reason: UnknownReason) -> (StatusCode, &'static str) {
+  match reason {
+    UnknownReason::Deadline => (
+      StatusCode::GATEWAY_TIMEOUT,
+      "its deadline passed while it may have been running",
+    ),
+    UnknownReason::Connection => (
+      StatusCode::BAD_GATEWAY,
+      "the connection was lost while it may have been running",
+    ),
+    UnknownReason::BadAnswer => (
+      StatusCode::BAD_GATEWAY,
+      "the upstream ran it but did not answer with usable HTTP",
+    ),
+    UnknownReason::AnswerExpired => (
+      StatusCode::BAD_GATEWAY,
+      "its `idempotency-key` ran, but the answer is no longer kept",
+    ),
+    UnknownReason::FirstRun => (
+      StatusCode::BAD_GATEWAY,
+      "the run of its `idempotency-key` ended without a known outcome",
+    ),
+    UnknownReason::Cancelled => (
+      StatusCode::BAD_GATEWAY,
+      "it was cancelled while it may have been running",
+    ),
+  }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,34 @@
+//! The HTTP/1.1 server and body adapters that the callers' listener and the egress listener share.
+//!
+//! The packages for callers and for upstreams do not depend on each other, so that what both need
+//! lives here: reading requests into [`CallerRequest`], writing answers and failures, removing
+//! hop-by-hop headers, and checking body lengths.
+
+mod answer_response;
+mod call_handler;
+mod caller_request;
+mod checked_body;
+mod connection;
+mod failure_response;
+mod hop_headers;
+mod limits;
+mod received_body;
+mod refusal;
+mod serve;
+mod stall;
+mod stall_io;
+
+pub use call_handler::CallHandler;
+pub use caller_request::CallerRequest;
+pub use checked_body::CheckedBody;
+pub use failure_response::{OUTCOME_HEADER, REASON_HEADER};
+pub use hop_headers::remove_hop_headers;
+pub use limits::Limits;
+pub use received_body::ReceivedBody;
+pub use refusal::Refusal;
+pub use serve::serve;
+
+use {
+  answer_response::answer_response, connection::Connection, failure_response::failure_response,
+  stall::Stall, stall_io::StallIo,
+};
--- /dev/null
+++ b/crates/http/src/received_body.rs
@@ -0,0 +1,68 @@
+use {
+  crate::Stall,
+  bytes::Bytes,
+  cactusyoke_model::{BodyError, ByteSize},
+  http_body::{Body, Frame, SizeHint},
+  hyper::body::Incoming,
+  std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+  },
+};
+
+/// Body of a received message, bounded in size and in the time that its sender may stall.
+#[derive(Debug)]
+pub struct ReceivedBody {
+  inner: Incoming,
+  left: u64,
+  stall: Stall,
+}
+
+impl ReceivedBody {
+  /// Body of at most `limit` bytes whose sender may stall for `idle`.
+  pub const fn new(inner: Incoming, limit: ByteSize, idle: Duration) -> Self {
+    Self {
+      inner,
+      left: limit.0,
+      stall: Stall::new(idle),
+    }
+  }
+}
+
+impl Body for ReceivedBody {
+  type Data = Bytes;
+  type Error = BodyError;
+
+  fn poll_frame(
+    self: Pin<&mut Self>,
+    cx: &mut Context<'_>,
+  ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    let this = self.get_mut();
+    let frame = match Pin::new(&mut this.inner).poll_frame(cx) {
+      Poll::Pending => {
+        ready!(this.stall.poll_expired(cx));
+        return Poll::Ready(Some(Err(BodyError::Cut)));
+      }
+      Poll::Ready(None) => return Poll::Ready(None),
+      Poll::Ready(Some(Err(_error))) => return Poll::Ready(Some(Err(BodyError::Cut))),
+      Poll::Ready(Some(Ok(frame))) => frame,
+    };
+    if let Some(data) = frame.data_ref() {
+      this.stall.progress(data.len());
+      let Some(left) = this.left.checked_sub(data.len() as u64) else {
+        return Poll::Ready(Some(Err(BodyError::Length)));
+      };
+      this.left = left;
+    }
+    Poll::Ready(Some(Ok(frame)))
+  }
+
+  fn is_end_stream(&self) -> bool {
+    self.inner.is_end_stream()
+  }
+
+  fn size_hint(&self) -> SizeHint {
+    self.inner.size_hint()
+  }
+}
--- /dev/null
+++ b/crates/http/src/stall.rs
@@ -0,0 +1,61 @@
+use {
+  std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+  },
+  tokio::time::{Instant, Sleep, sleep},
+};
+
+/// Bytes that count as progress. Fewer bytes within the limit are a stall, so that a peer cannot
+/// hold a connection open with single bytes.
+const PROGRESS_BYTES: usize = 1024;
+
+/// Detects that a peer makes no progress while this side waits for it.
+///
+/// Only time spent waiting counts: a receiver that stops reading does not make its sender stall.
+#[derive(Debug)]
+pub(crate) struct Stall {
+  limit: Duration,
+  moved: usize,
+  waited: Duration,
+  since: Option<Instant>,
+  // Kept across waits, since a timer is allocated.
+  timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Stall {
+  pub(crate) const fn new(limit: Duration) -> Self {
+    Self {
+      limit,
+      moved: 0,
+      waited: Duration::ZERO,
+      since: None,
+      timer: None,
+    }
+  }
+
+  /// Records transferred bytes.
+  pub(crate) fn progress(&mut self, bytes: usize) {
+    if let Some(since) = self.since.take() {
+      self.waited += since.elapsed();
+    }
+    self.moved = self.moved.saturating_add(bytes);
+    if self.moved >= PROGRESS_BYTES {
+      self.moved = 0;
+      self.waited = Duration::ZERO;
+    }
+  }
+
+  /// Ready once the limit has passed without progress.
+  pub(crate) fn poll_expired(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    let left = self.limit.saturating_sub(self.waited);
+    let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(left)));
+    if self.since.is_none() {
+      let now = Instant::now();
+      self.since = Some(now);
+      timer.as_mut().reset(now + left);
+    }
+    timer.as_mut().poll(cx)
+  }
+}
--- /dev/null
+++ b/crates/upstreams/src/announce/announcement.rs
@@ -0,0 +1,138 @@
+use {
+  cactusyoke_model::{Connections, NameError, ServiceName, Slots},
+  serde::Deserialize,
+  std::{
+    fmt::{self, Display, Formatter},
+    net::SocketAddr,
+    time::Duration,
+  },
+};
+
+/// Longest cold start, milliseconds; a longer one is most likely in another unit.
+const MAX_COLD_START_MS: u64 = 3_600_000;
+
+/// What an upstream says when it announces itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+  /// Service that it runs.
+  pub service: ServiceName,
+  /// Where it listens.
+  pub address: SocketAddr,
+  /// Requests that it runs at once.
+  pub slots: Slots,
+  /// Connections that it accepts.
+  pub connections: Connections,
+  /// Time from its start until it runs at its usual speed.
+  pub cold_start: Duration,
+  /// Identity of the process, different after each start; `None` when not given.
+  pub instance: Option<String>,
+}
+
+/// Announcement as it is sent.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawAnnouncement {
+  service: String,
+  address: String,
+  slots: u32,
+  connections: u32,
+  #[serde(default)]
+  cold_start_ms: u64,
+  #[serde(default)]
+  instance: Option<String>,
+}
+
+/// Why an announcement is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnnouncementError {
+  /// Not the expected JSON.
+  Json(String),
+  /// The service is not a name.
+  Service(NameError),
+  /// The address is not an IP address and a port.
+  Address(String),
+  /// No slots.
+  Slots,
+  /// Fewer connections than slots.
+  Connections {
+    /// Announced connections.
+    connections: u32,
+    /// Announced slots.
+    slots: u32,
+  },
+  /// The cold start is longer than an hour.
+  ColdStart(u64),
+}
+
+impl Display for AnnouncementError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Json(error) => write!(
+        f,
+        "the announcement cannot be read: {error}; send JSON such as `{{\"service\": \"plaques\", \"address\": \"127.0.0.1:9000\", \"slots\": 25, \"connections\": 250, \"cold_start_ms\": 0}}`"
+      ),
+      Self::Service(error) => write!(f, "`service` is not usable: {error}"),
+      Self::Address(text) => write!(
+        f,
+        "`address` is `{}`: send the IP address and port where the upstream listens, such as `127.0.0.1:9000`",
+        text.escape_debug()
+      ),
+      Self::Slots => {
+        f.write_str("`slots` is 0: send the number of requests that the upstream runs at once")
+      }
+      Self::Connections { connections, slots } => write!(
+        f,
+        "`connections` is {connections} and `slots` is {slots}: each running request needs a connection, so send at least as many connections as slots"
+      ),
+      Self::ColdStart(ms) => write!(
+        f,
+        "`cold_start_ms` is {ms}: send milliseconds, at most {MAX_COLD_START_MS}"
+      ),
+    }
+  }
+}
+
+impl std::error::Error for AnnouncementError {}
+
+impl Announcement {
+  /// Reads the body of `PUT /announce`.
+  pub fn from_json(body: &[u8]) -> Result<Self, AnnouncementError> {
+    serde_json::from_slice::<RawAnnouncement>(body)
+      .map_err(|error| AnnouncementError::Json(error.to_string()))?
+      .try_into()
+  }
+}
+
+impl TryFrom<RawAnnouncement> for Announcement {
+  type Error = AnnouncementError;
+
+  fn try_from(raw: RawAnnouncement) -> Result<Self, Self::Error> {
+    let service = raw.service.parse().map_err(AnnouncementError::Service)?;
+    let address = raw
+      .address
+      .parse::<SocketAddr>()
+      .ok()
+      .filter(|address| address.port() != 0 && !address.ip().is_unspecified())
+      .ok_or(AnnouncementError::Address(raw.address))?;
+    if raw.slots == 0 {
+      return Err(AnnouncementError::Slots);
+    }
+    if raw.connections < raw.slots {
+      return Err(AnnouncementError::Connections {
+        connections: raw.connections,
+        slots: raw.slots,
+      });
+    }
+    if raw.cold_start_ms > MAX_COLD_START_MS {
+      return Err(AnnouncementError::ColdStart(raw.cold_start_ms));
+    }
+    Ok(Self {
+      service,
+      address,
+      slots: Slots(raw.slots),
+      connections: Connections(raw.connections),
+      cold_start: Duration::from_millis(raw.cold_start_ms),
+      instance: raw.instance,
+    })
+  }
+}
--- /dev/null
+++ b/crates/upstreams/src/egress.rs
@@ -0,0 +1,26 @@
+//! Listener for the calls that the upstream makes.
+//!
+//! It is the callers' server on a loopback address. A request with the `cactusyoke-context` header
+//! belongs to the call that the upstream is running; one without it is a new root request.
+
+use {
+  crate::{LoopbackError, loopback::loopback_address},
+  cactusyoke_http::{CallHandler, Limits},
+  std::sync::Arc,
+  tokio::net::TcpListener,
+  tokio_util::sync::CancellationToken,
+};
+
+/// Serves the upstream's outgoing calls until `shutdown` is cancelled and what is in flight has
+/// finished.
+pub async fn serve<H: CallHandler>(
+  listener: TcpListener,
+  handler: Arc<H>,
+  limits: Limits,
+  shutdown: CancellationToken,
+) -> Result<(), LoopbackError> {
+  let address = loopback_address(&listener)?;
+  tracing::info!(%address, "serving outgoing calls");
+  cactusyoke_http::serve(listener, handler, limits, shutdown).await;
+  Ok(())
+}
--- /dev/null
+++ b/crates/upstreams/src/upstream_config.rs
@@ -0,0 +1,53 @@
+use {
+  crate::{Crash, Views},
+  cactusyoke_model::{Clock, SystemClock},
+  std::{
+    fmt::{self, Debug, Formatter},
+    sync::Arc,
+    time::Duration,
+  },
+};
+
+/// How [`crate::Upstream`] reaches the upstream.
+#[derive(Clone)]
+pub struct UpstreamConfig {
+  /// Where the upstream is and which phase it is in.
+  pub views: Views,
+  /// Source of time.
+  pub clock: Arc<dyn Clock>,
+  /// Time allowed to open a connection.
+  pub connect: Duration,
+  /// Shortest silence after which a connection may be taken out of use.
+  pub silence: Duration,
+  /// Idle connections are closed after this time.
+  pub idle: Duration,
+  /// Called before the failure of the crashed call is returned, or its body ends.
+  pub crashed: Arc<dyn Fn(Crash) + Send + Sync>,
+}
+
+impl UpstreamConfig {
+  /// Usual settings, with crashes not reported.
+  pub fn new(views: Views) -> Self {
+    Self {
+      views,
+      clock: Arc::new(SystemClock),
+      connect: Duration::from_secs(1),
+      // The same time as for a link between nodes.
+      silence: Duration::from_secs(3),
+      idle: Duration::from_secs(30),
+      crashed: Arc::new(|_crash| {}),
+    }
+  }
+}
+
+impl Debug for UpstreamConfig {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    f.debug_struct("UpstreamConfig")
+      .field("views", &self.views)
+      .field("clock", &self.clock)
+      .field("connect", &self.connect)
+      .field("silence", &self.silence)
+      .field("idle", &self.idle)
+      .finish_non_exhaustive()
+  }
+}
--- /dev/null
+++ b/crates/upstreams/src/views.rs
@@ -0,0 +1,60 @@
+use {
+  crate::{Phase, UpstreamView, announce::AnnounceMessage},
+  arc_swap::ArcSwap,
+  ractor::ActorRef,
+  std::{net::SocketAddr, sync::Arc},
+  tokio::sync::watch,
+};
+
+/// Published view of the upstream: read on the request path without a lock, watched elsewhere.
+#[derive(Clone, Debug)]
+pub struct Views {
+  current: Arc<ArcSwap<UpstreamView>>,
+  changes: watch::Sender<Arc<UpstreamView>>,
+  actor: Option<ActorRef<AnnounceMessage>>,
+}
+
+impl Views {
+  /// Views that change only by [`Views::publish`].
+  pub fn new(view: UpstreamView) -> Self {
+    let view = Arc::new(view);
+    Self {
+      current: Arc::new(ArcSwap::new(Arc::clone(&view))),
+      changes: watch::Sender::new(view),
+      actor: None,
+    }
+  }
+
+  pub(crate) fn with_actor(mut self, actor: ActorRef<AnnounceMessage>) -> Self {
+    self.actor = Some(actor);
+    self
+  }
+
+  /// Current view.
+  pub fn load(&self) -> arc_swap::Guard<Arc<UpstreamView>> {
+    self.current.load()
+  }
+
+  /// Changes of the view, beginning with the current one.
+  pub fn watch(&self) -> watch::Receiver<Arc<UpstreamView>> {
+    self.changes.subscribe()
+  }
+
+  /// Replaces the view.
+  pub fn publish(&self, view: UpstreamView) {
+    let view = Arc::new(view);
+    self.current.store(Arc::clone(&view));
+    self.changes.send_replace(view);
+  }
+
+  /// Reports that the upstream refused a connection at `address`.
+  pub(crate) fn refused(&self, address: SocketAddr) {
+    let gone = self.load().phase == Phase::Gone;
+    let Some(actor) = self.actor.as_ref().filter(|_actor| !gone) else {
+      return;
+    };
+    if let Err(error) = actor.cast(AnnounceMessage::Refused(address)) {
+      tracing::debug!(%error, "announce actor has stopped");
+    }
+  }
+}
