platform: add the store client, its stand-in and the operators' interface

The store says for each failure whether a write may have taken effect: a connection that is lost after the request was written reads as `TimedOut`, one that was never made as `Unavailable`. Connections go back to the pool only after a whole answer, so a silent one is never used again. The HTTP client of hyper-util was ruled out: it cannot tell the two cases apart.

The stand-in serves the same protocol with quotas and with the faults outage (refused or hanging), delay, lost answer and older value served.

--- /dev/null
+++ b/crates/operators/src/node_error.rs
@@ -0,0 +1,107 @@
+use {
+  cactusyoke_model::{ChangeId, PresetName, Revision},
+  serde::{Deserialize, Serialize},
+  std::{
+    error::Error,
+    fmt::{self, Display, Formatter},
+  },
+};
+
+/// The change that an operator's change collided with.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConflictView {
+  /// Identity of the other change.
+  pub id: ChangeId,
+  /// Revision that it made.
+  pub revision: Revision,
+  /// Its operator.
+  pub operator: String,
+  /// When it was made, RFC 3339.
+  pub time: String,
+  /// Its reason.
+  pub reason: String,
+  /// What it did, such as `put preset `peak` in force`.
+  pub summary: String,
+}
+
+/// Why a node did not do what an operator asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "error", rename_all = "kebab-case")]
+pub enum NodeError {
+  /// Another operator's change came first.
+  Conflict(Box<ConflictView>),
+  /// The request cannot be carried out as it is.
+  Invalid {
+    /// What to change.
+    message: String,
+  },
+  /// There is no such preset.
+  NoPreset {
+    /// Name asked for.
+    name: PresetName,
+  },
+  /// There is nothing by that id in quarantine.
+  NoQuarantine {
+    /// Id asked for.
+    id: String,
+  },
+  /// The token is missing or wrong.
+  Unauthorized,
+  /// The node has no token, so it takes no changes.
+  ChangesOff,
+  /// The platform cannot be reached; nothing was changed.
+  Unavailable {
+    /// Cause.
+    message: String,
+  },
+  /// The platform did not confirm the change; it may be in force.
+  Unconfirmed {
+    /// Identity of the change.
+    id: ChangeId,
+  },
+  /// The node failed.
+  Internal {
+    /// Cause.
+    message: String,
+  },
+}
+
+impl Display for NodeError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Conflict(other) => write!(
+        f,
+        "conflict: operator `{}` {} (revision {}, {}, reason `{}`): look at it with `cactusyoke audit`, then repeat your change with `--revision {}`",
+        other.operator,
+        other.summary,
+        other.revision,
+        other.time,
+        other.reason.escape_debug(),
+        other.revision
+      ),
+      Self::Invalid { message } | Self::Internal { message } => f.write_str(message),
+      Self::NoPreset { name } => write!(
+        f,
+        "there is no preset `{name}`: list them with `cactusyoke preset list`"
+      ),
+      Self::NoQuarantine { id } => write!(
+        f,
+        "nothing with id `{}` is in quarantine: list the ids with `cactusyoke quarantine list`",
+        id.escape_debug()
+      ),
+      Self::Unauthorized => {
+        f.write_str("the node does not accept the token: check `--token` or `CACTUSYOKE_TOKEN`")
+      }
+      Self::ChangesOff => {
+        f.write_str("the node accepts no changes: set `operators.token` in its settings")
+      }
+      Self::Unavailable { message } => write!(f, "nothing was changed: {message}"),
+      Self::Unconfirmed { id } => write!(
+        f,
+        "the platform did not confirm change `{id}`, which may be in force: repeat the command with `--id {id}`, which never applies it twice"
+      ),
+    }
+  }
+}
+
+impl Error for NodeError {}
--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,62 @@
+use {
+  crate::StoreError,
+  bytes::Bytes,
+  std::{fmt::Debug, pin::Pin, time::Duration},
+};
+
+/// Result of a call to the store, boxed so that the store can be a trait object.
+pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send + 'a>>;
+
+/// Value with the version of its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Versioned {
+  /// Value.
+  pub value: Bytes,
+  /// Version, raised by every write to the key.
+  pub version: u64,
+}
+
+/// What a write expects to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expect {
+  /// No value.
+  Absent,
+  /// This version.
+  Version(u64),
+  /// Anything: the write always takes effect.
+  Any,
+}
+
+/// Answer to a request for a lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lease {
+  /// The caller holds the lease until its time to live has passed on the platform's clock.
+  Granted,
+  /// Another holder has it.
+  Held {
+    /// Its holder.
+    holder: String,
+  },
+}
+
+/// Key-value service with compare-and-swap, leases and watches.
+///
+/// Keys are segments of `a-z`, `0-9`, `-`, `_` and `.`, separated by slashes.
+pub trait Store: Debug + Send + Sync + 'static {
+  /// Reads a key; `None` when it has no value.
+  fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Versioned>>;
+
+  /// Writes a key where it matches the expectation, and returns its new version.
+  fn put<'a>(&'a self, key: &'a str, value: Bytes, expect: Expect) -> StoreFuture<'a, u64>;
+
+  /// Takes or renews a lease.
+  fn lease<'a>(&'a self, key: &'a str, holder: &'a str, ttl: Duration) -> StoreFuture<'a, Lease>;
+
+  /// Waits for a version above `after`; `None` when there was none within `wait`.
+  fn watch<'a>(
+    &'a self,
+    key: &'a str,
+    after: u64,
+    wait: Duration,
+  ) -> StoreFuture<'a, Option<Versioned>>;
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Small stand-ins of the platform, upstreams and load, for tests and the demonstration.
+
+pub mod platform;
--- /dev/null
+++ b/crates/standins/src/platform/calls.rs
@@ -0,0 +1,37 @@
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+/// Calls that arrived, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+  /// Reads.
+  pub gets: u64,
+  /// Writes, successful or not.
+  pub puts: u64,
+  /// Watches.
+  pub watches: u64,
+  /// Lease requests.
+  pub leases: u64,
+  /// Calls refused for lack of quota.
+  pub refused: u64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+  pub(crate) gets: AtomicU64,
+  pub(crate) puts: AtomicU64,
+  pub(crate) watches: AtomicU64,
+  pub(crate) leases: AtomicU64,
+  pub(crate) refused: AtomicU64,
+}
+
+impl Counters {
+  pub(crate) fn read(&self) -> Calls {
+    Calls {
+      gets: self.gets.load(Relaxed),
+      puts: self.puts.load(Relaxed),
+      watches: self.watches.load(Relaxed),
+      leases: self.leases.load(Relaxed),
+      refused: self.refused.load(Relaxed),
+    }
+  }
+}
--- /dev/null
+++ b/crates/standins/src/platform/faults.rs
@@ -0,0 +1,83 @@
+use std::{
+  sync::{Mutex, PoisonError},
+  time::Duration,
+};
+
+/// How the platform fails to serve.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Outage {
+  /// It serves.
+  #[default]
+  None,
+  /// It closes connections without an answer.
+  Refuse,
+  /// It accepts connections and never answers.
+  Hang,
+}
+
+/// What becomes of the answer to a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Answered {
+  Sent,
+  Lost,
+}
+
+#[derive(Debug, Default)]
+struct State {
+  outage: Outage,
+  delay: Duration,
+  lost: u32,
+  behind: usize,
+}
+
+/// Faults of the platform stand-in, switched by tests.
+#[derive(Debug, Default)]
+pub struct Faults(Mutex<State>);
+
+impl Faults {
+  /// Starts or ends an outage; open connections and waiting watches are hit as well.
+  pub fn set_outage(&self, outage: Outage) {
+    self.with(|state| state.outage = outage);
+  }
+
+  /// Delays each answer.
+  pub fn set_delay(&self, delay: Duration) {
+    self.with(|state| state.delay = delay);
+  }
+
+  /// Closes the connection instead of answering each of the next `count` writes that take effect.
+  pub fn lose_answers(&self, count: u32) {
+    self.with(|state| state.lost = count);
+  }
+
+  /// Serves reads from `versions` writes ago; zero serves the present value.
+  pub fn serve_older(&self, versions: usize) {
+    self.with(|state| state.behind = versions);
+  }
+
+  pub(crate) fn outage(&self) -> Outage {
+    self.with(|state| state.outage)
+  }
+
+  pub(crate) fn delay(&self) -> Duration {
+    self.with(|state| state.delay)
+  }
+
+  pub(crate) fn behind(&self) -> usize {
+    self.with(|state| state.behind)
+  }
+
+  pub(crate) fn answer(&self) -> Answered {
+    self.with(|state| {
+      if state.lost == 0 {
+        return Answered::Sent;
+      }
+      state.lost -= 1;
+      Answered::Lost
+    })
+  }
+
+  fn with<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+    f(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+  }
+}
