Add the state machines for idempotency keys

Interface of `keys`: witnesses, rosters, runs, takeovers, roster changes and kept answers, with their messages.

--- /dev/null
+++ b/crates/decisions/src/keys/answers.rs
@@ -0,0 +1,299 @@
+use {
+  crate::keys::{AnswerLimits, CLAIM_LIMIT, Lookup, RunId},
+  cactusyoke_model::{ByteSize, IdempotencyKey, NotRunReason, UnknownReason},
+  std::{
+    collections::{HashMap, VecDeque},
+    mem,
+    time::{Duration, Instant},
+  },
+};
+
+/// Runs of a key remembered as withdrawn. An older one, when asked about, may have run.
+const MAX_WITHDRAWN: usize = 8;
+
+type Ended = (Instant, IdempotencyKey, RunId);
+
+/// Keys that a node runs or ran, with the answers that it keeps.
+///
+/// Waiters are numbers that the node gives to those who wait for the answer of a key.
+#[derive(Clone, Debug)]
+pub struct Answers<T> {
+  limits: AnswerLimits,
+  entries: HashMap<IdempotencyKey, Entry<T>>,
+  bytes: u64,
+  /// Kept answers, oldest first.
+  kept: VecDeque<Ended>,
+  /// Withdrawn runs, oldest first.
+  withdrawn: VecDeque<Ended>,
+  /// Other ended runs, oldest first.
+  ended: VecDeque<Ended>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry<T> {
+  run: RunId,
+  /// Earlier runs, all of which were withdrawn.
+  withdrawn: VecDeque<RunId>,
+  fingerprint: u64,
+  state: State<T>,
+}
+
+#[derive(Clone, Debug)]
+enum State<T> {
+  Running(Vec<u64>),
+  Done { answer: T, bytes: u64 },
+  NotRun,
+  Unknown(UnknownReason),
+}
+
+impl<T: Clone> Answers<T> {
+  /// Nothing known yet.
+  pub fn new(limits: AnswerLimits) -> Self {
+    Self {
+      limits,
+      entries: HashMap::new(),
+      bytes: 0,
+      kept: VecDeque::new(),
+      withdrawn: VecDeque::new(),
+      ended: VecDeque::new(),
+    }
+  }
+
+  /// Sets the time for which it is known that a key ran, from now on.
+  pub fn set_memory(&mut self, memory: Duration) {
+    self.limits.memory = memory;
+  }
+
+  /// Size of the kept answers.
+  pub const fn bytes(&self) -> ByteSize {
+    ByteSize(self.bytes)
+  }
+
+  /// Known keys.
+  pub fn len(&self) -> usize {
+    self.entries.len()
+  }
+
+  /// Whether no key is known.
+  pub fn is_empty(&self) -> bool {
+    self.entries.is_empty()
+  }
+
+  /// Enters a run that is about to claim its key. At the bound on keys, and while an earlier run
+  /// of the key may have run, it is refused.
+  pub fn start(
+    &mut self,
+    key: &IdempotencyKey,
+    fingerprint: u64,
+    run: RunId,
+    now: Instant,
+  ) -> Result<(), NotRunReason> {
+    self.expire(now);
+    let mut withdrawn = VecDeque::new();
+    let full = self.entries.len() >= self.limits.keys;
+    match self.entries.get_mut(key) {
+      None if full => return Err(NotRunReason::Limit),
+      None => {}
+      Some(entry) if matches!(entry.state, State::NotRun) => {
+        withdrawn = mem::take(&mut entry.withdrawn);
+        withdrawn.push_back(entry.run);
+        if withdrawn.len() > MAX_WITHDRAWN {
+          withdrawn.pop_front();
+        }
+      }
+      Some(_) => return Err(NotRunReason::Withdrawn),
+    }
+    let entry = Entry {
+      run,
+      withdrawn,
+      fingerprint,
+      state: State::Running(Vec::new()),
+    };
+    self.entries.insert(key.clone(), entry);
+    Ok(())
+  }
+
+  /// What a request that arrives at this node gets; `waiter` is entered if it has to wait.
+  pub fn lookup(
+    &mut self,
+    key: &IdempotencyKey,
+    fingerprint: u64,
+    waiter: u64,
+    now: Instant,
+  ) -> Lookup<T> {
+    self.expire(now);
+    let Some(entry) = self.entries.get_mut(key) else {
+      return Lookup::Absent;
+    };
+    if entry.fingerprint != fingerprint {
+      return match entry.state {
+        // A run that did not happen does not bind the key to its request.
+        State::NotRun => Lookup::NotRun(entry.run),
+        _ => Lookup::Refused(NotRunReason::KeyMismatch),
+      };
+    }
+    match &mut entry.state {
+      State::Running(waiters) => {
+        if !waiters.contains(&waiter) {
+          waiters.push(waiter);
+        }
+        Lookup::Wait
+      }
+      State::Done { answer, .. } => Lookup::Done(answer.clone()),
+      State::NotRun => Lookup::NotRun(entry.run),
+      State::Unknown(reason) => Lookup::Unknown(*reason),
+    }
+  }
+
+  /// What another node gets that asks about `run`, which a witness named as the holder of `key`.
+  ///
+  /// A run that is not known here may have run: it belongs to an earlier incarnation, or the
+  /// memory of it is over.
+  pub fn ask(
+    &mut self,
+    key: &IdempotencyKey,
+    fingerprint: u64,
+    run: RunId,
+    waiter: u64,
+    now: Instant,
+  ) -> Lookup<T> {
+    self.expire(now);
+    match self.entries.get(key) {
+      Some(entry) if entry.run == run => self.lookup(key, fingerprint, waiter, now),
+      Some(entry) if entry.withdrawn.contains(&run) => Lookup::NotRun(run),
+      Some(_) | None => Lookup::Unknown(UnknownReason::FirstRun),
+    }
+  }
+
+  /// Stops the wait of `waiter`.
+  pub fn leave(&mut self, key: &IdempotencyKey, waiter: u64) {
+    if let Some(Entry {
+      state: State::Running(waiters),
+      ..
+    }) = self.entries.get_mut(key)
+    {
+      waiters.retain(|waiting| *waiting != waiter);
+    }
+  }
+
+  /// Records the answer of a run; returns its waiters, who get the answer even if it is too large
+  /// to be kept.
+  pub fn finish(
+    &mut self,
+    key: &IdempotencyKey,
+    run: RunId,
+    answer: T,
+    size: ByteSize,
+    now: Instant,
+  ) -> Vec<u64> {
+    self.expire(now);
+    let bytes = size.0;
+    if bytes > self.limits.single.0.min(self.limits.total.0) {
+      return self.end(key, run, State::Unknown(UnknownReason::AnswerExpired), now);
+    }
+    let Some(waiters) = self.end_if_running(key, run, State::Done { answer, bytes }, now) else {
+      return Vec::new();
+    };
+    self.bytes += bytes;
+    self.kept.push_back((now, key.clone(), run));
+    while self.bytes > self.limits.total.0 {
+      self.drop_oldest();
+    }
+    waiters
+  }
+
+  /// Records that a run may have happened and has no answer; returns its waiters.
+  pub fn fail(
+    &mut self,
+    key: &IdempotencyKey,
+    run: RunId,
+    reason: UnknownReason,
+    now: Instant,
+  ) -> Vec<u64> {
+    self.end(key, run, State::Unknown(reason), now)
+  }
+
+  /// Records that a run did not and will not happen; returns its waiters.
+  pub fn withdraw(&mut self, key: &IdempotencyKey, run: RunId, now: Instant) -> Vec<u64> {
+    self.end(key, run, State::NotRun, now)
+  }
+
+  /// Drops answers and keys whose time is over.
+  pub fn expire(&mut self, now: Instant) {
+    while self
+      .kept
+      .front()
+      .is_some_and(|(at, ..)| now.saturating_duration_since(*at) >= self.limits.keep)
+    {
+      self.drop_oldest();
+    }
+    // As long as witnesses remember the grant, so that its holder can be asked.
+    let memory = self.limits.memory + CLAIM_LIMIT;
+    Self::forget(&mut self.entries, &mut self.ended, memory, now);
+    Self::forget(
+      &mut self.entries,
+      &mut self.withdrawn,
+      self.limits.keep,
+      now,
+    );
+  }
+
+  fn forget(
+    entries: &mut HashMap<IdempotencyKey, Entry<T>>,
+    queue: &mut VecDeque<Ended>,
+    time: Duration,
+    now: Instant,
+  ) {
+    while queue
+      .front()
+      .is_some_and(|(at, ..)| now.saturating_duration_since(*at) >= time)
+    {
+      if let Some((_, key, run)) = queue.pop_front()
+        && entries.get(&key).is_some_and(|entry| entry.run == run)
+      {
+        entries.remove(&key);
+      }
+    }
+  }
+
+  fn end(&mut self, key: &IdempotencyKey, run: RunId, state: State<T>, now: Instant) -> Vec<u64> {
+    self
+      .end_if_running(key, run, state, now)
+      .unwrap_or_default()
+  }
+
+  fn end_if_running(
+    &mut self,
+    key: &IdempotencyKey,
+    run: RunId,
+    state: State<T>,
+    now: Instant,
+  ) -> Option<Vec<u64>> {
+    let entry = self.entries.get_mut(key).filter(|entry| entry.run == run)?;
+    if !matches!(entry.state, State::Running(_)) {
+      return None;
+    }
+    let queue = match state {
+      State::NotRun => &mut self.withdrawn,
+      _ => &mut self.ended,
+    };
+    let State::Running(waiters) = mem::replace(&mut entry.state, state) else {
+      return None;
+    };
+    queue.push_back((now, key.clone(), run));
+    Some(waiters)
+  }
+
+  fn drop_oldest(&mut self) {
+    let Some((_, key, run)) = self.kept.pop_front() else {
+      return;
+    };
+    if let Some(entry) = self.entries.get_mut(&key)
+      && entry.run == run
+      && let State::Done { bytes, .. } = entry.state
+    {
+      self.bytes -= bytes;
+      entry.state = State::Unknown(UnknownReason::AnswerExpired);
+    }
+  }
+}
--- /dev/null
+++ b/crates/decisions/src/keys/roster.rs
@@ -0,0 +1,174 @@
+use {
+  crate::keys::{KeyHash, Member},
+  cactusyoke_model::{IdempotencyKey, NodeId},
+  serde::{Deserialize, Serialize},
+  std::{
+    cmp::Reverse,
+    collections::BTreeSet,
+    fmt::{self, Display, Formatter},
+  },
+};
+
+/// Members of a group whose grants count, kept in the platform and changed by compare-and-swap.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "RawRoster", into = "RawRoster")]
+pub struct Roster {
+  /// Number of the roster; the first is 1 and each change adds one.
+  pub epoch: u64,
+  /// Members.
+  pub members: Vec<Member>,
+  /// Members of the roster before, from whom grants are handed over; empty in epoch 1.
+  pub previous: Vec<Member>,
+}
+
+impl Roster {
+  /// Most members of a roster.
+  pub const MAX_MEMBERS: usize = 12;
+  /// Witnesses of a key.
+  pub const WITNESSES: usize = 3;
+
+  /// First roster of a group.
+  pub fn first(members: Vec<Member>) -> Result<Self, RosterError> {
+    RawRoster {
+      epoch: 1,
+      members,
+      previous: Vec::new(),
+    }
+    .try_into()
+  }
+
+  /// Roster that follows this one.
+  ///
+  /// [`RosterChange`](crate::keys::RosterChange) checks when a change is allowed.
+  pub fn next(&self, members: Vec<Member>) -> Result<Self, RosterError> {
+    RawRoster {
+      epoch: self.epoch + 1,
+      members,
+      previous: self.members.clone(),
+    }
+    .try_into()
+  }
+
+  /// Members whose grants decide on `key`: three, the only member, or none when there are two.
+  pub fn witnesses(&self, key: &IdempotencyKey) -> Vec<Member> {
+    match self.members.len() {
+      2 => Vec::new(),
+      _ => Self::keepers(&self.members, key.into()),
+    }
+  }
+
+  /// Whether `member` is in the roster in this incarnation.
+  pub fn contains(&self, member: Member) -> bool {
+    self.members.contains(&member)
+  }
+
+  /// Grants that a run needs: a majority of the witnesses.
+  pub fn quorum(&self) -> usize {
+    quorum(self.members.len())
+  }
+
+  /// Members that keep the grants of `key`, by rendezvous hash.
+  ///
+  /// Two members keep all keys, though they grant none, so that a group that shrinks to two and
+  /// grows again does not lose its grants.
+  pub(crate) fn keepers(members: &[Member], key: KeyHash) -> Vec<Member> {
+    let mut weighed = members
+      .iter()
+      .map(|member| (Reverse(key.weight(member.node)), *member))
+      .collect::<Vec<_>>();
+    weighed.sort_unstable();
+    weighed
+      .into_iter()
+      .take(Self::WITNESSES)
+      .map(|(_, member)| member)
+      .collect()
+  }
+}
+
+/// Keepers out of those of one key that must agree. Of two members one is enough: as they grant
+/// nothing, each has what the other has.
+pub(crate) const fn quorum(members: usize) -> usize {
+  match members {
+    0 => 0,
+    1 | 2 => 1,
+    _ => 2,
+  }
+}
+
+/// Roster as it is stored.
+#[derive(Debug, Serialize, Deserialize)]
+struct RawRoster {
+  epoch: u64,
+  members: Vec<Member>,
+  previous: Vec<Member>,
+}
+
+impl TryFrom<RawRoster> for Roster {
+  type Error = RosterError;
+
+  fn try_from(raw: RawRoster) -> Result<Self, Self::Error> {
+    if raw.epoch == 0 || (raw.epoch == 1) != raw.previous.is_empty() {
+      return Err(RosterError::Epoch(raw.epoch));
+    }
+    for members in [&raw.members, &raw.previous] {
+      if members.len() > Self::MAX_MEMBERS {
+        return Err(RosterError::TooMany(members.len()));
+      }
+      let mut seen = BTreeSet::new();
+      if let Some(member) = members.iter().find(|member| !seen.insert(member.node)) {
+        return Err(RosterError::Duplicate(member.node));
+      }
+    }
+    if raw.members.is_empty() {
+      return Err(RosterError::Empty);
+    }
+    Ok(Self {
+      epoch: raw.epoch,
+      members: raw.members,
+      previous: raw.previous,
+    })
+  }
+}
+
+impl From<Roster> for RawRoster {
+  fn from(roster: Roster) -> Self {
+    Self {
+      epoch: roster.epoch,
+      members: roster.members,
+      previous: roster.previous,
+    }
+  }
+}
+
+/// Why members do not make a roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RosterError {
+  /// No members.
+  Empty,
+  /// More than [`Roster::MAX_MEMBERS`].
+  TooMany(usize),
+  /// A node stands in it twice.
+  Duplicate(NodeId),
+  /// Epoch 0, or a first roster with or a later one without a roster before it.
+  Epoch(u64),
+}
+
+impl Display for RosterError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Empty => f.write_str("the roster has no members: name at least one"),
+      Self::TooMany(count) => write!(
+        f,
+        "the roster has {count} members: name at most {}",
+        Roster::MAX_MEMBERS
+      ),
+      Self::Duplicate(node) => write!(f, "the roster names `{node}` twice: name each node once"),
+      Self::Epoch(epoch) => write!(
+        f,
+        "the roster has epoch {epoch}: start at 1 and name the members before from epoch 2 on"
+      ),
+    }
+  }
+}
+
+impl std::error::Error for RosterError {}
--- /dev/null
+++ b/crates/decisions/src/keys/roster_change.rs
@@ -0,0 +1,126 @@
+use {
+  crate::keys::{Member, Roster, RosterError, Witness},
+  std::fmt::{self, Display, Formatter},
+};
+
+/// What a change asks its node to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeStep {
+  /// Store the roster if the stored one has epoch `expected`; 0 when none may be stored.
+  Write {
+    /// Epoch that must be stored.
+    expected: u64,
+    /// Roster to store.
+    roster: Roster,
+  },
+  /// Read the stored roster.
+  Read,
+  /// The change is stored: adopt the roster.
+  Done(Roster),
+  /// Another change was stored instead: adopt it, then decide anew.
+  Superseded(Roster),
+}
+
+/// Reply of the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreReply {
+  /// The write took effect.
+  Written,
+  /// The write did not take effect; this is stored.
+  Conflict(Option<Roster>),
+  /// No reply came: the write may have taken effect.
+  Lost,
+  /// This is stored.
+  Read(Option<Roster>),
+}
+
+/// Why a change may not be made now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeError {
+  /// The members do not make a roster.
+  Roster(RosterError),
+  /// The roster of this epoch has not taken effect yet.
+  NotSettled(u64),
+}
+
+impl Display for ChangeError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Roster(error) => error.fmt(f),
+      Self::NotSettled(epoch) => write!(
+        f,
+        "roster {epoch} is not in effect yet: wait until the members of the roster before have \
+         handed over"
+      ),
+    }
+  }
+}
+
+impl std::error::Error for ChangeError {}
+
+/// One change of a roster by compare-and-swap.
+#[derive(Clone, Debug)]
+pub struct RosterChange {
+  roster: Roster,
+}
+
+impl RosterChange {
+  /// Starts the first roster of a group, where none is stored.
+  pub fn first(members: Vec<Member>) -> Result<(Self, ChangeStep), ChangeError> {
+    let roster = Roster::first(members).map_err(ChangeError::Roster)?;
+    Ok(Self::start(roster))
+  }
+
+  /// Starts a change from the roster that `witness` knows to one of `members`.
+  ///
+  /// It is refused until the roster before the current one can no longer grant any key. So at
+  /// most two rosters grant at any time, and the handovers between them account for every run.
+  pub fn propose(
+    witness: &Witness,
+    members: Vec<Member>,
+  ) -> Result<(Self, ChangeStep), ChangeError> {
+    let Some(takeover) = witness.takeover() else {
+      return Err(ChangeError::NotSettled(0));
+    };
+    if !takeover.is_settled() {
+      return Err(ChangeError::NotSettled(takeover.roster().epoch));
+    }
+    let roster = takeover
+      .roster()
+      .next(members)
+      .map_err(ChangeError::Roster)?;
+    Ok(Self::start(roster))
+  }
+
+  /// Handles a reply of the store.
+  pub fn on_reply(&self, reply: StoreReply) -> ChangeStep {
+    match reply {
+      StoreReply::Written => ChangeStep::Done(self.roster.clone()),
+      StoreReply::Lost => ChangeStep::Read,
+      // The change's own roster is there when an earlier write took effect and its reply was lost.
+      StoreReply::Conflict(Some(stored)) | StoreReply::Read(Some(stored)) => {
+        if stored == self.roster {
+          ChangeStep::Done(stored)
+        } else if stored.epoch + 1 == self.roster.epoch {
+          self.write()
+        } else {
+          ChangeStep::Superseded(stored)
+        }
+      }
+      StoreReply::Conflict(None) | StoreReply::Read(None) => self.write(),
+    }
+  }
+
+  fn start(roster: Roster) -> (Self, ChangeStep) {
+    let change = Self { roster };
+    let step = change.write();
+    (change, step)
+  }
+
+  fn write(&self) -> ChangeStep {
+    ChangeStep::Write {
+      expected: self.roster.epoch - 1,
+      roster: self.roster.clone(),
+    }
+  }
+}
--- /dev/null
+++ b/crates/decisions/src/keys/run.rs
@@ -0,0 +1,239 @@
+use {
+  crate::keys::{CLAIM_LIMIT, Claim, Member, Roster, RunId, Vote, WitnessReply, WitnessRequest},
+  cactusyoke_model::{IdempotencyKey, NotRunReason},
+  std::time::Instant,
+};
+
+/// What a run asks its node to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunAction {
+  /// Send the request to a witness.
+  Send(Member, WitnessRequest),
+  /// Call the upstream, now and once.
+  MayRun,
+  /// Another run holds the key: ask its member for the answer. This run will not run.
+  Held(RunId),
+  /// A newer roster is in force: fetch it and start another run. This run will not run.
+  WrongEpoch(u64),
+  /// This run did not and will not run.
+  NotRun(NotRunReason),
+}
+
+/// State of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunState {
+  /// Waits for votes.
+  Claiming,
+  /// Was told to run.
+  Running,
+  /// Did not and will not run.
+  Withdrawn,
+}
+
+/// One attempt to run one key under one roster.
+///
+/// It leaves [`RunState::Claiming`] once, either to `Running` or to `Withdrawn`, and neither of
+/// these has a way out: a run that was reported as not run can never run.
+#[derive(Clone, Debug)]
+pub struct Run {
+  id: RunId,
+  key: IdempotencyKey,
+  fingerprint: u64,
+  epoch: u64,
+  quorum: usize,
+  started: Instant,
+  state: RunState,
+  votes: Vec<(Member, Option<Vote>)>,
+}
+
+impl Run {
+  /// Starts a run and returns the claims to send.
+  ///
+  /// Without witnesses (a roster of two) no claim is returned and [`Run::on_timeout`] gives the
+  /// refusal at once.
+  pub fn start(
+    id: RunId,
+    key: IdempotencyKey,
+    fingerprint: u64,
+    roster: &Roster,
+    now: Instant,
+  ) -> (Self, Vec<(Member, WitnessRequest)>) {
+    Self::start_after(id, key, fingerprint, roster, None, now)
+  }
+
+  /// Starts a run after `released`, which held the key, has certified that it will not run.
+  pub fn start_after(
+    id: RunId,
+    key: IdempotencyKey,
+    fingerprint: u64,
+    roster: &Roster,
+    released: Option<RunId>,
+    now: Instant,
+  ) -> (Self, Vec<(Member, WitnessRequest)>) {
+    let votes = roster
+      .witnesses(&key)
+      .into_iter()
+      .map(|witness| (witness, None))
+      .collect();
+    let run = Self {
+      id,
+      key,
+      fingerprint,
+      epoch: roster.epoch,
+      quorum: roster.quorum(),
+      started: now,
+      state: RunState::Claiming,
+      votes,
+    };
+    let claims = run.requests(Claim::Claim { released });
+    (run, claims)
+  }
+
+  /// Identity.
+  pub const fn id(&self) -> RunId {
+    self.id
+  }
+
+  /// Key.
+  pub const fn key(&self) -> &IdempotencyKey {
+    &self.key
+  }
+
+  /// Fingerprint of the request.
+  pub const fn fingerprint(&self) -> u64 {
+    self.fingerprint
+  }
+
+  /// State.
+  pub const fn state(&self) -> RunState {
+    self.state
+  }
+
+  /// Handles the reply of a witness. Replies to other runs, of other incarnations and under other
+  /// epochs are ignored.
+  pub fn on_reply(&mut self, from: Member, reply: &WitnessReply, now: Instant) -> Vec<RunAction> {
+    let WitnessReply::Key {
+      witness,
+      epoch,
+      key,
+      run,
+      vote,
+    } = reply
+    else {
+      return Vec::new();
+    };
+    // Grants from two rosters are never added up: their witnesses need not have one in common.
+    if *witness != from || *epoch != self.epoch || *key != self.key || *run != self.id {
+      return Vec::new();
+    }
+    match self.state {
+      RunState::Claiming => self.count(from, *vote, now),
+      // A claim that was delivered after the withdrawal: the witness must let go of the key.
+      RunState::Withdrawn if *vote == Vote::Granted => {
+        vec![RunAction::Send(from, self.request(Claim::Withdraw))]
+      }
+      RunState::Withdrawn | RunState::Running => Vec::new(),
+    }
+  }
+
+  /// Ends the wait for votes.
+  pub fn on_timeout(&mut self, _now: Instant) -> Vec<RunAction> {
+    match self.state {
+      RunState::Claiming => self.withdraw(),
+      RunState::Running | RunState::Withdrawn => Vec::new(),
+    }
+  }
+
+  /// Gives up before the grants are in, as when the caller went away.
+  pub fn cancel(&mut self) -> Vec<RunAction> {
+    match self.state {
+      RunState::Claiming => {
+        let mut actions = self.withdraw();
+        actions.pop();
+        actions.push(RunAction::NotRun(NotRunReason::Cancelled));
+        actions
+      }
+      RunState::Running | RunState::Withdrawn => Vec::new(),
+    }
+  }
+
+  fn count(&mut self, from: Member, vote: Vote, now: Instant) -> Vec<RunAction> {
+    let Some(slot) = self.votes.iter_mut().find(|(member, _)| *member == from) else {
+      return Vec::new();
+    };
+    // The first vote stands, except that a duplicated claim may have been granted later.
+    if slot.1.is_none() || vote == Vote::Granted {
+      slot.1 = Some(vote);
+    }
+    if now.saturating_duration_since(self.started) > CLAIM_LIMIT {
+      return self.withdraw();
+    }
+    let granted = self.granted();
+    let open = self.votes.iter().filter(|(_, vote)| vote.is_none()).count();
+    if granted >= self.quorum {
+      self.state = RunState::Running;
+      return vec![RunAction::MayRun];
+    }
+    if granted + open < self.quorum {
+      return self.withdraw();
+    }
+    Vec::new()
+  }
+
+  fn withdraw(&mut self) -> Vec<RunAction> {
+    self.state = RunState::Withdrawn;
+    // All witnesses, not only those that granted: a claim may still be on its way to the others.
+    self
+      .requests(Claim::Withdraw)
+      .into_iter()
+      .map(|(to, request)| RunAction::Send(to, request))
+      .chain([self.refusal()])
+      .collect()
+  }
+
+  fn refusal(&self) -> RunAction {
+    let votes = || self.votes.iter().filter_map(|(_, vote)| *vote);
+    if let Some(holder) = votes().find_map(|vote| match vote {
+      Vote::Denied { holder } => Some(holder),
+      _ => None,
+    }) {
+      return RunAction::Held(holder);
+    }
+    let newer = votes().filter_map(|vote| match vote {
+      Vote::WrongEpoch { epoch } if epoch > self.epoch => Some(epoch),
+      _ => None,
+    });
+    if let Some(epoch) = newer.max() {
+      return RunAction::WrongEpoch(epoch);
+    }
+    if votes().any(|vote| vote == Vote::Full) {
+      return RunAction::NotRun(NotRunReason::Limit);
+    }
+    RunAction::NotRun(NotRunReason::NoWitnesses)
+  }
+
+  fn granted(&self) -> usize {
+    self
+      .votes
+      .iter()
+      .filter(|(_, vote)| *vote == Some(Vote::Granted))
+      .count()
+  }
+
+  fn requests(&self, claim: Claim) -> Vec<(Member, WitnessRequest)> {
+    self
+      .votes
+      .iter()
+      .map(|(witness, _)| (*witness, self.request(claim)))
+      .collect()
+  }
+
+  fn request(&self, claim: Claim) -> WitnessRequest {
+    WitnessRequest::Key {
+      epoch: self.epoch,
+      key: self.key.clone(),
+      run: self.id,
+      claim,
+    }
+  }
+}
--- /dev/null
+++ b/crates/decisions/src/keys/witness.rs
@@ -0,0 +1,273 @@
+use {
+  crate::keys::{
+    CLAIM_LIMIT, Claim, Coverage, Grants, Handover, HandoverPage, KEY_MEMORY, KeyHash, Member,
+    Roster, RunId, Takeover, Vote, WitnessReply, WitnessRequest, withdrawn::Withdrawn,
+  },
+  cactusyoke_model::{IdempotencyKey, NodeId},
+  std::time::{Duration, Instant},
+};
+
+/// Keys in one page of a handover: with two holders each, a page stays under the 64 KiB of a frame.
+const PAGE: usize = 256;
+
+/// Keys looked at for each claim, to remove those whose time is over.
+const SWEEP: usize = 8;
+
+/// Keys looked at for each claim that the bound would refuse.
+const SWEEP_FULL: usize = 1024;
+
+/// One member's memory of which run holds which key.
+#[derive(Clone, Debug)]
+pub struct Witness {
+  member: Member,
+  limit: usize,
+  memory: Duration,
+  longest: Duration,
+  takeover: Option<Takeover>,
+  /// Lowest epoch under which it may grant.
+  floor: u64,
+  grants: Grants,
+  withdrawn: Withdrawn,
+}
+
+impl Witness {
+  /// A witness without a roster that remembers up to `limit` keys.
+  pub fn new(member: Member, limit: usize) -> Self {
+    Self {
+      member,
+      limit,
+      memory: KEY_MEMORY,
+      longest: KEY_MEMORY,
+      takeover: None,
+      floor: 0,
+      grants: Grants::default(),
+      withdrawn: Withdrawn::default(),
+    }
+  }
+
+  /// Identity.
+  pub const fn member(&self) -> Member {
+    self.member
+  }
+
+  /// Roster that it knows.
+  pub fn roster(&self) -> Option<&Roster> {
+    self.takeover.as_ref().map(Takeover::roster)
+  }
+
+  /// Takeover under way, or complete.
+  pub const fn takeover(&self) -> Option<&Takeover> {
+    self.takeover.as_ref()
+  }
+
+  /// Lowest epoch under which it may grant. Above the epoch of its roster: fetch the newer one.
+  pub const fn floor(&self) -> u64 {
+    self.floor
+  }
+
+  /// Remembered keys.
+  pub fn len(&self) -> usize {
+    self.grants.len()
+  }
+
+  /// Whether no key is remembered.
+  pub fn is_empty(&self) -> bool {
+    self.len() == 0
+  }
+
+  /// Sets the time for which keys are remembered from now on. Earlier grants keep their time.
+  pub fn set_memory(&mut self, memory: Duration) {
+    self.memory = memory;
+    self.longest = self.longest.max(memory);
+    let retention = self.longest + CLAIM_LIMIT;
+    if let Some(takeover) = &mut self.takeover {
+      takeover.raise(retention);
+    }
+  }
+
+  /// Handles a request of `from`.
+  pub fn handle(&mut self, from: NodeId, request: WitnessRequest, now: Instant) -> WitnessReply {
+    match request {
+      WitnessRequest::Key {
+        epoch,
+        key,
+        run,
+        claim,
+      } => {
+        let vote = self.vote(from, epoch, &key, run, claim, now);
+        WitnessReply::Key {
+          witness: self.member,
+          epoch,
+          key,
+          run,
+          vote,
+        }
+      }
+      WitnessRequest::Handover(handover) => WitnessReply::Handover(self.hand_over(&handover, now)),
+    }
+  }
+
+  /// Takes note of a roster that the platform has stored: stops granting under earlier ones and
+  /// returns the requests for handovers. A roster that is not newer is ignored.
+  ///
+  /// A node that is not a member does the same, without grants, to learn when a change from this
+  /// roster is allowed.
+  pub fn adopt(&mut self, roster: Roster, now: Instant) -> Vec<(Member, WitnessRequest)> {
+    let known = self.roster().map_or(0, |known| known.epoch);
+    if roster.epoch <= known {
+      return Vec::new();
+    }
+    self.floor = self.floor.max(roster.epoch);
+    let old = self.takeover.take();
+    let me = self.member;
+    let mut takeover = Takeover::new(roster, self.longest + CLAIM_LIMIT, now);
+    takeover.stopped(me, now);
+    if let Some(old) = old
+      && old.roster().epoch + 1 == takeover.roster().epoch
+      && old.roster().contains(me)
+    {
+      takeover.known(me, old.coverage(now), now);
+    }
+    let requests = takeover.requests(me, now);
+    self.takeover = Some(takeover);
+    requests
+  }
+
+  /// Handles a page of a handover; returns the request for the next one.
+  pub fn on_page(&mut self, page: &HandoverPage, now: Instant) -> Option<(Member, WitnessRequest)> {
+    let takeover = self.takeover.as_mut()?;
+    // The grants of any page are true, whatever its order: taking them over can only refuse more.
+    if page.epoch == takeover.roster().epoch {
+      for grant in &page.grants {
+        if !self.withdrawn.contains(grant.run) {
+          self
+            .grants
+            .insert(grant.key, grant.run, grant.remaining, now);
+        }
+      }
+    }
+    takeover.on_page(self.member, page, now)
+  }
+
+  /// Records that the process of `member` is known to have ended.
+  pub fn on_ended(&mut self, member: Member, now: Instant) {
+    if let Some(takeover) = &mut self.takeover {
+      takeover.stopped(member, now);
+    }
+  }
+
+  /// Asks again for the handovers that are missing or partial.
+  pub fn on_retry(&mut self, now: Instant) -> Vec<(Member, WitnessRequest)> {
+    let member = self.member;
+    self
+      .takeover
+      .as_mut()
+      .map_or_else(Vec::new, |takeover| takeover.requests(member, now))
+  }
+
+  fn vote(
+    &mut self,
+    from: NodeId,
+    epoch: u64,
+    key: &IdempotencyKey,
+    run: RunId,
+    claim: Claim,
+    now: Instant,
+  ) -> Vote {
+    let hash = KeyHash::from(key);
+    match claim {
+      Claim::Withdraw | Claim::Certify => {
+        self.release(hash, run);
+        Vote::Withdrawn
+      }
+      Claim::Claim { released } => {
+        if let Some(released) = released {
+          self.release(hash, released);
+        }
+        self.grant(from, epoch, hash, run, now)
+      }
+    }
+  }
+
+  fn grant(&mut self, from: NodeId, epoch: u64, key: KeyHash, run: RunId, now: Instant) -> Vote {
+    self.grants.sweep(SWEEP, now);
+    // A claim that arrives after its withdrawal would hold the key for its whole time.
+    if self.withdrawn.contains(run) {
+      return Vote::Withdrawn;
+    }
+    let Some(takeover) = &mut self.takeover else {
+      return Vote::WrongEpoch { epoch: self.floor };
+    };
+    let roster = takeover.roster();
+    let keeper = Roster::keepers(&roster.members, key).contains(&self.member);
+    if epoch != roster.epoch || epoch < self.floor || !keeper {
+      return Vote::WrongEpoch {
+        epoch: self.floor.max(roster.epoch),
+      };
+    }
+    let holders = self.grants.holders(key, now);
+    // Where handovers named different runs, each of them blocks the others.
+    if let Some(holder) = holders.iter().find(|holder| **holder != run) {
+      return Vote::Denied { holder: *holder };
+    }
+    let granting = roster.members.len() != 2 && run.member.node == from;
+    if !granting || !takeover.is_ready(key, now) {
+      return Vote::NotReady;
+    }
+    if holders.is_empty() {
+      if self.grants.len() >= self.limit {
+        self.grants.sweep(SWEEP_FULL, now);
+      }
+      if self.grants.len() >= self.limit {
+        return Vote::Full;
+      }
+      self.grants.insert(key, run, self.memory + CLAIM_LIMIT, now);
+    }
+    Vote::Granted
+  }
+
+  fn release(&mut self, key: KeyHash, run: RunId) {
+    self.withdrawn.insert(run);
+    self.grants.release(key, run);
+  }
+
+  fn hand_over(&mut self, request: &Handover, now: Instant) -> HandoverPage {
+    let Handover {
+      roster,
+      to,
+      pass,
+      after,
+    } = request;
+    // From here on no claim under an earlier roster is granted, so what is handed over is all.
+    self.floor = self.floor.max(roster.epoch);
+    let coverage = self.coverage_before(roster, now);
+    let (grants, more) = match &coverage {
+      Some(_) => self.grants.page(*after, PAGE, now, |key| {
+        Roster::keepers(&roster.members, key).contains(to)
+      }),
+      None => (Vec::new(), false),
+    };
+    HandoverPage {
+      from: self.member,
+      epoch: roster.epoch,
+      pass: *pass,
+      after: *after,
+      coverage,
+      grants,
+      more,
+    }
+  }
+
+  /// Keys that this witness knew as a member of the roster before `roster`.
+  fn coverage_before(&self, roster: &Roster, now: Instant) -> Option<Coverage> {
+    let takeover = self.takeover.as_ref()?;
+    if !roster.previous.contains(&self.member) {
+      return None;
+    }
+    match roster.epoch.checked_sub(takeover.roster().epoch)? {
+      1 => Some(takeover.coverage(now)),
+      0 => takeover.known_of(self.member, now),
+      _ => None,
+    }
+  }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,1 +1,3 @@
 //! Deterministic decisions: admission, limits, retries, routing, membership, idempotency keys.
+
+pub mod keys;
