platform: add the configuration with its audit trail and the watcher

One compare-and-swap of `config/head` accepts a change with its audit record. A write without an answer leaves the change in doubt until the head is past the version that it expected; until then the write is repeated, and at most one of the two can match. Records name presets by content hash: with whole presets before and after, sixteen changes of a preset with 300 services would not fit into a value of 1 MB.

Conflicts are judged by subject (the preset, and its use while it is in force), not by revision alone: with a change every six seconds at full scale an edit based on any revision would always be refused.

The watcher reads outside its mailbox, so a slow platform does not delay what other nodes offer. A watch waits 2 s at a time, since a connection that has gone silent is noticed only when wait and time limit have passed.

--- /dev/null
+++ b/crates/platform/src/change_request.rs
@@ -0,0 +1,51 @@
+use {
+  crate::ConfigurationError,
+  cactusyoke_model::{ChangeId, Preset, PresetName, RawPreset, Revision},
+};
+
+/// Longest operator name, bytes.
+const MAX_OPERATOR: usize = 64;
+/// Longest reason, bytes. With it a full audit segment stays under half of the largest value.
+const MAX_REASON: usize = 1_000;
+
+/// Change that an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangeRequest {
+  /// Identity, chosen by the asker; a repeated request with the same id is applied once.
+  pub id: ChangeId,
+  /// Who asks.
+  pub operator: String,
+  /// Why.
+  pub reason: String,
+  /// Revision that the operator looked at.
+  pub based_on: Revision,
+  /// What to change.
+  pub intent: Intent,
+}
+
+/// What a change is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Intent {
+  /// Put a preset in force.
+  Use(PresetName),
+  /// Add or replace a preset.
+  Put(Box<RawPreset>),
+}
+
+impl ChangeRequest {
+  pub(crate) fn check(&self) -> Result<(), ConfigurationError> {
+    if self.operator.is_empty() || self.operator.len() > MAX_OPERATOR {
+      return Err(ConfigurationError::Operator(MAX_OPERATOR));
+    }
+    if self.reason.len() > MAX_REASON {
+      return Err(ConfigurationError::Reason(MAX_REASON));
+    }
+    match &self.intent {
+      Intent::Use(_) => Ok(()),
+      Intent::Put(preset) => match Preset::try_from((**preset).clone()) {
+        Ok(_) => Ok(()),
+        Err(error) => Err(ConfigurationError::Preset(error)),
+      },
+    }
+  }
+}
--- /dev/null
+++ b/crates/platform/src/configuration_error.rs
@@ -0,0 +1,127 @@
+use {
+  crate::{ContentHash, Record, StoreError},
+  cactusyoke_model::{ChangeId, PresetError, PresetName, Revision},
+  std::{
+    error::Error,
+    fmt::{self, Display, Formatter},
+  },
+};
+
+/// Why the configuration could not be read or changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigurationError {
+  /// Another change came first; this one was not applied.
+  Conflict {
+    /// The other change.
+    other: Box<Record>,
+    /// Present revision.
+    revision: Revision,
+  },
+  /// There is no such preset.
+  NoPreset(PresetName),
+  /// The preset is not valid.
+  Preset(PresetError),
+  /// The operator's name is empty or too long, bytes.
+  Operator(usize),
+  /// The reason is too long, bytes.
+  Reason(usize),
+  /// The change is based on a revision that is too far back.
+  TooOld {
+    /// Revision on which it is based.
+    based_on: Revision,
+    /// Present revision.
+    revision: Revision,
+  },
+  /// The id belongs to another change.
+  IdTaken(ChangeId),
+  /// The preset or the head is larger than the platform accepts.
+  TooLarge,
+  /// The platform did not serve; nothing was changed.
+  Unavailable(String),
+  /// The platform did not confirm the change; it may be in force.
+  Unconfirmed {
+    /// Identity of the change.
+    id: ChangeId,
+    /// Revision on which it was based.
+    based_on: Revision,
+  },
+  /// The platform serves a lower revision than one already adopted; nothing was changed.
+  Behind {
+    /// Revision that the platform serves.
+    platform: Revision,
+    /// Revision adopted before.
+    adopted: Revision,
+  },
+  /// A value in the platform cannot be read.
+  Corrupt {
+    /// Its key.
+    key: String,
+    /// Cause.
+    cause: String,
+  },
+  /// The platform has another value under the hash of a preset.
+  Collision(ContentHash),
+}
+
+impl From<StoreError> for ConfigurationError {
+  fn from(error: StoreError) -> Self {
+    match error {
+      StoreError::TooLarge => Self::TooLarge,
+      StoreError::Conflict { .. }
+      | StoreError::Unavailable { .. }
+      | StoreError::TimedOut
+      | StoreError::Quota => Self::Unavailable(error.to_string()),
+    }
+  }
+}
+
+impl Display for ConfigurationError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Conflict { other, revision } => write!(
+        f,
+        "conflict: operator `{}` {} at revision {}: look at the change, then repeat yours with revision {revision}",
+        other.operator.escape_debug(),
+        other.edit,
+        other.revision
+      ),
+      Self::NoPreset(name) => write!(
+        f,
+        "there is no preset `{name}`: import it before putting it in force"
+      ),
+      Self::Preset(error) => error.fmt(f),
+      Self::Operator(max) => write!(f, "the operator's name must have 1 to {max} bytes"),
+      Self::Reason(max) => write!(f, "the reason is too long: use at most {max} bytes"),
+      Self::TooOld { based_on, revision } => write!(
+        f,
+        "revision {based_on} is too far behind the present revision {revision}: look at the configuration again and repeat the change with revision {revision}"
+      ),
+      Self::IdTaken(id) => write!(
+        f,
+        "id `{id}` belongs to another change: leave the id out for a new change"
+      ),
+      Self::TooLarge => f.write_str(
+        "the preset is larger than the platform accepts: remove routes or presets that are not used",
+      ),
+      Self::Unavailable(cause) => cause.fmt(f),
+      Self::Unconfirmed { id, based_on } => write!(
+        f,
+        "the platform did not confirm change `{id}`, which may be in force: repeat it with the same id and revision {based_on}, which never applies it twice"
+      ),
+      Self::Behind { platform, adopted } => write!(
+        f,
+        "the platform serves revision {platform}, lower than revision {adopted} in force: changes are refused until it serves revision {adopted} again"
+      ),
+      Self::Corrupt { key, cause } => write!(
+        f,
+        "the platform's value of `{key}` cannot be read ({cause}): restore it from a backup"
+      ),
+      Self::Collision(hash) => write!(
+        f,
+        "the platform has another preset with the hash `{hash}`: change the purpose of the preset and try again"
+      ),
+    }
+  }
+}
+
+impl Error for ConfigurationError {}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,13 +5,55 @@
 //! succeeds, so every call has a time limit and every failure says whether a write may have taken
 //! effect.
 
+mod audit;
+mod audit_filter;
+mod change_request;
+mod configuration;
+mod configuration_error;
+mod contacts;
+mod content_hash;
+mod head;
 mod http_store;
+mod offer_result;
+mod platform_status;
 mod pool;
+mod presets;
+mod reader;
+mod record;
+mod replica;
+mod retry_limits;
+mod rosters;
+mod snapshot;
 mod store;
 mod store_error;
+mod watcher;
+mod watcher_actor;
 
+pub use audit_filter::AuditFilter;
+pub use change_request::{ChangeRequest, Intent};
+pub use configuration::Configuration;
+pub use configuration_error::ConfigurationError;
+pub use contacts::Contacts;
+pub use content_hash::ContentHash;
+pub use head::{Head, PresetRef};
 pub use http_store::{HttpStore, StoreLimits};
+pub use offer_result::OfferResult;
+pub use platform_status::PlatformStatus;
+pub use presets::Presets;
+pub use record::{Record, RecordedEdit};
+pub use retry_limits::RetryLimits;
+pub use rosters::Rosters;
+pub use snapshot::{ConfigUpdate, Snapshot};
 pub use store::{Expect, Lease, Store, StoreFuture, Versioned};
 pub use store_error::StoreError;
+pub use watcher::Watcher;
 
-use pool::Pool;
+use {
+  audit::Audit,
+  configuration::{HEAD, decode},
+  head::{HEAD_CHANGES, MOVED},
+  pool::Pool,
+  reader::{Reader, Reading},
+  replica::Replica,
+  watcher_actor::{Arguments, Shared, WatcherActor, WatcherMessage},
+};
--- /dev/null
+++ b/crates/platform/src/replica.rs
@@ -0,0 +1,83 @@
+use {
+  crate::{ConfigUpdate, OfferResult, Snapshot},
+  cactusyoke_model::{Change, Config, ConfigDelta, Revision},
+  std::{collections::VecDeque, sync::Arc},
+};
+
+/// Changes kept for nodes that are behind: 64 are six minutes' at full scale.
+const KEPT: usize = 64;
+
+/// A node's copy of the configuration, with the latest changes. It moves only to higher revisions.
+#[derive(Debug, Default)]
+pub(crate) struct Replica {
+  config: Arc<Config>,
+  changes: VecDeque<Change>,
+}
+
+impl Replica {
+  pub(crate) fn revision(&self) -> Revision {
+    self.config.revision
+  }
+
+  pub(crate) const fn config(&self) -> &Arc<Config> {
+    &self.config
+  }
+
+  /// Applies the changes that are new.
+  pub(crate) fn apply(&mut self, delta: ConfigDelta) -> OfferResult {
+    let mut config = (*self.config).clone();
+    let mut added = Vec::new();
+    for change in delta.changes {
+      if change.revision <= config.revision {
+        continue;
+      }
+      match config.apply(&change) {
+        Ok(true) => added.push(change),
+        Ok(false) => return OfferResult::Gap(self.revision()),
+        Err(error) => return OfferResult::Invalid(error),
+      }
+    }
+    if added.is_empty() {
+      return OfferResult::Known(config.revision);
+    }
+    self.changes.extend(added);
+    let excess = self.changes.len().saturating_sub(KEPT);
+    self.changes.drain(..excess);
+    self.config = Arc::new(config);
+    OfferResult::Adopted(self.revision())
+  }
+
+  /// Replaces everything.
+  pub(crate) fn replace(&mut self, snapshot: Snapshot) -> OfferResult {
+    if snapshot.revision <= self.revision() {
+      return OfferResult::Known(self.revision());
+    }
+    match Config::try_from(snapshot) {
+      Ok(config) => {
+        self.changes.clear();
+        self.config = Arc::new(config);
+        OfferResult::Adopted(self.revision())
+      }
+      Err(error) => OfferResult::Invalid(error),
+    }
+  }
+
+  /// What a node at `revision` lacks.
+  pub(crate) fn since(&self, revision: Revision) -> ConfigUpdate {
+    let known = match self.changes.front() {
+      Some(change) => change.revision.0 <= revision.0 + 1,
+      None => false,
+    };
+    if !known && revision < self.revision() {
+      return ConfigUpdate::Full(Snapshot::from(&*self.config));
+    }
+    ConfigUpdate::Delta(ConfigDelta {
+      changes: self
+        .changes
+        .iter()
+        .filter(|change| change.revision > revision)
+        .cloned()
+        .collect(),
+    })
+  }
+}
--- /dev/null
+++ b/crates/platform/src/watcher_actor.rs
@@ -0,0 +1,198 @@
+use {
+  crate::{
+    ConfigUpdate, ConfigurationError, OfferResult, PlatformStatus, Reader, Reading, Replica,
+    Snapshot, Store,
+  },
+  arc_swap::ArcSwap,
+  cactusyoke_model::{Clock, Config, ConfigDelta, Revision},
+  ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort},
+  std::sync::Arc,
+  tokio::{
+    sync::{Notify, watch},
+    task::AbortHandle,
+  },
+  tracing::{info, warn},
+};
+
+#[derive(Debug)]
+pub(crate) enum WatcherMessage {
+  Watch(bool),
+  Offer(ConfigDelta, RpcReplyPort<OfferResult>),
+  OfferFull(Snapshot, RpcReplyPort<OfferResult>),
+  Since(Revision, RpcReplyPort<ConfigUpdate>),
+  /// Outcome of a read of the head.
+  Read(Result<Reading, ConfigurationError>),
+}
+
+#[derive(Debug)]
+pub(crate) struct WatcherActor;
+
+/// What the actor and the handles to it share.
+#[derive(Clone, Debug)]
+pub(crate) struct Shared {
+  pub(crate) config: Arc<ArcSwap<Config>>,
+  pub(crate) status: Arc<ArcSwap<PlatformStatus>>,
+  pub(crate) adopted: watch::Sender<Revision>,
+  pub(crate) refresh: Arc<Notify>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Arguments {
+  pub(crate) store: Arc<dyn Store>,
+  pub(crate) clock: Arc<dyn Clock>,
+  pub(crate) shared: Shared,
+}
+
+#[derive(Debug)]
+pub(crate) struct State {
+  clock: Arc<dyn Clock>,
+  shared: Shared,
+  replica: Replica,
+  version: u64,
+  watching: watch::Sender<bool>,
+  reader: AbortHandle,
+}
+
+impl Actor for WatcherActor {
+  type Msg = WatcherMessage;
+  type State = State;
+  type Arguments = Arguments;
+
+  async fn pre_start(
+    &self,
+    myself: ActorRef<Self::Msg>,
+    args: Arguments,
+  ) -> Result<State, ActorProcessingErr> {
+    let Arguments {
+      store,
+      clock,
+      shared,
+    } = args;
+    let (watching, receiver) = watch::channel(false);
+    let reader = Reader {
+      store,
+      config: Arc::clone(&shared.config),
+      watching: receiver,
+      refresh: Arc::clone(&shared.refresh),
+      watcher: myself,
+    };
+    Ok(State {
+      clock,
+      shared,
+      replica: Replica::default(),
+      version: 0,
+      watching,
+      reader: tokio::spawn(reader.run()).abort_handle(),
+    })
+  }
+
+  async fn post_stop(
+    &self,
+    _myself: ActorRef<Self::Msg>,
+    state: &mut State,
+  ) -> Result<(), ActorProcessingErr> {
+    state.reader.abort();
+    Ok(())
+  }
+
+  async fn handle(
+    &self,
+    _myself: ActorRef<Self::Msg>,
+    message: WatcherMessage,
+    state: &mut State,
+  ) -> Result<(), ActorProcessingErr> {
+    match message {
+      WatcherMessage::Watch(watching) => {
+        state.watching.send_replace(watching);
+        state.report(|status| status.watching = watching);
+      }
+      // A reply that nobody waits for any more is dropped.
+      WatcherMessage::Offer(delta, port) => {
+        let _ = port.send(state.offer(ConfigUpdate::Delta(delta), "peer"));
+      }
+      WatcherMessage::OfferFull(snapshot, port) => {
+        let _ = port.send(state.offer(ConfigUpdate::Full(snapshot), "peer"));
+      }
+      WatcherMessage::Since(revision, port) => {
+        let _ = port.send(state.replica.since(revision));
+      }
+      WatcherMessage::Read(result) => state.read(result),
+    }
+    Ok(())
+  }
+}
+
+impl State {
+  fn offer(&mut self, update: ConfigUpdate, source: &str) -> OfferResult {
+    let result = match update {
+      ConfigUpdate::Delta(delta) => self.replica.apply(delta),
+      ConfigUpdate::Full(snapshot) => self.replica.replace(snapshot),
+    };
+    match &result {
+      OfferResult::Adopted(revision) => self.publish(*revision, source),
+      OfferResult::Invalid(error) => warn!(source, %error, "configuration refused"),
+      OfferResult::Known(_) | OfferResult::Gap(_) => {}
+    }
+    result
+  }
+
+  fn publish(&self, revision: Revision, source: &str) {
+    let config = Arc::clone(self.replica.config());
+    let preset = config.in_force.as_ref().map_or("", |name| name.as_str());
+    info!(%revision, preset, source, "configuration adopted");
+    self.shared.config.store(config);
+    self.shared.adopted.send_replace(revision);
+  }
+
+  fn read(&mut self, result: Result<Reading, ConfigurationError>) {
+    let reading = match result {
+      Ok(reading) => reading,
+      Err(error) => {
+        self.failed(error.to_string());
+        return;
+      }
+    };
+    let now = self.clock.now();
+    self.report(|status| {
+      status.error = None;
+      status.last_success = Some(now);
+    });
+    match reading {
+      Reading::Ended | Reading::Unchanged => {}
+      Reading::Current { version, update } => {
+        self.version = self.version.max(version);
+        self.report(|status| status.lower = None);
+        if let Some(update) = update {
+          self.offer(update, "platform");
+        }
+      }
+      Reading::Lower { version, revision } => {
+        self.version = self.version.max(version);
+        self.lower(version, revision);
+      }
+    }
+  }
+
+  fn failed(&self, error: String) {
+    // One line for each outage, not for each attempt.
+    if self.shared.status.load().error.is_none() {
+      warn!(%error, "configuration not read");
+    }
+    self.report(|status| status.error = Some(error));
+  }
+
+  fn lower(&self, version: u64, platform: Revision) {
+    if self.shared.status.load().lower != Some(platform) {
+      let adopted = self.replica.revision();
+      let newest = self.version;
+      warn!(%platform, %adopted, version, newest, "platform serves a lower revision, not followed");
+    }
+    self.report(|status| status.lower = Some(platform));
+  }
+
+  fn report(&self, change: impl FnOnce(&mut PlatformStatus)) {
+    let mut status = (**self.shared.status.load()).clone();
+    change(&mut status);
+    self.shared.status.store(Arc::new(status));
+  }
+}
--- /dev/null
+++ b/crates/platform/tests/configuration.rs
@@ -0,0 +1,258 @@
+//! Changes of the configuration through the HTTP client, with the faults of the platform.
+
+mod support;
+
+use {
+  cactusyoke_model::{PresetError, Revision},
+  cactusyoke_platform::{AuditFilter, ChangeRequest, Configuration, ConfigurationError, Intent},
+  cactusyoke_standins::platform::{Outage, Platform, Quotas},
+  support::{configuration, http_store, name, preset, put, request},
+};
+
+const NONE: Revision = Revision(0);
+
+async fn start() -> (Platform, Configuration) {
+  let quotas = Quotas {
+    reads: 20_000,
+    writes: 4_000,
+  };
+  let platform = Platform::with_quotas(quotas).await.unwrap();
+  let configuration = configuration(http_store(&platform));
+  (platform, configuration)
+}
+
+async fn make(configuration: &Configuration, request: &ChangeRequest) -> u64 {
+  configuration
+    .change(request, NONE)
+    .await
+    .unwrap()
+    .revision
+    .0
+}
+
+/// Guards against a change that is accepted but not found by a reader.
+#[tokio::test]
+async fn an_accepted_change_is_read_back() {
+  let (_platform, configuration) = start().await;
+  assert_eq!(
+    make(&configuration, &request(1, "ana", 0, put("peak", "a"))).await,
+    1
+  );
+  let used = request(2, "ana", 1, Intent::Use(name("peak")));
+  assert_eq!(make(&configuration, &used).await, 2);
+  let snapshot = configuration.load().await.unwrap();
+  assert_eq!(snapshot.revision, Revision(2));
+  assert_eq!(snapshot.in_force, Some(name("peak")));
+  assert_eq!(snapshot.presets, [preset("peak", "a")]);
+}
+
+/// Guards against one operator who silently overwrites another's change.
+#[tokio::test]
+async fn the_second_of_two_operators_gets_a_conflict_that_names_the_first() {
+  let (_platform, configuration) = start().await;
+  make(&configuration, &request(1, "ana", 0, put("peak", "a"))).await;
+  make(&configuration, &request(2, "ana", 1, put("peak", "b"))).await;
+  let late = request(3, "ben", 1, put("peak", "c"));
+  let error = configuration.change(&late, NONE).await.unwrap_err();
+  assert_eq!(
+    error.to_string(),
+    "conflict: operator `ana` replaced preset `peak` at revision 2: look at the change, then repeat yours with revision 2"
+  );
+  assert_eq!(
+    configuration.load().await.unwrap().presets,
+    [preset("peak", "b")]
+  );
+  // Another preset is another subject.
+  assert_eq!(
+    make(&configuration, &request(4, "ben", 1, put("quiet", "c"))).await,
+    3
+  );
+}
+
+/// Guards against an edit that takes effect at once although its writer saw the preset idle, and
+/// against putting in force what has been replaced since it was looked at.
+#[tokio::test]
+async fn use_and_edit_of_one_preset_collide() {
+  let (_platform, configuration) = start().await;
+  make(&configuration, &request(1, "ana", 0, put("peak", "a"))).await;
+  make(
+    &configuration,
+    &request(2, "ana", 1, Intent::Use(name("peak"))),
+  )
+  .await;
+  let edit = request(3, "ben", 1, put("peak", "b"));
+  let error = configuration.change(&edit, NONE).await.unwrap_err();
+  assert!(
+    error.to_string().contains("put preset `peak` in force"),
+    "{error}"
+  );
+  make(&configuration, &request(4, "ana", 2, put("quiet", "a"))).await;
+  let used = request(5, "ben", 2, Intent::Use(name("quiet")));
+  let error = configuration.change(&used, NONE).await.unwrap_err();
+  assert!(
+    error.to_string().contains("added preset `quiet`"),
+    "{error}"
+  );
+}
+
+/// Guards against a change that is lost or applied twice when the answer to its write is lost.
+#[tokio::test]
+async fn a_lost_answer_neither_loses_nor_repeats_the_change() {
+  let (platform, configuration) = start().await;
+  for lost in 1..=3 {
+    platform.faults().lose_answers(lost);
+    let id = u128::from(lost);
+    let change = request(id, "ana", 0, put(&format!("p{lost}"), "a"));
+    assert_eq!(make(&configuration, &change).await, u64::from(lost));
+    // A repeated command finds the change.
+    assert_eq!(make(&configuration, &change).await, u64::from(lost));
+  }
+  let audit = configuration.audit(&AuditFilter::default()).await.unwrap();
+  assert_eq!(
+    audit.iter().map(|record| record.id.0).collect::<Vec<_>>(),
+    [3, 2, 1]
+  );
+}
+
+/// Guards against an id that is reused for another change, which would report as done what is not.
+#[tokio::test]
+async fn an_id_belongs_to_one_change() {
+  let (_platform, configuration) = start().await;
+  make(&configuration, &request(1, "ana", 0, put("peak", "a"))).await;
+  let other = request(1, "ana", 0, put("peak", "b"));
+  let error = configuration.change(&other, NONE).await.unwrap_err();
+  assert_eq!(
+    error.to_string(),
+    "id `00000000000000000000000000000001` belongs to another change: leave the id out for a new change"
+  );
+}
+
+/// Guards against changes that vanish from the audit trail when they leave the head.
+#[tokio::test]
+async fn the_audit_trail_keeps_every_change_once() {
+  let (_platform, configuration) = start().await;
+  for number in 1..=300 {
+    let operator = if number % 2 == 0 { "ana" } else { "ben" };
+    let id = number.into();
+    let change = request(id, operator, number - 1, put("peak", &number.to_string()));
+    assert_eq!(make(&configuration, &change).await, number);
+  }
+  let audit = configuration.audit(&AuditFilter::default()).await.unwrap();
+  let revisions = audit.iter().map(|record| record.revision.0);
+  assert!(revisions.eq((1..=300).rev()));
+  let (head, _) = configuration.head().await.unwrap();
+  assert!(head.changes.len() <= 16);
+  let filter = AuditFilter {
+    operator: Some("ana".into()),
+    limit: 100,
+    ..AuditFilter::default()
+  };
+  let filtered = configuration.audit(&filter).await.unwrap();
+  assert!(
+    filtered
+      .iter()
+      .map(|record| record.revision.0)
+      .eq((102..=300).rev().step_by(2))
+  );
+  // A change that has left the head is still found by its id and still collides.
+  let repeated = request(20, "ana", 19, put("peak", "20"));
+  assert_eq!(make(&configuration, &repeated).await, 20);
+}
+
+/// Guards against changes on a platform that has gone back to an older state.
+#[tokio::test]
+async fn a_platform_behind_the_adopted_revision_takes_no_changes() {
+  let (_platform, configuration) = start().await;
+  make(&configuration, &request(1, "ana", 0, put("peak", "a"))).await;
+  let change = request(2, "ana", 1, put("peak", "b"));
+  let error = configuration
+    .change(&change, Revision(5))
+    .await
+    .unwrap_err();
+  assert_eq!(
+    error.to_string(),
+    "the platform serves revision 1, lower than revision 5 in force: changes are refused until it serves revision 5 again"
+  );
+}
+
+/// Guards against a lagging replica through which a change is made on an old head.
+#[tokio::test]
+async fn an_older_value_is_not_written_over() {
+  let (platform, configuration) = start().await;
+  make(&configuration, &request(1, "ana", 0, put("peak", "a"))).await;
+  make(&configuration, &request(2, "ana", 1, put("quiet", "a"))).await;
+  platform.faults().serve_older(1);
+  let change = request(3, "ana", 1, put("storm", "a"));
+  let error = configuration.change(&change, NONE).await.unwrap_err();
+  assert!(
+    matches!(error, ConfigurationError::Unavailable(_)),
+    "{error}"
+  );
+  platform.faults().serve_older(0);
+  assert_eq!(make(&configuration, &change).await, 3);
+}
+
+/// Guards against an outage that reads as a refusal, and a doubt that reads as a failure.
+#[tokio::test]
+async fn an_outage_says_whether_the_change_may_be_in_force() {
+  let (platform, configuration) = start().await;
+  let change = request(7, "ana", 0, put("peak", "a"));
+  platform.faults().set_outage(Outage::Refuse);
+  let error = configuration.change(&change, NONE).await.unwrap_err();
+  assert!(
+    matches!(error, ConfigurationError::Unavailable(_)),
+    "{error}"
+  );
+  platform.faults().set_outage(Outage::None);
+  make(&configuration, &request(1, "ana", 0, put("peak", "a"))).await;
+  // The preset is there, so the first write is that of the head; its answer and all reads after it
+  // are lost.
+  let change = request(8, "ana", 1, Intent::Use(name("peak")));
+  platform.faults().lose_answers(1);
+  let cut = async {
+    while platform.calls().puts < 3 {
+      tokio::task::yield_now().await;
+    }
+    platform.faults().set_outage(Outage::Refuse);
+  };
+  let (result, ()) = tokio::join!(configuration.change(&change, NONE), cut);
+  assert_eq!(
+    result.unwrap_err().to_string(),
+    "the platform did not confirm change `00000000000000000000000000000008`, which may be in force: repeat it with the same id and revision 1, which never applies it twice"
+  );
+  platform.faults().set_outage(Outage::None);
+  assert_eq!(make(&configuration, &change).await, 2);
+}
+
+/// Guards against input that is half applied: a bad request changes nothing.
+#[tokio::test]
+async fn bad_requests_change_nothing() {
+  let (_platform, configuration) = start().await;
+  let mut bad = preset("peak", "a");
+  bad.classes.clear();
+  let cases = [
+    (
+      request(1, "ana", 0, Intent::Use(name("peak"))),
+      ConfigurationError::NoPreset(name("peak")),
+    ),
+    (
+      request(2, "ana", 0, Intent::Put(Box::new(bad))),
+      ConfigurationError::Preset(PresetError::NoClasses),
+    ),
+    (
+      request(3, "", 0, put("peak", "a")),
+      ConfigurationError::Operator(64),
+    ),
+    (
+      ChangeRequest {
+        reason: "x".repeat(1_001),
+        ..request(4, "ana", 0, put("peak", "a"))
+      },
+      ConfigurationError::Reason(1_000),
+    ),
+  ];
+  for (request, expected) in cases {
+    assert_eq!(configuration.change(&request, NONE).await, Err(expected));
+  }
+  assert_eq!(configuration.head().await.unwrap().0.revision, NONE);
+}
--- /dev/null
+++ b/crates/platform/tests/watcher.rs
@@ -0,0 +1,194 @@
+//! The watcher against the stand-in and its faults.
+
+mod support;
+
+use {
+  cactusyoke_model::{Revision, SystemClock},
+  cactusyoke_platform::{ConfigUpdate, Configuration, Intent, OfferResult, Snapshot, Watcher},
+  cactusyoke_standins::platform::{Outage, Platform},
+  std::{sync::Arc, time::Duration},
+  support::{configuration, http_store, name, preset, put, request},
+  tokio::time::{sleep, timeout},
+};
+
+const NONE: Revision = Revision(0);
+/// Time within which an accepted change must be in force.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+async fn watcher(platform: &Platform) -> Watcher {
+  let clock = Arc::new(SystemClock);
+  Watcher::start(http_store(platform), clock).await.unwrap().0
+}
+
+async fn start() -> (Platform, Configuration, Watcher) {
+  let platform = Platform::start().await.unwrap();
+  let configuration = configuration(http_store(&platform));
+  let watcher = watcher(&platform).await;
+  (platform, configuration, watcher)
+}
+
+async fn change(configuration: &Configuration, number: u64) {
+  let change = request(
+    number.into(),
+    "ana",
+    number - 1,
+    put("peak", &number.to_string()),
+  );
+  configuration.change(&change, NONE).await.unwrap();
+}
+
+async fn adopted(watcher: &Watcher, revision: u64) {
+  let mut adopted = watcher.adopted();
+  let wait = adopted.wait_for(|adopted| adopted.0 >= revision);
+  timeout(IN_FORCE, wait)
+    .await
+    .expect("in force in time")
+    .unwrap();
+}
+
+/// Guards against a change that is not in force within 4 s of its acceptance.
+#[tokio::test]
+async fn a_watching_node_adopts_a_change_in_time() {
+  let (_platform, configuration, watcher) = start().await;
+  watcher.set_watching(true);
+  change(&configuration, 1).await;
+  adopted(&watcher, 1).await;
+  let used = request(9, "ana", 1, Intent::Use(name("peak")));
+  configuration.change(&used, NONE).await.unwrap();
+  adopted(&watcher, 2).await;
+  let config = watcher.config().load_full();
+  assert_eq!(config.preset().unwrap().raw(), &preset("peak", "1"));
+}
+
+/// Guards against a change that is missed because it came during an outage.
+#[tokio::test]
+async fn a_change_is_adopted_after_an_outage() {
+  for outage in [Outage::Refuse, Outage::Hang] {
+    let (platform, configuration, watcher) = start().await;
+    change(&configuration, 1).await;
+    watcher.set_watching(true);
+    adopted(&watcher, 1).await;
+    platform.faults().set_outage(outage);
+    // Both kinds fail a waiting watch: one at once, the other after the time limit of a call.
+    sleep(Duration::from_millis(2_500)).await;
+    assert!(watcher.platform().error.is_some());
+    assert_eq!(watcher.config().load().revision, Revision(1));
+    platform.faults().set_outage(Outage::None);
+    change(&configuration, 2).await;
+    adopted(&watcher, 2).await;
+    assert_eq!(watcher.platform().error, None);
+  }
+}
+
+/// Guards against watches of nodes that were not told to watch: each counts as a call.
+#[tokio::test]
+async fn only_a_watching_node_calls_the_platform() {
+  let (platform, _configuration, watcher) = start().await;
+  sleep(Duration::from_millis(100)).await;
+  assert_eq!(platform.calls().gets + platform.calls().watches, 0);
+  watcher.set_watching(true);
+  sleep(Duration::from_millis(300)).await;
+  watcher.set_watching(false);
+  sleep(Duration::from_millis(100)).await;
+  let before = platform.calls();
+  assert!(before.watches <= 2, "{before:?}");
+  sleep(Duration::from_millis(2_500)).await;
+  assert_eq!(platform.calls(), before);
+  watcher.refresh();
+  sleep(Duration::from_millis(100)).await;
+  assert_eq!(platform.calls().gets, before.gets + 1);
+}
+
+/// Guards against a revert by an older value that the platform serves.
+#[tokio::test]
+async fn an_older_value_is_reported_and_not_followed() {
+  let (platform, configuration, watcher) = start().await;
+  change(&configuration, 1).await;
+  change(&configuration, 2).await;
+  watcher.set_watching(true);
+  adopted(&watcher, 2).await;
+  platform.faults().serve_older(1);
+  watcher.set_watching(false);
+  watcher.refresh();
+  sleep(Duration::from_millis(200)).await;
+  assert_eq!(watcher.platform().lower, Some(Revision(1)));
+  assert_eq!(watcher.config().load().revision, Revision(2));
+  platform.faults().serve_older(0);
+  watcher.refresh();
+  sleep(Duration::from_millis(200)).await;
+  assert_eq!(watcher.platform().lower, None);
+}
+
+/// Guards against a node that cannot start while the platform is down.
+#[tokio::test]
+async fn a_node_takes_the_configuration_from_another() {
+  let (platform, configuration, first) = start().await;
+  for number in 1..=3 {
+    change(&configuration, number).await;
+  }
+  first.refresh();
+  adopted(&first, 3).await;
+  let second = watcher(&platform).await;
+  platform.stop().await;
+  let ConfigUpdate::Delta(mut delta) = first.delta_since(Revision(1)).await.unwrap() else {
+    panic!("the changes are known");
+  };
+  assert_eq!(
+    second.offer(delta.clone()).await,
+    Some(OfferResult::Gap(NONE))
+  );
+  let ConfigUpdate::Delta(whole) = first.delta_since(NONE).await.unwrap() else {
+    panic!("the changes are known");
+  };
+  assert_eq!(
+    second.offer(whole).await,
+    Some(OfferResult::Adopted(Revision(3)))
+  );
+  delta.changes.truncate(1);
+  assert_eq!(
+    second.offer(delta).await,
+    Some(OfferResult::Known(Revision(3)))
+  );
+  assert_eq!(**first.config().load(), **second.config().load());
+}
+
+/// Guards against an update that does not survive the encoding between nodes.
+#[tokio::test]
+async fn updates_survive_postcard() {
+  let (_platform, configuration, watcher) = start().await;
+  change(&configuration, 1).await;
+  watcher.refresh();
+  adopted(&watcher, 1).await;
+  let full = ConfigUpdate::Full(Snapshot::from(&**watcher.config().load()));
+  let delta = watcher.delta_since(NONE).await.unwrap();
+  for update in [full, delta] {
+    let bytes = postcard::to_stdvec(&update).unwrap();
+    assert_eq!(
+      postcard::from_bytes::<ConfigUpdate>(&bytes).unwrap(),
+      update
+    );
+  }
+}
+
+/// Guards against a node that is too far behind for changes and never catches up.
+#[tokio::test]
+async fn a_node_far_behind_takes_everything() {
+  let (_platform, configuration, first) = start().await;
+  for number in 1..=30 {
+    change(&configuration, number).await;
+  }
+  first.refresh();
+  adopted(&first, 30).await;
+  let ConfigUpdate::Full(snapshot) = first.delta_since(Revision(3)).await.unwrap() else {
+    panic!("the changes are no longer known");
+  };
+  let (_other, _, second) = start().await;
+  assert_eq!(
+    second.offer_full(snapshot.clone()).await,
+    Some(OfferResult::Adopted(Revision(30)))
+  );
+  assert_eq!(
+    second.offer_full(snapshot).await,
+    Some(OfferResult::Known(Revision(30)))
+  );
+}
