--- /dev/null
+++ b/crates/cactusyoke/src/admission.rs
@@ -0,0 +1,277 @@
+//! Waiting for admission to the upstream beside the node.
+//!
+//! [`Gate`] decides; this module holds the calls that wait for its decision and passes the
+//! decisions on.
+
+use {
+  cactusyoke_decisions::load::{Completion, Gate, GateAction, GateConfig, Offer},
+  cactusyoke_model::{CallFailure, Clock, Level, NotRunReason, Priority, Report, Retries, Slots},
+  std::{
+    collections::HashMap,
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+  },
+  tokio::sync::{Notify, oneshot},
+};
+
+/// Pause between two looks at the queue while calls wait in it.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+type Decision = Result<(), NotRunReason>;
+
+struct Inner {
+  gate: Gate,
+  waiting: HashMap<u64, oneshot::Sender<Decision>>,
+  actions: Vec<GateAction>,
+  last_ticket: u64,
+}
+
+/// Admission to the upstream beside the node.
+pub(crate) struct Admission {
+  inner: Mutex<Inner>,
+  queued: Notify,
+  clock: Arc<dyn Clock>,
+}
+
+impl fmt::Debug for Admission {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    f.debug_struct("Admission").finish_non_exhaustive()
+  }
+}
+
+/// Load of the upstream as its node measured it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GateStatus {
+  pub(crate) level: Level,
+  pub(crate) limit: u32,
+  pub(crate) in_flight: u32,
+  pub(crate) queued: u32,
+}
+
+impl Admission {
+  pub(crate) fn new(config: GateConfig, clock: Arc<dyn Clock>) -> Arc<Self> {
+    let gate = Gate::new(config, clock.now());
+    let inner = Inner {
+      gate,
+      waiting: HashMap::new(),
+      actions: Vec::new(),
+      last_ticket: 0,
+    };
+    let admission = Arc::new(Self {
+      inner: Mutex::new(inner),
+      queued: Notify::new(),
+      clock,
+    });
+    tokio::spawn(poll_queue(Arc::downgrade(&admission)));
+    admission
+  }
+
+  /// Replaces the gate after the upstream started anew; calls that wait are refused.
+  pub(crate) fn restart(&self, config: GateConfig) {
+    let now = self.clock.now();
+    let mut inner = self.lock();
+    inner.gate = Gate::new(config, now);
+    for (_, waiter) in inner.waiting.drain() {
+      let _ = waiter.send(Err(NotRunReason::Draining));
+    }
+  }
+
+  /// Resizes the gate.
+  pub(crate) fn set_slots(&self, slots: Slots) {
+    let now = self.clock.now();
+    let mut inner = self.lock();
+    inner.gate.set_slots(slots, now);
+    inner.poll(now);
+  }
+
+  /// Sets the longest wait in the queue.
+  pub(crate) fn set_queue_wait(&self, wait: Duration) {
+    self.lock().gate.set_queue_wait(wait);
+  }
+
+  /// Waits until the call may start; the slot is free again when [`Slot`] is dropped.
+  pub(crate) async fn admit(
+    self: &Arc<Self>,
+    priority: Priority,
+    deadline: Instant,
+  ) -> Result<Slot, CallFailure> {
+    let (ticket, waiter) = {
+      let now = self.clock.now();
+      let mut inner = self.lock();
+      inner.last_ticket += 1;
+      let ticket = inner.last_ticket;
+      let offer = inner.gate.offer(ticket, priority, deadline, now);
+      let waiter = match offer {
+        Offer::Start => None,
+        Offer::Queued { evicted } => {
+          let (sender, receiver) = oneshot::channel();
+          inner.waiting.insert(ticket, sender);
+          if let Some(evicted) = evicted {
+            inner.decide(evicted, Err(NotRunReason::Evicted));
+          }
+          Some(receiver)
+        }
+        Offer::Refused(reason) => return Err(inner.refusal(reason, now)),
+      };
+      inner.poll(now);
+      (ticket, waiter)
+    };
+    let slot = Slot {
+      admission: Arc::clone(self),
+      ticket,
+      started: waiter.is_none(),
+    };
+    let Some(waiter) = waiter else {
+      return Ok(slot);
+    };
+    self.queued.notify_one();
+    slot.wait(waiter).await
+  }
+
+  /// Load as measured now.
+  pub(crate) fn status(&self) -> GateStatus {
+    let now = self.clock.now();
+    let inner = self.lock();
+    GateStatus {
+      level: inner.gate.level(now),
+      limit: inner.gate.limit(),
+      in_flight: inner.gate.in_flight(),
+      queued: inner.gate.queued(),
+    }
+  }
+
+  /// Admission level and load for an answer.
+  pub(crate) fn report(&self) -> Report {
+    self.lock().report(self.clock.now())
+  }
+
+  fn finish(&self, ticket: u64, done: Completion) {
+    let now = self.clock.now();
+    let mut inner = self.lock();
+    inner.gate.finish(ticket, done, now);
+    inner.poll(now);
+  }
+
+  fn cancel(&self, ticket: u64) {
+    let now = self.clock.now();
+    let mut inner = self.lock();
+    inner.waiting.remove(&ticket);
+    if !inner.gate.cancel(ticket) {
+      // The gate started the call between its decision and the drop of the waiting future.
+      inner.gate.finish(ticket, Completion::Cancelled, now);
+    }
+    inner.poll(now);
+  }
+
+  fn lock(&self) -> MutexGuard<'_, Inner> {
+    self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+}
+
+impl Inner {
+  fn poll(&mut self, now: Instant) {
+    let mut actions = std::mem::take(&mut self.actions);
+    self.gate.poll(now, &mut actions);
+    for action in actions.drain(..) {
+      match action {
+        GateAction::Start(ticket) => self.decide(ticket, Ok(())),
+        GateAction::Drop(ticket, reason) => self.decide(ticket, Err(reason)),
+      }
+    }
+    self.actions = actions;
+  }
+
+  fn decide(&mut self, ticket: u64, decision: Decision) {
+    if let Some(waiter) = self.waiting.remove(&ticket) {
+      // The waiting future cancels the ticket itself when it was dropped.
+      let _ = waiter.send(decision);
+    }
+  }
+
+  fn report(&self, now: Instant) -> Report {
+    Report {
+      level: self.gate.level(now),
+      age: Duration::ZERO,
+      load: self.gate.load(),
+      unused: Retries::ZERO,
+    }
+  }
+
+  fn refusal(&self, reason: NotRunReason, now: Instant) -> CallFailure {
+    CallFailure::NotRun {
+      reason,
+      report: Some(self.report(now)),
+    }
+  }
+}
+
+/// Slot of the upstream, held by one call.
+#[derive(Debug)]
+pub(crate) struct Slot {
+  admission: Arc<Admission>,
+  ticket: u64,
+  started: bool,
+}
+
+impl Slot {
+  async fn wait(mut self, waiter: oneshot::Receiver<Decision>) -> Result<Self, CallFailure> {
+    match waiter.await {
+      Ok(Ok(())) => {
+        self.started = true;
+        Ok(self)
+      }
+      Ok(Err(reason)) => {
+        let report = self.admission.report();
+        // The gate dropped the ticket already, so there is nothing to cancel.
+        self.ticket = 0;
+        Err(CallFailure::NotRun {
+          reason,
+          report: Some(report),
+        })
+      }
+      Err(_closed) => {
+        self.ticket = 0;
+        Err(CallFailure::not_run(NotRunReason::Draining))
+      }
+    }
+  }
+
+  /// Frees the slot and tells the gate how the call ended.
+  pub(crate) fn finish(mut self, done: Completion) {
+    self.admission.finish(self.ticket, done);
+    self.ticket = 0;
+  }
+}
+
+impl Drop for Slot {
+  fn drop(&mut self) {
+    if self.ticket == 0 {
+      return;
+    }
+    if self.started {
+      self.admission.finish(self.ticket, Completion::Cancelled);
+    } else {
+      self.admission.cancel(self.ticket);
+    }
+  }
+}
+
+async fn poll_queue(admission: std::sync::Weak<Admission>) {
+  loop {
+    let Some(current) = admission.upgrade() else {
+      return;
+    };
+    let idle = current.lock().waiting.is_empty();
+    if idle {
+      // Woken up once a minute to see that the node has stopped.
+      drop(tokio::time::timeout(Duration::from_mins(1), current.queued.notified()).await);
+    }
+    drop(current);
+    tokio::time::sleep(POLL_INTERVAL).await;
+    if let Some(current) = admission.upgrade() {
+      let now = current.clock.now();
+      current.lock().poll(now);
+    }
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/asks.rs
@@ -0,0 +1,116 @@
+//! Control messages of other nodes.
+
+use {
+  crate::{
+    Core,
+    control::{self, Ask, Reply},
+  },
+  bytes::Bytes,
+  cactusyoke_model::NodeId,
+  cactusyoke_nodes::IncomingAsk,
+  std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+  },
+};
+
+impl Core {
+  /// Asks another node; `None` when there was no usable reply in time.
+  pub(crate) async fn ask(&self, node: NodeId, ask: &Ask, timeout: Duration) -> Option<Reply> {
+    let reply = match self.links.ask(node, control::encode(ask), timeout).await {
+      Ok(reply) => reply,
+      Err(error) => {
+        tracing::debug!(event = "ask_failed", %node, %error);
+        return None;
+      }
+    };
+    match control::decode(&reply, node) {
+      Ok(reply) => Some(reply),
+      Err(error) => {
+        tracing::warn!(event = "reply_unreadable", %node, %error);
+        None
+      }
+    }
+  }
+
+  /// Answers a control message; one that cannot be read is declined.
+  pub(crate) async fn answer_ask(self: Arc<Self>, incoming: IncomingAsk) {
+    let IncomingAsk { from, body, reply } = incoming;
+    match control::decode(&body, from) {
+      Ok(ask) => {
+        if let Some(answer) = self.reply_to(from, ask).await {
+          reply.reply(answer);
+        }
+      }
+      Err(error) => tracing::warn!(event = "ask_unreadable", %from, %error),
+    }
+  }
+
+  async fn reply_to(self: &Arc<Self>, from: NodeId, ask: Ask) -> Option<Bytes> {
+    let rosters = &self.keyed.rosters;
+    let reply = match ask {
+      Ask::Identity => Reply::Identity(rosters.member()),
+      Ask::Witness(request) => {
+        let now = self.clock.now();
+        Reply::Witness(rosters.witness().handle(from, request, now))
+      }
+      Ask::Roster(group) => Reply::Roster(rosters.known(group)),
+      Ask::NewRoster(group, roster) => {
+        self.adopt_roster(group, roster);
+        Reply::Done
+      }
+      Ask::KeyAnswer {
+        key,
+        fingerprint,
+        run,
+        wait,
+      } => {
+        let now = || self.clock.now();
+        let kept = self
+          .keyed
+          .answer_of(&key, fingerprint, run, wait, now)
+          .await;
+        Reply::KeyAnswer(kept)
+      }
+      Ask::Adopted(revision) => {
+        if revision > self.config.load().revision {
+          self.spread.newer(from, revision);
+        }
+        Reply::Done
+      }
+      Ask::Changes(since) => Reply::Changes(self.watcher.delta_since(since).await?),
+      Ask::Revision => Reply::Revision(self.config.load().revision),
+      Ask::Quarantine(notice) => {
+        self.adopt_quarantine(notice);
+        Reply::Done
+      }
+    };
+    Some(control::encode(&reply))
+  }
+
+  /// Tells the other nodes of the upstream's service about a quarantined request.
+  pub(crate) fn notify_quarantine(self: &Arc<Self>, notice: cactusyoke_decisions::load::Notice) {
+    let view = self.members.view();
+    let service = &view.own().service;
+    let others = view
+      .live()
+      .filter(|member| member.record.service == *service)
+      .map(|member| member.record.node)
+      .filter(|node| *node != self.settings.node);
+    for node in others {
+      let core = Arc::clone(self);
+      tokio::spawn(async move {
+        drop(
+          core
+            .ask(node, &Ask::Quarantine(notice), Duration::from_secs(1))
+            .await,
+        );
+      });
+    }
+  }
+
+  /// True while the node takes no new work.
+  pub(crate) fn is_draining(&self) -> bool {
+    self.draining.load(Ordering::SeqCst)
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/command.rs
@@ -0,0 +1,45 @@
+//! The command line.
+
+use {
+  crate::subcommand::{check, node},
+  bpaf::Bpaf,
+  std::{path::PathBuf, process::ExitCode},
+};
+
+/// Overload control for service call graphs
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version, generate(command_line))]
+pub enum Command {
+  /// Run the node beside an upstream instance
+  #[bpaf(command)]
+  Node {
+    /// Settings of the node, YAML
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+  },
+  /// Check settings and presets without starting anything
+  #[bpaf(command)]
+  Check {
+    /// Settings of a node, YAML
+    #[bpaf(argument("FILE"), optional)]
+    settings: Option<PathBuf>,
+    /// Preset, YAML; may be given more than once
+    #[bpaf(argument("FILE"))]
+    preset: Vec<PathBuf>,
+  },
+}
+
+impl Command {
+  /// Reads the command line; prints help or an error and ends the process where there is one.
+  pub fn parse() -> Self {
+    command_line().run()
+  }
+
+  /// Runs the command.
+  pub fn run(self) -> ExitCode {
+    match self {
+      Self::Node { settings } => node::run(&settings),
+      Self::Check { settings, preset } => check::run(settings.as_deref(), &preset),
+    }
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/core.rs
@@ -0,0 +1,166 @@
+//! What the listeners and control loops of one node share.
+
+use {
+  crate::{
+    Settings, admission::Admission, edges::Edges, keyed::Keyed, meters::Meters, spread::Spread,
+  },
+  arc_swap::ArcSwap,
+  cactusyoke_decisions::load::{Candidate, Ledgers, Notice, Quarantine},
+  cactusyoke_model::{
+    CallFailure, Clock, Config, DataCentre, Incarnation, NodeId, NotRunReason, ServiceName,
+  },
+  cactusyoke_nodes::{Links, MembershipHandle},
+  cactusyoke_platform::{Configuration, Watcher},
+  cactusyoke_upstreams::{Phase, Upstream, Views},
+  std::{
+    fmt,
+    sync::{
+      Arc, Mutex, MutexGuard, PoisonError,
+      atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+  },
+  tokio::sync::Notify,
+};
+
+/// Longest time for which the node beside the upstream keeps a slot for the body of an answer.
+pub(crate) const LONGEST_BODY: Duration = Duration::from_hours(1);
+
+/// State of one node.
+pub struct Core {
+  pub(crate) settings: Settings,
+  pub(crate) incarnation: Incarnation,
+  pub(crate) started: Instant,
+  pub(crate) clock: Arc<dyn Clock>,
+  pub(crate) centre_names: Vec<DataCentre>,
+  pub(crate) config: Arc<ArcSwap<Config>>,
+  pub(crate) watcher: Watcher,
+  pub(crate) configuration: Configuration,
+  pub(crate) members: MembershipHandle,
+  pub(crate) links: Links,
+  pub(crate) views: Views,
+  pub(crate) upstream: Upstream,
+  pub(crate) admission: Arc<Admission>,
+  pub(crate) edges: Edges,
+  pub(crate) keyed: Keyed,
+  pub(crate) spread: Spread,
+  pub(crate) meters: Meters,
+  pub(crate) draining: AtomicBool,
+  pub(crate) next_span: AtomicU64,
+  pub(crate) in_flight: InFlight,
+  pub(crate) ledgers: Mutex<Ledgers>,
+  pub(crate) quarantine: Mutex<Quarantine>,
+}
+
+impl fmt::Debug for Core {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    f.debug_struct("Core")
+      .field("node", &self.settings.node)
+      .finish_non_exhaustive()
+  }
+}
+
+impl Core {
+  pub(crate) fn ledgers(&self) -> MutexGuard<'_, Ledgers> {
+    self.ledgers.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+    self
+      .quarantine
+      .lock()
+      .unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// True when the upstream beside the node takes calls.
+  pub(crate) fn upstream_serving(&self) -> bool {
+    matches!(
+      self.views.load().phase,
+      Phase::Announced | Phase::Warming | Phase::Serving
+    )
+  }
+
+  /// Instances of this data centre that serve `service`.
+  pub(crate) fn candidates(&self, service: &ServiceName) -> Vec<Candidate> {
+    let view = self.members.view();
+    view
+      .serving(service)
+      .iter()
+      .map(|member| Candidate {
+        node: member.record.node,
+        since: member.since,
+        slots: member.record.slots,
+      })
+      .collect()
+  }
+
+  /// Nodes of another data centre to try, in order.
+  pub(crate) fn contacts(&self, centre: &DataCentre) -> Vec<NodeId> {
+    let mut contacts = self.members.view().contacts(centre).to_vec();
+    if let Some(known) = self.settings.centres.get(centre) {
+      for contact in &known.contacts {
+        if !contacts.contains(contact) {
+          contacts.push(*contact);
+        }
+      }
+    }
+    contacts
+  }
+
+  /// Begins a root request; refused while the node drains.
+  pub(crate) fn enter(&self) -> Result<Entered<'_>, CallFailure> {
+    let entered = self.in_flight.enter();
+    // Checked after the count was raised, so that a shutdown that starts now waits for it.
+    if self.draining.load(Ordering::SeqCst) {
+      return Err(CallFailure::not_run(NotRunReason::Draining));
+    }
+    Ok(entered)
+  }
+
+  /// Adopts a quarantine that another node reported.
+  pub(crate) fn adopt_quarantine(&self, notice: Notice) {
+    tracing::info!(event = "quarantine_adopted", fingerprint = %notice.fingerprint);
+    self.quarantine().adopt(notice, self.clock.now());
+  }
+}
+
+/// Requests and calls in flight through the node.
+#[derive(Debug, Default)]
+pub(crate) struct InFlight {
+  count: AtomicUsize,
+  empty: Notify,
+}
+
+impl InFlight {
+  pub(crate) fn enter(&self) -> Entered<'_> {
+    self.count.fetch_add(1, Ordering::SeqCst);
+    Entered(self)
+  }
+
+  pub(crate) fn count(&self) -> usize {
+    self.count.load(Ordering::SeqCst)
+  }
+
+  /// Waits until nothing is in flight.
+  pub(crate) async fn wait_empty(&self) {
+    loop {
+      let empty = self.empty.notified();
+      if self.count() == 0 {
+        return;
+      }
+      empty.await;
+    }
+  }
+}
+
+/// One request in flight.
+#[derive(Debug)]
+pub(crate) struct Entered<'a>(&'a InFlight);
+
+impl Drop for Entered<'_> {
+  fn drop(&mut self) {
+    if self.0.count.fetch_sub(1, Ordering::SeqCst) == 1 {
+      self.0.empty.notify_waiters();
+    }
+  }
+}
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -1,1 +1,45 @@
 //! The node process and the command line of cactusyoke.
+//!
+//! [`Server`] wires the packages into one node: `gateway` takes requests of callers and outgoing
+//! calls of the upstream, `dispatch` sends them on, `instance` runs them on the upstream beside the
+//! node and `keyed` makes those with an idempotency key run at most once. The control loops are
+//! `spread` (configuration), `roster_keeper` (witnesses) and `upstream_follower`.
+
+mod admission;
+mod asks;
+mod command;
+mod control;
+mod core;
+mod dispatch;
+mod edges;
+mod exit;
+mod gateway;
+mod instance;
+mod kept_answer;
+mod keyed;
+mod log;
+mod meters;
+mod operator_node;
+mod raw_settings;
+mod replay;
+mod roster_keeper;
+mod rosters;
+mod server;
+mod settings;
+mod settings_error;
+mod spread;
+mod start_error;
+mod status;
+mod subcommand;
+mod tracked;
+mod upstream_follower;
+
+pub use {
+  command::Command,
+  core::Core,
+  raw_settings::{RawCentre, RawLimits, RawSettings},
+  server::{Server, Unfinished},
+  settings::{Centre, Settings, Token},
+  settings_error::SettingsError,
+  start_error::StartError,
+};
--- /dev/null
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -0,0 +1,246 @@
+//! What operators can ask of this node.
+
+use {
+  crate::{Core, status},
+  cactusyoke_decisions::load::Fingerprint,
+  cactusyoke_model::{ChangeId, PresetName, Revision},
+  cactusyoke_operators::{
+    Accepted, AuditQuery, AuditRecord, ConfigView, ConflictView, Node, NodeError, NodeFuture,
+    PresetSummary, PresetView, PutRequest, QuarantineView, StatusView, UseRequest,
+  },
+  cactusyoke_platform::{
+    AuditFilter, ChangeRequest, ConfigurationError, Intent, Record, RecordedEdit,
+  },
+  std::sync::Arc,
+};
+
+/// Node as operators see it.
+#[derive(Clone, Debug)]
+pub(crate) struct OperatorNode(pub(crate) Arc<Core>);
+
+impl Node for OperatorNode {
+  fn status(&self) -> NodeFuture<'_, StatusView> {
+    Box::pin(async { Ok(status::of(&self.0).await) })
+  }
+
+  fn ready(&self) -> bool {
+    !self.0.is_draining() && self.0.config.load().preset().is_some()
+  }
+
+  fn config(&self) -> NodeFuture<'_, ConfigView> {
+    Box::pin(async {
+      let config = self.0.config.load();
+      let presets = config.presets.values().map(|preset| PresetSummary {
+        name: preset.name.clone(),
+        purpose: preset.raw().purpose.clone(),
+        routes: preset.routes.len(),
+      });
+      Ok(ConfigView {
+        revision: config.revision,
+        in_force: config.in_force.clone(),
+        presets: presets.collect(),
+      })
+    })
+  }
+
+  fn preset<'a>(&'a self, name: &'a PresetName) -> NodeFuture<'a, PresetView> {
+    Box::pin(async move {
+      let config = self.0.config.load();
+      match config.presets.get(name) {
+        Some(preset) => Ok(PresetView {
+          revision: config.revision,
+          preset: preset.raw().clone(),
+        }),
+        None => Err(NodeError::NoPreset { name: name.clone() }),
+      }
+    })
+  }
+
+  fn use_preset(&self, request: UseRequest) -> NodeFuture<'_, Accepted> {
+    let UseRequest {
+      id,
+      preset,
+      operator,
+      reason,
+      based_on,
+    } = request;
+    let intent = Intent::Use(preset);
+    Box::pin(self.change(ChangeRequest {
+      id,
+      operator,
+      reason,
+      based_on,
+      intent,
+    }))
+  }
+
+  fn put_preset(&self, request: PutRequest) -> NodeFuture<'_, Accepted> {
+    let PutRequest {
+      id,
+      preset,
+      operator,
+      reason,
+      based_on,
+    } = request;
+    let intent = Intent::Put(Box::new(preset));
+    Box::pin(self.change(ChangeRequest {
+      id,
+      operator,
+      reason,
+      based_on,
+      intent,
+    }))
+  }
+
+  fn audit(&self, query: AuditQuery) -> NodeFuture<'_, Vec<AuditRecord>> {
+    Box::pin(async move {
+      let default = AuditFilter::default();
+      let filter = AuditFilter {
+        since: query.since,
+        until: query.until,
+        preset: query.preset,
+        operator: query.operator,
+        limit: query.limit.unwrap_or(default.limit),
+      };
+      let id = ChangeId(0);
+      match self.0.configuration.audit(&filter).await {
+        Ok(records) => Ok(records.into_iter().map(audit_record).collect()),
+        Err(error) => Err(node_error(error, id)),
+      }
+    })
+  }
+
+  fn drain<'a>(&'a self, operator: &'a str, reason: &'a str) -> NodeFuture<'a, ()> {
+    Box::pin(async move {
+      tracing::info!(event = "drain", operator, reason);
+      self.0.set_draining(true);
+      Ok(())
+    })
+  }
+
+  fn undrain<'a>(&'a self, operator: &'a str, reason: &'a str) -> NodeFuture<'a, ()> {
+    Box::pin(async move {
+      tracing::info!(event = "undrain", operator, reason);
+      self.0.set_draining(false);
+      Ok(())
+    })
+  }
+
+  fn quarantine(&self) -> NodeFuture<'_, Vec<QuarantineView>> {
+    Box::pin(async {
+      let view = self.0.members.view();
+      let Some(service) = view.own().service.clone() else {
+        return Ok(Vec::new());
+      };
+      let notices = self.0.quarantine().list(self.0.clock.now());
+      let entries = notices.into_iter().map(|notice| QuarantineView {
+        id: notice.fingerprint.to_string(),
+        service: service.clone(),
+        crashes: 2,
+        remaining_seconds: notice.remaining.as_secs(),
+      });
+      Ok(entries.collect())
+    })
+  }
+
+  fn release<'a>(&'a self, id: &'a str, operator: &'a str) -> NodeFuture<'a, ()> {
+    Box::pin(async move {
+      let unknown = || NodeError::NoQuarantine { id: id.to_owned() };
+      let fingerprint = u128::from_str_radix(id, 16)
+        .map(Fingerprint)
+        .map_err(|_error| unknown())?;
+      if !self.0.quarantine().release(fingerprint) {
+        return Err(unknown());
+      }
+      tracing::info!(event = "quarantine_released", %fingerprint, operator);
+      Ok(())
+    })
+  }
+}
+
+impl OperatorNode {
+  async fn change(&self, request: ChangeRequest) -> Result<Accepted, NodeError> {
+    let adopted = self.0.config.load().revision;
+    let id = request.id;
+    match self.0.configuration.change(&request, adopted).await {
+      Ok(record) => {
+        tracing::info!(
+          event = "change_accepted",
+          revision = %record.revision,
+          id = %record.id,
+          operator = record.operator,
+          change = %record.edit
+        );
+        // Spreads the change from here too, without waiting for a watch.
+        self.0.watcher.refresh();
+        Ok(Accepted {
+          id: record.id,
+          revision: record.revision,
+        })
+      }
+      Err(error) => Err(node_error(error, id)),
+    }
+  }
+}
+
+fn node_error(error: ConfigurationError, id: ChangeId) -> NodeError {
+  match error {
+    ConfigurationError::Conflict { other, revision } => {
+      NodeError::Conflict(Box::new(conflict(&other, revision)))
+    }
+    ConfigurationError::NoPreset(name) => NodeError::NoPreset { name },
+    ConfigurationError::Unavailable(message) => NodeError::Unavailable { message },
+    ConfigurationError::Behind { .. } => NodeError::Unavailable {
+      message: error.to_string(),
+    },
+    ConfigurationError::Unconfirmed { .. } => NodeError::Unconfirmed { id },
+    ConfigurationError::Corrupt { .. } | ConfigurationError::Collision(_) => NodeError::Internal {
+      message: error.to_string(),
+    },
+    ConfigurationError::Preset(_)
+    | ConfigurationError::Operator(_)
+    | ConfigurationError::Reason(_)
+    | ConfigurationError::TooOld { .. }
+    | ConfigurationError::IdTaken(_)
+    | ConfigurationError::TooLarge => NodeError::Invalid {
+      message: error.to_string(),
+    },
+  }
+}
+
+fn conflict(other: &Record, revision: Revision) -> ConflictView {
+  ConflictView {
+    id: other.id,
+    revision,
+    operator: other.operator.clone(),
+    time: humantime::format_rfc3339_millis(other.time).to_string(),
+    reason: other.reason.clone(),
+    summary: other.edit.to_string(),
+  }
+}
+
+fn audit_record(record: Record) -> AuditRecord {
+  let (action, before, after) = match &record.edit {
+    RecordedEdit::Use { before, after } => (
+      "use",
+      before.as_ref().map(ToString::to_string),
+      after.to_string(),
+    ),
+    RecordedEdit::Put { before, after, .. } => (
+      "put",
+      before.as_ref().map(ToString::to_string),
+      after.to_string(),
+    ),
+  };
+  AuditRecord {
+    revision: record.revision,
+    id: record.id,
+    preset: record.edit.preset().clone(),
+    time: humantime::format_rfc3339_millis(record.time).to_string(),
+    operator: record.operator,
+    reason: record.reason,
+    action: action.to_owned(),
+    before,
+    after,
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/replay.rs
@@ -0,0 +1,169 @@
+//! Request bodies that may have to be sent more than once.
+
+use {
+  bytes::{Bytes, BytesMut},
+  cactusyoke_model::{Body, BodyError},
+  http::HeaderMap,
+  http_body::{Body as _, Frame, SizeHint},
+  http_body_util::BodyExt,
+  std::{
+    collections::VecDeque,
+    pin::Pin,
+    task::{Context, Poll},
+  },
+};
+
+/// Largest body that is held in memory for a retry.
+const MAX_BUFFERED: usize = 64 << 10;
+
+/// Request body, held in memory when it is small.
+#[derive(Debug)]
+pub(crate) struct Replay {
+  prefix: Bytes,
+  trailers: Option<HeaderMap>,
+  rest: Rest,
+}
+
+#[derive(Debug)]
+enum Rest {
+  Nothing,
+  Stream(Body),
+  Sent,
+}
+
+impl Replay {
+  /// Reads the first bytes of a body; the whole of it when it is small.
+  pub(crate) async fn read(mut body: Body) -> Result<Self, BodyError> {
+    if body.is_end_stream() {
+      return Ok(Self {
+        prefix: Bytes::new(),
+        trailers: None,
+        rest: Rest::Nothing,
+      });
+    }
+    if body.size_hint().lower() > MAX_BUFFERED as u64 {
+      return Ok(Self {
+        prefix: Bytes::new(),
+        trailers: None,
+        rest: Rest::Stream(body),
+      });
+    }
+    let mut first = Bytes::new();
+    let mut prefix = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+      match frame?.into_data() {
+        Ok(data) if first.is_empty() && prefix.is_empty() => first = data,
+        Ok(data) => {
+          if prefix.is_empty() {
+            prefix.extend_from_slice(&first);
+          }
+          prefix.extend_from_slice(&data);
+        }
+        Err(frame) => {
+          let trailers = frame.into_trailers().ok();
+          return Ok(Self {
+            prefix: join(first, prefix),
+            trailers,
+            rest: Rest::Nothing,
+          });
+        }
+      }
+      if prefix.len().max(first.len()) > MAX_BUFFERED {
+        let rest = Rest::Stream(body);
+        return Ok(Self {
+          prefix: join(first, prefix),
+          trailers: None,
+          rest,
+        });
+      }
+    }
+    Ok(Self {
+      prefix: join(first, prefix),
+      trailers: None,
+      rest: Rest::Nothing,
+    })
+  }
+
+  /// True when the body can be sent again.
+  pub(crate) fn repeatable(&self) -> bool {
+    matches!(self.rest, Rest::Nothing)
+  }
+
+  /// First bytes of the body.
+  pub(crate) fn prefix(&self) -> &Bytes {
+    &self.prefix
+  }
+
+  /// The body for the next attempt; `None` when it was streamed away by an earlier one.
+  pub(crate) fn body(&mut self) -> Option<Body> {
+    let rest = match std::mem::replace(&mut self.rest, Rest::Sent) {
+      Rest::Nothing => {
+        self.rest = Rest::Nothing;
+        None
+      }
+      Rest::Stream(body) => Some(body),
+      Rest::Sent => return None,
+    };
+    let mut frames = VecDeque::with_capacity(2);
+    if !self.prefix.is_empty() {
+      frames.push_back(Frame::data(self.prefix.clone()));
+    }
+    if let Some(trailers) = &self.trailers {
+      frames.push_back(Frame::trailers(trailers.clone()));
+    }
+    Some(Joined { frames, rest }.boxed_unsync())
+  }
+}
+
+fn join(first: Bytes, prefix: BytesMut) -> Bytes {
+  if prefix.is_empty() {
+    first
+  } else {
+    prefix.freeze()
+  }
+}
+
+struct Joined {
+  frames: VecDeque<Frame<Bytes>>,
+  rest: Option<Body>,
+}
+
+impl http_body::Body for Joined {
+  type Data = Bytes;
+  type Error = BodyError;
+
+  fn poll_frame(
+    mut self: Pin<&mut Self>,
+    cx: &mut Context<'_>,
+  ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    if let Some(frame) = self.frames.pop_front() {
+      return Poll::Ready(Some(Ok(frame)));
+    }
+    match &mut self.rest {
+      Some(rest) => Pin::new(rest).poll_frame(cx),
+      None => Poll::Ready(None),
+    }
+  }
+
+  fn is_end_stream(&self) -> bool {
+    self.frames.is_empty() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+  }
+
+  fn size_hint(&self) -> SizeHint {
+    let buffered = self
+      .frames
+      .iter()
+      .filter_map(Frame::data_ref)
+      .map(|data| data.len() as u64)
+      .sum::<u64>();
+    let Some(rest) = &self.rest else {
+      return SizeHint::with_exact(buffered);
+    };
+    let mut hint = SizeHint::new();
+    hint.set_lower(buffered + rest.size_hint().lower());
+    if let Some(upper) = rest.size_hint().upper() {
+      hint.set_upper(buffered + upper);
+    }
+    hint
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/rosters.rs
@@ -0,0 +1,213 @@
+//! Rosters of the groups of witnesses, as this node knows them.
+
+use {
+  crate::{
+    Core,
+    control::{Ask, Reply},
+  },
+  arc_swap::ArcSwap,
+  cactusyoke_decisions::keys::{Member, Roster, Witness, WitnessReply, WitnessRequest},
+  cactusyoke_model::{DataCentre, IdempotencyKey, NodeId},
+  cactusyoke_platform::{Store, StoreError, Versioned},
+  std::{
+    collections::BTreeMap,
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+  },
+  xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Nodes asked for a roster while the platform does not answer.
+const MAX_ASKED: usize = 3;
+
+/// Time for one question about a roster.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Rosters and the witness of this node.
+pub(crate) struct Rosters {
+  member: Member,
+  centre: DataCentre,
+  groups: u32,
+  pub(crate) store: Arc<dyn Store>,
+  known: ArcSwap<BTreeMap<u32, Roster>>,
+  witness: Mutex<Witness>,
+}
+
+impl fmt::Debug for Rosters {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    f.debug_struct("Rosters")
+      .field("member", &self.member)
+      .finish_non_exhaustive()
+  }
+}
+
+impl Rosters {
+  pub(crate) fn new(
+    member: Member,
+    centre: DataCentre,
+    groups: u32,
+    limit: usize,
+    store: Arc<dyn Store>,
+  ) -> Self {
+    let witness = Mutex::new(Witness::new(member, limit));
+    Self {
+      member,
+      centre,
+      groups,
+      store,
+      known: ArcSwap::default(),
+      witness,
+    }
+  }
+
+  /// This process as a member of rosters.
+  pub(crate) const fn member(&self) -> Member {
+    self.member
+  }
+
+  pub(crate) fn witness(&self) -> MutexGuard<'_, Witness> {
+    self.witness.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Group of witnesses to which a node belongs.
+  pub(crate) fn group_of(&self, node: NodeId) -> u32 {
+    (xxh3_64(node.to_string().as_bytes()) % u64::from(self.groups)) as u32
+  }
+
+  /// Group of witnesses that remembers a key.
+  fn group_of_key(&self, key: &IdempotencyKey) -> u32 {
+    (xxh3_64(key.as_str().as_bytes()) % u64::from(self.groups)) as u32
+  }
+
+  /// Key under which the platform keeps the roster of a group.
+  pub(crate) fn store_key(&self, group: u32) -> String {
+    format!("roster/{}/{group}", self.centre)
+  }
+
+  /// Roster of a group, as far as known.
+  pub(crate) fn known(&self, group: u32) -> Option<Roster> {
+    self.known.load().get(&group).cloned()
+  }
+
+  /// Takes note of a roster; true when it is newer than the known one.
+  pub(crate) fn learn(&self, group: u32, roster: &Roster) -> bool {
+    let newer = |known: &BTreeMap<u32, Roster>| {
+      known
+        .get(&group)
+        .is_none_or(|known| known.epoch < roster.epoch)
+    };
+    if !newer(&self.known.load()) {
+      return false;
+    }
+    self.known.rcu(|known| {
+      let mut next = BTreeMap::clone(known);
+      if newer(&next) {
+        next.insert(group, roster.clone());
+      }
+      next
+    });
+    true
+  }
+
+  /// Reads the roster of a group with its version from the platform.
+  pub(crate) async fn read(&self, group: u32) -> Result<Option<(Roster, u64)>, StoreError> {
+    let found = self.store.get(&self.store_key(group)).await?;
+    Ok(found.and_then(|found| self.decode(group, &found)))
+  }
+
+  fn decode(&self, group: u32, found: &Versioned) -> Option<(Roster, u64)> {
+    match serde_json::from_slice(&found.value) {
+      Ok(roster) => Some((roster, found.version)),
+      Err(error) => {
+        let key = self.store_key(group);
+        tracing::error!(event = "roster_unreadable", key, %error);
+        None
+      }
+    }
+  }
+}
+
+impl Core {
+  /// Roster under which a key is claimed; read where it is not known yet.
+  pub(crate) async fn roster_of(&self, key: &IdempotencyKey) -> Option<Roster> {
+    let rosters = &self.keyed.rosters;
+    let group = rosters.group_of_key(key);
+    if let Some(roster) = rosters.known(group) {
+      return Some(roster);
+    }
+    self.fetch_roster(group).await;
+    rosters.known(group)
+  }
+
+  /// Reads a newer roster for a key after a witness has refused the known one.
+  pub(crate) async fn refresh_roster(self: &Arc<Self>, key: &IdempotencyKey) {
+    let group = self.keyed.rosters.group_of_key(key);
+    self.fetch_roster(group).await;
+    if group == self.keyed.rosters.group_of(self.settings.node)
+      && let Some(roster) = self.keyed.rosters.known(group)
+    {
+      self.adopt_roster(group, roster);
+    }
+  }
+
+  /// Reads a roster from the platform, or from other nodes while the platform does not answer.
+  pub(crate) async fn fetch_roster(&self, group: u32) {
+    let rosters = &self.keyed.rosters;
+    if let Ok(Some((roster, _))) = rosters.read(group).await {
+      rosters.learn(group, &roster);
+      return;
+    }
+    let view = self.members.view();
+    let others = view
+      .live()
+      .map(|member| member.record.node)
+      .filter(|node| *node != self.settings.node);
+    for node in others.take(MAX_ASKED) {
+      if let Some(Reply::Roster(Some(roster))) =
+        self.ask(node, &Ask::Roster(group), ASK_TIMEOUT).await
+      {
+        rosters.learn(group, &roster);
+      }
+    }
+  }
+
+  /// Adopts a roster that the platform has stored, and takes over the grants of its predecessor.
+  pub(crate) fn adopt_roster(self: &Arc<Self>, group: u32, roster: Roster) {
+    let rosters = &self.keyed.rosters;
+    rosters.learn(group, &roster);
+    if group != rosters.group_of(self.settings.node) {
+      return;
+    }
+    let epoch = roster.epoch;
+    let members = roster.members.len();
+    let requests = {
+      let mut witness = rosters.witness();
+      if witness.roster().is_some_and(|known| known.epoch >= epoch) {
+        return;
+      }
+      witness.adopt(roster, self.clock.now())
+    };
+    tracing::info!(event = "roster_adopted", group, epoch, members);
+    self.request_handovers(requests);
+  }
+
+  /// Fetches handovers page by page.
+  pub(crate) fn request_handovers(self: &Arc<Self>, requests: Vec<(Member, WitnessRequest)>) {
+    for (member, request) in requests {
+      let core = Arc::clone(self);
+      tokio::spawn(async move {
+        let mut next = Some((member, request));
+        while let Some((member, request)) = next.take() {
+          if let Some(WitnessReply::Handover(page)) = core.ask_witness(member, request).await {
+            next = core
+              .keyed
+              .rosters
+              .witness()
+              .on_page(&page, core.clock.now());
+          }
+        }
+      });
+    }
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/settings.rs
@@ -0,0 +1,205 @@
+//! Settings of a node: YAML in, checked values out.
+
+use {
+  crate::{RawSettings, SettingsError},
+  cactusyoke_model::{ByteSize, DataCentre, NodeId},
+  std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt, fs,
+    net::SocketAddr,
+    path::Path,
+    str::FromStr,
+    time::Duration,
+  },
+};
+
+/// Most groups of witnesses in one data centre.
+const MAX_KEY_GROUPS: u32 = 1024;
+
+/// Longest queue of calls that wait for the upstream.
+const MAX_QUEUE: usize = 100_000;
+
+/// Secret that operators send with a change.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Token(String);
+
+impl Token {
+  /// The secret as text.
+  pub fn reveal(&self) -> &str {
+    &self.0
+  }
+}
+
+impl fmt::Debug for Token {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    f.write_str("Token(..)")
+  }
+}
+
+/// What a node knows of one data centre.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Centre {
+  /// Nodes to contact first.
+  pub contacts: Vec<NodeId>,
+  /// One-way distance.
+  pub distance: Duration,
+}
+
+/// Checked settings of a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+  /// Address for other nodes, TCP and UDP.
+  pub node: NodeId,
+  /// Data centre of the node.
+  pub centre: DataCentre,
+  /// All data centres, this one included.
+  pub centres: BTreeMap<DataCentre, Centre>,
+  /// Listener for callers.
+  pub callers: SocketAddr,
+  /// Listener for outgoing calls of the upstream; a loopback address.
+  pub egress: SocketAddr,
+  /// Listener for announcements of the upstream; a loopback address.
+  pub announce: SocketAddr,
+  /// Listener for operators.
+  pub operators: SocketAddr,
+  /// Secret for changes; without one, changes are refused.
+  pub token: Option<Token>,
+  /// Address of the platform's key-value service.
+  pub platform: SocketAddr,
+  /// Open connections on each listener.
+  pub connections: u32,
+  /// Largest body of a request.
+  pub body: ByteSize,
+  /// Calls that may wait for the upstream.
+  pub queue: usize,
+  /// Keys remembered as a witness.
+  pub keys: usize,
+  /// Groups of witnesses in this data centre.
+  pub key_groups: u32,
+  /// Longest graceful shutdown.
+  pub shutdown: Duration,
+}
+
+impl Settings {
+  /// Reads and checks a file.
+  pub fn load(path: &Path) -> Result<Self, SettingsError> {
+    let text = fs::read_to_string(path)
+      .map_err(|error| SettingsError::Read(path.display().to_string(), error.to_string()))?;
+    text.parse::<Self>().map_err(|error| error.in_file(path))
+  }
+
+  /// Data centres in the order of their names.
+  pub fn centre_names(&self) -> Vec<DataCentre> {
+    self.centres.keys().cloned().collect()
+  }
+}
+
+impl FromStr for Settings {
+  type Err = SettingsError;
+
+  fn from_str(yaml: &str) -> Result<Self, Self::Err> {
+    serde_yaml_ng::from_str::<RawSettings>(yaml)
+      .map_err(|error| SettingsError::Syntax(error.to_string()))?
+      .try_into()
+  }
+}
+
+impl TryFrom<RawSettings> for Settings {
+  type Error = SettingsError;
+
+  fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
+    check_node(raw.node)?;
+    for (field, address) in [("egress", raw.egress), ("announce", raw.announce)] {
+      if !address.ip().is_loopback() {
+        return Err(SettingsError::NotLoopback(field, address));
+      }
+    }
+    check_ports(&raw)?;
+    if !raw.data_centres.contains_key(&raw.data_centre) {
+      return Err(SettingsError::UnknownCentre(raw.data_centre));
+    }
+    check_range(
+      "limits.connections",
+      raw.limits.connections as usize,
+      1_000_000,
+    )?;
+    check_range("limits.queue", raw.limits.queue, MAX_QUEUE)?;
+    check_range("limits.keys", raw.limits.keys, 10_000_000)?;
+    check_range(
+      "key_groups",
+      raw.key_groups as usize,
+      MAX_KEY_GROUPS as usize,
+    )?;
+    let mut centres = BTreeMap::new();
+    for (name, centre) in raw.data_centres {
+      let distance = match &centre.distance {
+        Some(text) => time(&format!("data_centres.{name}.distance"), text)?,
+        None => Duration::ZERO,
+      };
+      centres.insert(
+        name,
+        Centre {
+          contacts: centre.contacts,
+          distance,
+        },
+      );
+    }
+    if raw.token.as_ref().is_some_and(|token| token.len() < 8) {
+      return Err(SettingsError::ShortToken);
+    }
+    Ok(Self {
+      node: raw.node,
+      centre: raw.data_centre,
+      centres,
+      callers: raw.callers,
+      egress: raw.egress,
+      announce: raw.announce,
+      operators: raw.operators,
+      token: raw.token.map(Token),
+      platform: raw.platform,
+      connections: raw.limits.connections,
+      body: raw.limits.body,
+      queue: raw.limits.queue,
+      keys: raw.limits.keys,
+      key_groups: raw.key_groups,
+      shutdown: time("shutdown_limit", &raw.shutdown_limit)?,
+    })
+  }
+}
+
+fn check_node(node: NodeId) -> Result<(), SettingsError> {
+  if node.0.ip().is_unspecified() || node.0.port() == 0 {
+    return Err(SettingsError::NodeAddress(node));
+  }
+  Ok(())
+}
+
+fn check_ports(raw: &RawSettings) -> Result<(), SettingsError> {
+  let listeners = [
+    ("node", raw.node.0),
+    ("callers", raw.callers),
+    ("egress", raw.egress),
+    ("announce", raw.announce),
+    ("operators", raw.operators),
+  ];
+  let mut seen = BTreeSet::new();
+  for (field, address) in listeners {
+    if address.port() != 0 && !seen.insert(address) {
+      return Err(SettingsError::AddressTwice(field, address));
+    }
+  }
+  Ok(())
+}
+
+fn check_range(field: &'static str, value: usize, max: usize) -> Result<(), SettingsError> {
+  if (1..=max).contains(&value) {
+    Ok(())
+  } else {
+    Err(SettingsError::Range(field, value, max))
+  }
+}
+
+fn time(field: &str, text: &str) -> Result<Duration, SettingsError> {
+  humantime::parse_duration(text)
+    .map_err(|_error| SettingsError::Time(field.to_string(), text.to_string()))
+}
--- /dev/null
+++ b/crates/cactusyoke/src/settings_error.rs
@@ -0,0 +1,86 @@
+use {
+  cactusyoke_model::{DataCentre, NodeId},
+  std::{
+    fmt::{self, Display, Formatter},
+    net::SocketAddr,
+    path::Path,
+  },
+};
+
+/// Why settings cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SettingsError {
+  /// The file cannot be read.
+  Read(String, String),
+  /// The text is not settings.
+  Syntax(String),
+  /// The node's address is not one that others can reach.
+  NodeAddress(NodeId),
+  /// A listener for the upstream is open to other instances.
+  NotLoopback(&'static str, SocketAddr),
+  /// Two listeners share an address.
+  AddressTwice(&'static str, SocketAddr),
+  /// The node's data centre is not listed.
+  UnknownCentre(DataCentre),
+  /// A number is out of range.
+  Range(&'static str, usize, usize),
+  /// A time cannot be read.
+  Time(String, String),
+  /// The token is too short.
+  ShortToken,
+  /// Error in a named file.
+  InFile(String, Box<Self>),
+}
+
+impl SettingsError {
+  pub(crate) fn in_file(self, path: &Path) -> Self {
+    Self::InFile(path.display().to_string(), Box::new(self))
+  }
+}
+
+impl Display for SettingsError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Read(path, error) => {
+        write!(
+          f,
+          "cannot read settings file `{path}`: {error}: check the path and its permissions"
+        )
+      }
+      Self::Syntax(message) => write!(f, "the settings cannot be read: {message}"),
+      Self::NodeAddress(node) => write!(
+        f,
+        "`node` is `{node}`: write the IP address and port at which other nodes reach this one"
+      ),
+      Self::NotLoopback(field, address) => write!(
+        f,
+        "`{field}` is `{address}`: use a loopback address, since only the upstream on this instance may reach it"
+      ),
+      Self::AddressTwice(field, address) => {
+        write!(
+          f,
+          "`{field}` uses `{address}`, which another listener has: choose another port"
+        )
+      }
+      Self::UnknownCentre(centre) => write!(
+        f,
+        "`data_centre` is `{centre}`, which `data_centres` does not list: add it there or correct the name"
+      ),
+      Self::Range(field, value, max) => {
+        write!(
+          f,
+          "`{field}` is {value}: write a whole number from 1 to {max}"
+        )
+      }
+      Self::Time(field, text) => write!(
+        f,
+        "`{field}` is `{}`: write a time such as `500us`, `30s` or `2min`",
+        text.escape_debug()
+      ),
+      Self::ShortToken => f.write_str("`token` is too short: use at least 8 characters"),
+      Self::InFile(path, error) => write!(f, "`{path}`: {error}"),
+    }
+  }
+}
+
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/crates/cactusyoke/src/status.rs
@@ -0,0 +1,125 @@
+//! Status of this node and of the members that it knows.
+
+use {
+  crate::{
+    Core,
+    control::{Ask, Reply},
+  },
+  cactusyoke_decisions::membership::{LifeState, Member, Status},
+  cactusyoke_model::{NodeId, Revision},
+  cactusyoke_operators::{MemberView, NodeStatus, PlatformView, StatusView, UpstreamView},
+  futures_util::stream::{FuturesUnordered, StreamExt},
+  std::{collections::HashMap, sync::Arc, time::Duration},
+};
+
+/// Time in which another node tells its revision.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Collects the status.
+pub(crate) async fn of(core: &Arc<Core>) -> StatusView {
+  let revisions = revisions(core).await;
+  let view = core.members.view();
+  let members = view
+    .members()
+    .iter()
+    .map(|member| {
+      let revision = revisions
+        .get(&member.record.node)
+        .copied()
+        .unwrap_or_default();
+      member_view(member, revision)
+    })
+    .collect();
+  StatusView {
+    node: node_status(core),
+    upstream: upstream_view(core),
+    platform: platform_view(core),
+    members,
+  }
+}
+
+/// Revisions that the live members have adopted; a member that does not reply is left out.
+async fn revisions(core: &Arc<Core>) -> HashMap<NodeId, Revision> {
+  let own = core.settings.node;
+  let view = core.members.view();
+  let mut asks = view
+    .live()
+    .map(|member| member.record.node)
+    .filter(|node| *node != own)
+    .map(|node| async move { (node, core.ask(node, &Ask::Revision, ASK_TIMEOUT).await) })
+    .collect::<FuturesUnordered<_>>();
+  let mut revisions = HashMap::from([(own, core.config.load().revision)]);
+  while let Some((node, reply)) = asks.next().await {
+    if let Some(Reply::Revision(revision)) = reply {
+      revisions.insert(node, revision);
+    }
+  }
+  revisions
+}
+
+fn node_status(core: &Core) -> NodeStatus {
+  let config = core.config.load();
+  NodeStatus {
+    node: core.settings.node,
+    incarnation: core.incarnation,
+    data_centre: core.settings.centre.clone(),
+    revision: config.revision,
+    in_force: config.in_force.clone(),
+    draining: core.is_draining(),
+    uptime_seconds: core.clock.now().duration_since(core.started).as_secs(),
+  }
+}
+
+fn upstream_view(core: &Core) -> Option<UpstreamView> {
+  let view = core.views.load();
+  let announcement = view.announcement.as_ref()?;
+  let gate = core.admission.status();
+  Some(UpstreamView {
+    service: announcement.service.clone(),
+    state: view.phase.to_string(),
+    slots: announcement.slots.0,
+    limit: gate.limit,
+    in_flight: gate.in_flight,
+    queued: gate.queued,
+    level: gate.level.to_string(),
+  })
+}
+
+fn platform_view(core: &Core) -> PlatformView {
+  let status = core.watcher.platform();
+  let now = core.clock.now();
+  PlatformView {
+    reachable: status.error.is_none() && status.last_success.is_some(),
+    watching: status.watching,
+    last_success_seconds: status
+      .last_success
+      .map(|at| now.duration_since(at).as_secs()),
+    lower_revision: status.lower,
+    error: status.error.clone(),
+  }
+}
+
+fn member_view(member: &Member, revision: Revision) -> MemberView {
+  let state = match member.record.life {
+    LifeState::Announced => "announced",
+    LifeState::Warming => "warming",
+    LifeState::Serving => "serving",
+    LifeState::Draining => "draining",
+    LifeState::Gone => "gone",
+  };
+  let status = match member.status {
+    Status::Alive => "alive",
+    Status::Suspect => "suspected",
+    Status::Dead => "dead",
+    Status::Left => "left",
+  };
+  MemberView {
+    node: member.record.node,
+    incarnation: member.record.incarnation,
+    service: member.record.service.clone(),
+    state: state.to_owned(),
+    status: status.to_owned(),
+    slots: member.record.slots.0,
+    revision,
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/subcommand/node.rs
@@ -0,0 +1,48 @@
+use {
+  crate::{Server, Settings, exit, log},
+  cactusyoke_model::SystemClock,
+  std::{path::Path, process::ExitCode, sync::Arc},
+  tokio::signal::unix::{SignalKind, signal},
+};
+
+/// Runs the node until it is told to stop.
+pub(crate) fn run(path: &Path) -> ExitCode {
+  let settings = match Settings::load(path) {
+    Ok(settings) => settings,
+    Err(error) => return exit::usage(&error),
+  };
+  log::init();
+  let runtime = match tokio::runtime::Builder::new_multi_thread()
+    .enable_all()
+    .build()
+  {
+    Ok(runtime) => runtime,
+    Err(error) => return exit::failure(&format!("cannot start the runtime: {error}")),
+  };
+  runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> ExitCode {
+  let limit = settings.shutdown;
+  let server = match Server::start(settings, Arc::new(SystemClock)).await {
+    Ok(server) => server,
+    Err(error) => return exit::failure(&error.to_string()),
+  };
+  if let Err(error) = wait_for_signal().await {
+    return exit::failure(&format!("cannot listen for signals: {error}"));
+  }
+  match server.shut_down(limit).await {
+    Ok(()) => ExitCode::SUCCESS,
+    Err(unfinished) => exit::failure(&unfinished.to_string()),
+  }
+}
+
+async fn wait_for_signal() -> std::io::Result<()> {
+  let mut terminate = signal(SignalKind::terminate())?;
+  let mut interrupt = signal(SignalKind::interrupt())?;
+  tokio::select! {
+    _ = terminate.recv() => {}
+    _ = interrupt.recv() => {}
+  }
+  Ok(())
+}
--- /dev/null
+++ b/crates/cactusyoke/src/tracked.rs
@@ -0,0 +1,113 @@
+//! Answer bodies that report how they ended.
+
+use {
+  bytes::Bytes,
+  cactusyoke_model::{Body, BodyError},
+  http_body::{Body as _, Frame, SizeHint},
+  std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Instant,
+  },
+  tokio::time::{Sleep, sleep_until},
+};
+
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyEnd {
+  /// All of it arrived.
+  Whole,
+  /// It was cut off.
+  Failed(BodyError),
+  /// The reader went away.
+  Dropped,
+}
+
+/// Body that calls a function once when it ends, and fails when the deadline passes.
+pub(crate) struct Tracked<F: FnOnce(BodyEnd) + Send + Unpin + 'static> {
+  body: Body,
+  deadline: Instant,
+  timer: Option<Pin<Box<Sleep>>>,
+  on_end: Option<F>,
+}
+
+impl<F: FnOnce(BodyEnd) + Send + Unpin + 'static> Tracked<F> {
+  pub(crate) fn new(body: Body, deadline: Instant, on_end: F) -> Self {
+    let mut tracked = Self {
+      body,
+      deadline,
+      timer: None,
+      on_end: Some(on_end),
+    };
+    if tracked.body.is_end_stream() {
+      tracked.end(BodyEnd::Whole);
+    }
+    tracked
+  }
+
+  fn end(&mut self, end: BodyEnd) {
+    if let Some(on_end) = self.on_end.take() {
+      on_end(end);
+    }
+  }
+
+  fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    // Most bodies are ready when they are polled first, so the timer is made on need.
+    let deadline = self.deadline;
+    let timer = self
+      .timer
+      .get_or_insert_with(|| Box::pin(sleep_until(deadline.into())));
+    timer.as_mut().poll(cx)
+  }
+}
+
+impl<F: FnOnce(BodyEnd) + Send + Unpin + 'static> http_body::Body for Tracked<F> {
+  type Data = Bytes;
+  type Error = BodyError;
+
+  fn poll_frame(
+    mut self: Pin<&mut Self>,
+    cx: &mut Context<'_>,
+  ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    if self.on_end.is_none() {
+      return Poll::Ready(None);
+    }
+    match Pin::new(&mut self.body).poll_frame(cx) {
+      Poll::Ready(Some(Ok(frame))) => {
+        if self.body.is_end_stream() {
+          self.end(BodyEnd::Whole);
+        }
+        Poll::Ready(Some(Ok(frame)))
+      }
+      Poll::Ready(Some(Err(error))) => {
+        self.end(BodyEnd::Failed(error));
+        Poll::Ready(Some(Err(error)))
+      }
+      Poll::Ready(None) => {
+        self.end(BodyEnd::Whole);
+        Poll::Ready(None)
+      }
+      Poll::Pending => {
+        if self.poll_deadline(cx).is_pending() {
+          return Poll::Pending;
+        }
+        self.end(BodyEnd::Failed(BodyError::Deadline));
+        Poll::Ready(Some(Err(BodyError::Deadline)))
+      }
+    }
+  }
+
+  fn is_end_stream(&self) -> bool {
+    self.body.is_end_stream()
+  }
+
+  fn size_hint(&self) -> SizeHint {
+    self.body.size_hint()
+  }
+}
+
+impl<F: FnOnce(BodyEnd) + Send + Unpin + 'static> Drop for Tracked<F> {
+  fn drop(&mut self) {
+    self.end(BodyEnd::Dropped);
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/upstream_follower.rs
@@ -0,0 +1,110 @@
+//! Follows the life cycle of the upstream: publishes it to the other nodes and sizes the gate.
+
+use {
+  crate::{Core, Settings},
+  cactusyoke_decisions::{
+    load::GateConfig,
+    membership::{LifeState, Own},
+  },
+  cactusyoke_model::{Revision, Slots},
+  cactusyoke_upstreams::{Phase, UpstreamView, announce::Announcement},
+  std::{sync::Arc, time::Duration},
+};
+
+/// Longest wait in the queue before a preset is in force.
+const QUEUE_WAIT: Duration = Duration::from_millis(200);
+
+/// Gate before the upstream has announced itself.
+pub(crate) fn idle_gate(settings: &Settings) -> GateConfig {
+  GateConfig {
+    slots: Slots(1),
+    queue: settings.queue,
+    queue_wait: QUEUE_WAIT,
+    cold_start: Duration::ZERO,
+  }
+}
+
+/// Starts following the upstream.
+pub(crate) fn start(core: &Arc<Core>) {
+  let core = Arc::clone(core);
+  tokio::spawn(async move {
+    let mut views = core.views.watch();
+    let mut last = None;
+    loop {
+      let view = Arc::clone(&views.borrow_and_update());
+      core.follow(&view, &mut last);
+      if views.changed().await.is_err() {
+        return;
+      }
+    }
+  });
+}
+
+/// Publishes the upstream's place in its life cycle to the other nodes.
+pub(crate) fn publish(core: &Core) {
+  let view = core.views.load();
+  let life = match view.phase {
+    Phase::Gone => LifeState::Gone,
+    _ if core.is_draining() => LifeState::Draining,
+    Phase::Announced => LifeState::Announced,
+    Phase::Warming => LifeState::Warming,
+    Phase::Serving => LifeState::Serving,
+    Phase::Draining => LifeState::Draining,
+  };
+  let own = match &view.announcement {
+    Some(announcement) => Own {
+      service: Some(announcement.service.clone()),
+      life,
+      slots: announcement.slots,
+      connections: announcement.connections,
+    },
+    None => Own::default(),
+  };
+  core.members.set_own(own);
+}
+
+impl Core {
+  fn follow(&self, view: &UpstreamView, last: &mut Option<(Announcement, Phase)>) {
+    publish(self);
+    let Some(announcement) = &view.announcement else {
+      return;
+    };
+    let restarted = match last {
+      None => true,
+      Some((known, phase)) => {
+        known.instance != announcement.instance
+          || known.address != announcement.address
+          || (*phase == Phase::Gone && view.phase != Phase::Gone)
+      }
+    };
+    let resized = last
+      .as_ref()
+      .is_some_and(|(known, _)| known.slots != announcement.slots);
+    if restarted && view.phase != Phase::Gone {
+      self.admission.restart(self.gate(announcement));
+    } else if resized {
+      self.admission.set_slots(announcement.slots);
+    }
+    *last = Some((announcement.clone(), view.phase));
+  }
+
+  fn gate(&self, announcement: &Announcement) -> GateConfig {
+    let preset = self.config.load().preset().cloned();
+    GateConfig {
+      slots: announcement.slots,
+      queue: self.settings.queue,
+      queue_wait: preset.map_or(QUEUE_WAIT, |preset| preset.queue_wait),
+      cold_start: announcement.cold_start,
+    }
+  }
+
+  /// Puts the adopted configuration in force on this node and spreads it.
+  pub(crate) fn adopted(&self, revision: Revision) {
+    if let Some(preset) = self.config.load().preset() {
+      self.admission.set_queue_wait(preset.queue_wait);
+      self.keyed.set_memory(preset.key_memory);
+      self.edges.reset_ratios();
+    }
+    self.spread.adopted(revision);
+  }
+}
