Carry calls and control messages over multiplexed links

Nodes need one connection to each node they call that streams bodies without letting a large one delay the small calls beside it, and that tells exactly which calls were not run.

Each link has an opener, which makes calls, and an acceptor. Ruled out: calls in both directions on one connection, because two nodes that dial each other at once would have to agree on which connection to drop while calls are on both. Only the opener closes an idle link, so that a call does not race with the close. A call is not run only if its `Open` frame was never taken by the writer, or has a number after the one in the peer's `Close`.

--- a/crates/nodes/src/ask_responder.rs
+++ b/crates/nodes/src/ask_responder.rs
@@ -1,10 +1,41 @@
-use bytes::Bytes;
+use {
+  crate::{MAX_ASK, link::Link},
+  bytes::Bytes,
+  std::sync::Arc,
+};
 
 /// Takes the reply to a control message; dropping it declines.
 #[derive(Debug)]
-pub struct AskResponder;
+pub struct AskResponder {
+  link: Arc<Link>,
+  id: u64,
+  done: bool,
+}
 
 impl AskResponder {
-  /// Sends the reply, at most [`crate::MAX_ASK`] bytes; a longer one declines.
-  pub fn reply(self, _body: Bytes) {}
+  pub(crate) fn new(link: Arc<Link>, id: u64) -> Self {
+    Self {
+      link,
+      id,
+      done: false,
+    }
+  }
+
+  /// Sends the reply, at most [`MAX_ASK`] bytes; a longer one is logged and declines.
+  pub fn reply(mut self, body: Bytes) {
+    if body.len() > MAX_ASK {
+      tracing::error!(peer = %self.link.peer.node, bytes = body.len(), "a reply exceeds the limit");
+      return;
+    }
+    self.done = true;
+    self.link.push_message(self.id, body, true);
+  }
+}
+
+impl Drop for AskResponder {
+  fn drop(&mut self) {
+    if !self.done {
+      self.link.decline(self.id);
+    }
+  }
 }
--- a/crates/nodes/src/lib.rs
+++ b/crates/nodes/src/lib.rs
@@ -13,6 +13,7 @@
 mod ask_responder;
 mod hop;
 mod incoming;
+mod link;
 mod link_stats;
 mod links;
 mod links_config;
@@ -21,7 +22,9 @@
 mod membership_config;
 mod membership_error;
 mod membership_handle;
+mod peers;
 mod responder;
+pub mod wire;
 
 pub use ask_error::AskError;
 pub use ask_responder::AskResponder;
--- /dev/null
+++ b/crates/nodes/src/link/mod.rs
@@ -0,0 +1,28 @@
+//! One connection to another node: the opener makes calls on it, the acceptor answers them.
+
+mod acceptor;
+mod body_sender;
+mod connection;
+mod connection_state;
+mod dial;
+mod link_body;
+mod link_error;
+mod opener;
+mod outbox;
+mod pending_call;
+mod received;
+mod shared;
+mod stream;
+
+pub use body_sender::{BodySender, Sent};
+pub use connection::Connection;
+use connection_state::{Entry, PendingAsk, State};
+pub use dial::{accept, dial};
+pub use link_body::LinkBody;
+pub use link_error::LinkError;
+pub use opener::OpenError;
+pub use outbox::{Bulk, Outbox};
+use pending_call::PendingCall;
+pub use received::{Part, ReceivedHead};
+pub use shared::Link;
+pub use stream::Stream;
--- a/crates/nodes/src/links.rs
+++ b/crates/nodes/src/links.rs
@@ -1,23 +1,48 @@
 use {
-  crate::{AskError, Hop, Incoming, LinkStats, LinksConfig},
+  crate::{
+    AskError, Hop, Incoming, LinkStats, LinksConfig, MAX_ASK,
+    link::{LinkError, OpenError, accept},
+    peers::Peers,
+  },
   bytes::Bytes,
   cactusyoke_model::{Answer, Call, CallFailure, NodeId, NotRunReason},
-  std::{sync::Arc, time::Duration},
-  tokio::{net::TcpListener, sync::mpsc},
+  std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::{Duration, Instant},
+  },
+  tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task::JoinSet,
+    time::{sleep, timeout, timeout_at},
+  },
   tokio_util::sync::CancellationToken,
 };
 
-/// Links of this node to the others. Clones share the links.
+/// Links on which a call is tried that was not sent because the link had just been closed.
+const OPEN_ATTEMPTS: usize = 2;
+/// Pause after a failed accept, which otherwise repeats at once while descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Links of this node to the others. Clones share the links; the last one closes those that this
+/// node opened.
 #[derive(Clone, Debug)]
 pub struct Links {
+  config: Arc<LinksConfig>,
   stats: Arc<LinkStats>,
+  peers: Arc<Peers>,
 }
 
 impl Links {
   /// Links of the node in `config`; none is open yet.
-  pub fn new(_config: LinksConfig) -> Self {
+  pub fn new(config: LinksConfig) -> Self {
+    let config = Arc::new(config);
+    let stats = Arc::<LinkStats>::default();
     Self {
-      stats: Arc::default(),
+      peers: Arc::new(Peers::new(Arc::clone(&config), Arc::clone(&stats))),
+      config,
+      stats,
     }
   }
 
@@ -25,36 +50,83 @@
   /// have ended. Dropping the future closes the accepted links.
   pub async fn listen(
     self,
-    _listener: TcpListener,
-    _incoming: mpsc::Sender<Incoming>,
+    listener: TcpListener,
+    incoming: mpsc::Sender<Incoming>,
     shutdown: CancellationToken,
   ) {
-    shutdown.cancelled().await;
+    let mut tasks = JoinSet::new();
+    loop {
+      let accepted = tokio::select! {
+        () = shutdown.cancelled() => break,
+        Some(_) = tasks.join_next() => continue,
+        accepted = listener.accept() => accepted,
+      };
+      match accepted {
+        Ok((_, from)) if tasks.len() >= self.config.max_links => {
+          tracing::warn!(%from, limit = self.config.max_links, "too many links");
+        }
+        Ok((socket, from)) => {
+          let (incoming, shutdown) = (incoming.clone(), shutdown.clone());
+          let (config, stats) = (Arc::clone(&self.config), Arc::clone(&self.stats));
+          tasks.spawn(serve(socket, from, config, stats, incoming, shutdown));
+        }
+        Err(error) => {
+          tracing::warn!(%error, "a link was not accepted");
+          sleep(ACCEPT_PAUSE).await;
+        }
+      }
+    }
+    drop(listener);
+    while tasks.join_next().await.is_some() {}
   }
 
-  /// Calls the instance beside `node`. Dropping the future cancels the call.
+  /// Calls the instance beside `node`. Dropping the future, or the body of the answer, cancels the
+  /// call.
   pub async fn call(&self, node: NodeId, call: Call) -> Result<Answer, CallFailure> {
     self.call_with(node, call, Hop::Instance).await
   }
 
-  /// Sends a call to `node`, which takes it to `hop`. Dropping the future cancels the call.
+  /// Sends a call to `node`, which takes it to `hop`. Dropping the future, or the body of the
+  /// answer, cancels the call.
   pub async fn call_with(
     &self,
-    _node: NodeId,
-    _call: Call,
-    _hop: Hop,
+    node: NodeId,
+    mut call: Call,
+    hop: Hop,
   ) -> Result<Answer, CallFailure> {
+    let deadline = call.head.deadline;
+    if deadline <= Instant::now() {
+      return Err(CallFailure::not_run(NotRunReason::Deadline));
+    }
+    for _ in 0..OPEN_ATTEMPTS {
+      let link = match timeout_at(deadline.into(), self.peers.link(node)).await {
+        Ok(Some(link)) => link,
+        Ok(None) => break,
+        Err(_elapsed) => return Err(CallFailure::not_run(NotRunReason::Deadline)),
+      };
+      match link.open(call, hop) {
+        Ok(pending) => return pending.outcome().await,
+        Err(OpenError::Closed(returned)) => call = *returned,
+        Err(OpenError::Limit) => return Err(CallFailure::not_run(NotRunReason::Limit)),
+      }
+    }
     Err(CallFailure::not_run(NotRunReason::Connection))
   }
 
-  /// Sends a control message and waits for its reply.
-  pub async fn ask(
-    &self,
-    node: NodeId,
-    _body: Bytes,
-    _timeout: Duration,
-  ) -> Result<Bytes, AskError> {
-    Err(AskError::Connection { node })
+  /// Sends a control message of at most [`MAX_ASK`] bytes and waits for its reply.
+  pub async fn ask(&self, node: NodeId, body: Bytes, limit: Duration) -> Result<Bytes, AskError> {
+    if body.len() > MAX_ASK {
+      return Err(AskError::Oversized { len: body.len() });
+    }
+    let reply = async {
+      let link = self.peers.link(node).await;
+      let link = link.ok_or(AskError::Connection { node })?;
+      link.ask(node, body).await
+    };
+    let after = limit;
+    timeout(limit, reply)
+      .await
+      .unwrap_or(Err(AskError::Timeout { node, after }))
   }
 
   /// Counters.
@@ -62,3 +134,22 @@
     &self.stats
   }
 }
+
+async fn serve(
+  socket: TcpStream,
+  from: SocketAddr,
+  config: Arc<LinksConfig>,
+  stats: Arc<LinkStats>,
+  incoming: mpsc::Sender<Incoming>,
+  shutdown: CancellationToken,
+) {
+  match accept(socket, config, Arc::clone(&stats)).await {
+    Ok(connection) => connection.run_acceptor(incoming, shutdown).await,
+    Err(error) => {
+      if matches!(error, LinkError::Frame(_)) {
+        stats.malformed.fetch_add(1, Relaxed);
+      }
+      tracing::warn!(%from, %error, "a link was not accepted");
+    }
+  }
+}
--- a/crates/nodes/src/responder.rs
+++ b/crates/nodes/src/responder.rs
@@ -1,16 +1,90 @@
-use cactusyoke_model::{Answer, BodyError, CallFailure};
+use {
+  crate::{
+    link::{BodySender, Link, Sent, Stream},
+    wire::{AnswerHead, Frame, ResetReason},
+  },
+  cactusyoke_model::{Answer, BodyError, CallFailure, UnknownReason},
+  std::{borrow::Cow, future::poll_fn, sync::Arc},
+};
 
 /// Takes the outcome of an incoming call; dropping it reports the outcome as unknown.
 #[derive(Debug)]
-pub struct Responder;
+pub struct Responder {
+  link: Arc<Link>,
+  stream: Arc<Stream>,
+  answered: bool,
+}
 
 impl Responder {
+  pub(crate) fn new(link: Arc<Link>, stream: Arc<Stream>) -> Self {
+    Self {
+      link,
+      stream,
+      answered: false,
+    }
+  }
+
   /// Streams the answer. Resolves when the whole body has been handed to the link, or with the
-  /// reason for which it was cut off.
-  pub async fn answer(self, _answer: Answer) -> Result<(), BodyError> {
-    Err(BodyError::Cut)
+  /// reason for which it was cut off. Dropping the future cuts the answer off.
+  pub async fn answer(mut self, answer: Answer) -> Result<(), BodyError> {
+    let end = http_body::Body::is_end_stream(&answer.body);
+    if self.stream.is_reset() {
+      return Err(BodyError::Cancelled);
+    }
+    let head = Frame::Answer(AnswerHead {
+      stream: self.stream.id,
+      end,
+      status: answer.status.as_u16(),
+      headers: Cow::Borrowed(&answer.headers),
+      report: answer.report,
+    });
+    if let Err(error) = self.link.outbox.push(&head) {
+      tracing::warn!(peer = %self.link.peer.node, %error, "the head of an answer was not sent");
+      self.refuse(CallFailure::unknown(UnknownReason::BadAnswer));
+      return Err(BodyError::Length);
+    }
+    self.answered = true;
+    if !end {
+      let (link, stream) = (Arc::clone(&self.link), Arc::clone(&self.stream));
+      let mut sender = BodySender::new(link, stream, answer.body);
+      match poll_fn(|cx| sender.poll(cx)).await {
+        Sent::Whole => {}
+        Sent::Stopped => return Err(BodyError::Cancelled),
+        Sent::Failed(error) => {
+          self.link.reset(&self.stream, error.into());
+          return Err(error);
+        }
+      }
+    }
+    if !self.link.remove(self.stream.id) {
+      return Err(BodyError::Cancelled);
+    }
+    self.stream.finish();
+    Ok(())
   }
 
   /// Reports that there is no answer.
-  pub fn refuse(self, _failure: CallFailure) {}
+  pub fn refuse(self, failure: CallFailure) {
+    self.send_refusal(failure);
+  }
+
+  fn send_refusal(&self, failure: CallFailure) {
+    if self.link.remove(self.stream.id) {
+      self.stream.finish();
+      self.link.push(&Frame::Refuse {
+        stream: self.stream.id,
+        failure,
+      });
+    }
+  }
+}
+
+impl Drop for Responder {
+  fn drop(&mut self) {
+    if self.answered {
+      self.link.reset(&self.stream, ResetReason::Cut);
+    } else {
+      self.send_refusal(CallFailure::unknown(UnknownReason::Connection));
+    }
+  }
 }
--- /dev/null
+++ b/crates/nodes/src/wire/heads.rs
@@ -0,0 +1,145 @@
+//! Frames that open a link, a call and an answer.
+
+use {
+  super::{FrameError, header_block},
+  crate::Hop,
+  cactusyoke_model::{
+    CallHead, DataCentre, IdempotencyKey, Incarnation, NodeId, Priority, Report, RequestId, Retries,
+  },
+  http::{HeaderMap, Method, StatusCode},
+  serde::{Deserialize, Serialize},
+  std::{
+    borrow::Cow,
+    time::{Duration, Instant},
+  },
+};
+
+/// Longest remaining time that is carried; longer ones are shortened to it, so that a deadline can
+/// always be computed.
+const MAX_REMAINING: Duration = Duration::from_hours(24);
+
+/// First frame of each side.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+  /// Version of the protocol; stands first in every version.
+  pub version: u16,
+  /// The sender.
+  pub node: NodeId,
+  /// Its start time.
+  pub incarnation: Incarnation,
+  /// Its data centre.
+  pub data_centre: DataCentre,
+}
+
+/// Head of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Open<'a> {
+  /// Number of the call on this link.
+  pub stream: u64,
+  /// To be relayed by the receiving node.
+  pub relay: bool,
+  /// The call has no body.
+  pub end: bool,
+  /// Root request.
+  pub root: u128,
+  /// Route.
+  pub route: &'a str,
+  /// Service.
+  pub service: &'a str,
+  /// Method.
+  pub method: &'a str,
+  /// Path and query.
+  pub path: &'a str,
+  /// Headers.
+  #[serde(with = "header_block")]
+  pub headers: Cow<'a, HeaderMap>,
+  /// Admission priority.
+  pub priority: u16,
+  /// May run more than once.
+  pub idempotent: bool,
+  /// Idempotency key.
+  pub key: Option<&'a str>,
+  /// Retry allowance.
+  pub retries: u16,
+  /// Time until the deadline, microseconds.
+  pub remaining_us: u64,
+}
+
+impl<'a> Open<'a> {
+  /// Wire form of a head.
+  pub fn new(stream: u64, hop: Hop, end: bool, head: &'a CallHead, now: Instant) -> Self {
+    let remaining = head.deadline.saturating_duration_since(now);
+    Self {
+      stream,
+      relay: hop == Hop::Relay,
+      end,
+      root: head.root.0,
+      route: head.route.as_str(),
+      service: head.service.as_str(),
+      method: head.method.as_str(),
+      path: &head.path,
+      headers: Cow::Borrowed(&head.headers),
+      priority: head.priority.0,
+      idempotent: head.idempotent,
+      key: head.key.as_ref().map(IdempotencyKey::as_str),
+      retries: head.retries.0,
+      remaining_us: remaining.min(MAX_REMAINING).as_micros() as u64,
+    }
+  }
+
+  /// Where the receiving node takes the call.
+  pub fn hop(&self) -> Hop {
+    if self.relay {
+      Hop::Relay
+    } else {
+      Hop::Instance
+    }
+  }
+
+  /// Checked head.
+  pub fn into_head(self, now: Instant) -> Result<CallHead, FrameError> {
+    let remaining = Duration::from_micros(self.remaining_us).min(MAX_REMAINING);
+    Ok(CallHead {
+      root: RequestId(self.root),
+      route: self.route.parse().map_err(|_error| FrameError::Malformed)?,
+      service: self
+        .service
+        .parse()
+        .map_err(|_error| FrameError::Malformed)?,
+      method: Method::from_bytes(self.method.as_bytes()).map_err(|_error| FrameError::Malformed)?,
+      path: self.path.into(),
+      headers: self.headers.into_owned(),
+      priority: Priority(self.priority),
+      idempotent: self.idempotent,
+      key: self
+        .key
+        .map(|key| key.parse().map_err(|_error| FrameError::Malformed))
+        .transpose()?,
+      retries: Retries(self.retries),
+      deadline: now + remaining,
+    })
+  }
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerHead<'a> {
+  /// Number of the call.
+  pub stream: u64,
+  /// The answer has no body.
+  pub end: bool,
+  /// HTTP status.
+  pub status: u16,
+  /// Headers.
+  #[serde(with = "header_block")]
+  pub headers: Cow<'a, HeaderMap>,
+  /// Load and allowance.
+  pub report: Report,
+}
+
+impl AnswerHead<'_> {
+  /// Checked status.
+  pub fn status(&self) -> Result<StatusCode, FrameError> {
+    StatusCode::from_u16(self.status).map_err(|_error| FrameError::Malformed)
+  }
+}
--- /dev/null
+++ b/crates/nodes/src/wire/mod.rs
@@ -0,0 +1,24 @@
+//! Frames of the links and their encoding. docs/protocol.md describes them.
+
+mod frame;
+mod frame_error;
+mod header_block;
+mod heads;
+mod raw;
+mod reset_reason;
+
+pub use frame::{Frame, decode, encode, split};
+pub use frame_error::FrameError;
+pub use heads::{AnswerHead, Hello, Open};
+pub use raw::Raw;
+pub use reset_reason::ResetReason;
+
+/// Version of the link protocol.
+pub const VERSION: u16 = 1;
+/// Longest frame without its length prefix, bytes.
+pub const MAX_FRAME: usize = 64 * 1024;
+/// Longest piece of a body or control message in one frame, bytes. Half a frame keeps the delay
+/// that a body adds to the calls beside it short.
+pub const MAX_DATA: usize = 32 * 1024;
+/// Most header fields or trailer fields in one frame.
+pub const MAX_HEADERS: usize = 1024;
--- /dev/null
+++ b/crates/nodes/src/wire/reset_reason.rs
@@ -0,0 +1,39 @@
+use {
+  cactusyoke_model::BodyError,
+  serde::{Deserialize, Serialize},
+};
+
+/// Why a call or body was reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ResetReason {
+  /// See [`BodyError::Cut`].
+  Cut,
+  /// See [`BodyError::Deadline`].
+  Deadline,
+  /// See [`BodyError::Cancelled`].
+  Cancelled,
+  /// See [`BodyError::Length`].
+  Length,
+}
+
+impl From<BodyError> for ResetReason {
+  fn from(error: BodyError) -> Self {
+    match error {
+      BodyError::Cut => Self::Cut,
+      BodyError::Deadline => Self::Deadline,
+      BodyError::Cancelled => Self::Cancelled,
+      BodyError::Length => Self::Length,
+    }
+  }
+}
+
+impl From<ResetReason> for BodyError {
+  fn from(reason: ResetReason) -> Self {
+    match reason {
+      ResetReason::Cut => Self::Cut,
+      ResetReason::Deadline => Self::Deadline,
+      ResetReason::Cancelled => Self::Cancelled,
+      ResetReason::Length => Self::Length,
+    }
+  }
+}
--- /dev/null
+++ b/crates/nodes/tests/links_calls.rs
@@ -0,0 +1,207 @@
+//! Calls and answers over a link.
+
+mod support;
+
+use {
+  bytes::Bytes,
+  cactusyoke_model::{
+    BodyError, CallFailure, Level, NotRunReason, Report, Retries, UnknownReason, empty_body,
+    full_body,
+  },
+  cactusyoke_nodes::Hop,
+  futures_util::{
+    StreamExt,
+    stream::{self, FuturesUnordered},
+  },
+  http::{HeaderMap, StatusCode},
+  http_body::Frame,
+  http_body_util::{BodyExt, StreamBody},
+  std::time::{Duration, Instant},
+  support::{Pair, answer, call, head, within},
+};
+
+fn trailers(value: &str) -> HeaderMap {
+  let mut trailers = HeaderMap::new();
+  trailers.insert("x-sum", value.parse().unwrap());
+  trailers
+}
+
+fn pieces(count: usize, len: usize, value: &str) -> cactusyoke_model::Body {
+  let data =
+    (0..count).map(move |n| Ok::<_, BodyError>(Frame::data(Bytes::from(vec![n as u8; len]))));
+  let end = std::iter::once(Ok(Frame::trailers(trailers(value))));
+  StreamBody::new(stream::iter(data.chain(end).collect::<Vec<_>>())).boxed_unsync()
+}
+
+/// Guards against a field of the head, a piece of a body or trailers lost on the way.
+#[tokio::test]
+async fn heads_bodies_and_trailers_arrive_whole() {
+  let mut pair = Pair::new().await;
+  let pending = pair.start(call("/p?q=1", pieces(100, 10_000, "up")));
+  let incoming = pair.next_call().await;
+  assert_eq!(incoming.hop, Hop::Instance);
+  assert_eq!(incoming.from.to_string(), "127.0.0.1:9");
+  let (got, sent) = (incoming.call.head, head("/p?q=1"));
+  assert_eq!(
+    (got.root, got.route, got.service, got.method, got.path),
+    (sent.root, sent.route, sent.service, sent.method, sent.path)
+  );
+  assert_eq!(
+    (
+      got.headers,
+      got.priority,
+      got.idempotent,
+      got.key,
+      got.retries
+    ),
+    (
+      sent.headers,
+      sent.priority,
+      sent.idempotent,
+      sent.key,
+      sent.retries
+    )
+  );
+  let remaining = got.deadline.saturating_duration_since(Instant::now());
+  assert!(remaining > Duration::from_secs(5) && remaining <= Duration::from_secs(30));
+  let body = within(incoming.call.body.collect()).await.unwrap();
+  assert_eq!(body.trailers(), Some(&trailers("up")));
+  assert_eq!(body.to_bytes().len(), 1_000_000);
+
+  let replying = tokio::spawn(incoming.reply.answer(answer(pieces(50, 40_000, "down"))));
+  let got = within(pending).await.unwrap().unwrap();
+  assert_eq!(got.status, StatusCode::OK);
+  let body = within(got.body.collect()).await.unwrap();
+  assert_eq!(body.trailers(), Some(&trailers("down")));
+  let bytes = body.to_bytes();
+  assert_eq!(bytes.len(), 2_000_000);
+  assert!(
+    bytes
+      .chunks(40_000)
+      .enumerate()
+      .all(|(n, piece)| piece.iter().all(|b| *b == n as u8))
+  );
+  assert_eq!(within(replying).await.unwrap(), Ok(()));
+  assert_eq!(pair.client.stats().streams(), 0);
+  assert_eq!(pair.server.stats().streams(), 0);
+}
+
+/// Guards against a relayed call that is taken for one to the instance.
+#[tokio::test]
+async fn the_hop_arrives() {
+  let mut pair = Pair::new().await;
+  let (client, node) = (pair.client.clone(), pair.node);
+  let pending = tokio::spawn(async move {
+    client
+      .call_with(node, call("/", empty_body()), Hop::Relay)
+      .await
+  });
+  let incoming = pair.next_call().await;
+  assert_eq!(incoming.hop, Hop::Relay);
+  incoming.reply.answer(answer(empty_body())).await.unwrap();
+  within(pending).await.unwrap().unwrap();
+}
+
+/// Guards against a refusal that loses its reason or the load report of the peer.
+#[tokio::test]
+async fn a_refusal_carries_the_failure_of_the_peer() {
+  let mut pair = Pair::new().await;
+  let failure = CallFailure::NotRun {
+    reason: NotRunReason::Shed,
+    report: Some(Report {
+      level: Level(0x0203),
+      age: Duration::from_millis(5),
+      load: 9,
+      unused: Retries(2),
+    }),
+  };
+  let pending = pair.start(call("/", full_body("x")));
+  pair.next_call().await.reply.refuse(failure);
+  assert_eq!(within(pending).await.unwrap().unwrap_err(), failure);
+}
+
+/// Guards against a call that hangs when the peer's handler ends without an outcome.
+#[tokio::test]
+async fn a_dropped_responder_makes_the_outcome_unknown() {
+  let mut pair = Pair::new().await;
+  let pending = pair.start(call("/", empty_body()));
+  drop(pair.next_call().await);
+  assert_eq!(
+    within(pending).await.unwrap().unwrap_err(),
+    CallFailure::unknown(UnknownReason::Connection)
+  );
+}
+
+/// Guards against answers that reach the wrong call when they come out of order.
+#[tokio::test]
+async fn answers_out_of_order_reach_their_calls() {
+  let mut pair = Pair::new().await;
+  let pending = (0..50)
+    .map(|n| pair.start(call(&format!("/{n}"), empty_body())))
+    .collect::<Vec<_>>();
+  let mut incoming = Vec::new();
+  for _ in 0..50 {
+    incoming.push(pair.next_call().await);
+  }
+  for call in incoming.into_iter().rev() {
+    let path = call.call.head.path.clone();
+    call.reply.answer(answer(full_body(path))).await.unwrap();
+  }
+  for (n, pending) in pending.into_iter().enumerate() {
+    let got = within(pending).await.unwrap().unwrap();
+    let bytes = within(got.body.collect()).await.unwrap().to_bytes();
+    assert_eq!(bytes, format!("/{n}"));
+  }
+}
+
+/// Guards against a head that is too large for a frame and breaks the link.
+#[tokio::test]
+async fn an_oversized_head_is_refused_and_the_link_remains() {
+  let mut pair = Pair::new().await;
+  let long = format!("/{}", "a".repeat(70_000));
+  let failure = within(pair.start(call(&long, empty_body()))).await.unwrap();
+  assert_eq!(
+    failure.unwrap_err(),
+    CallFailure::not_run(NotRunReason::Limit)
+  );
+
+  let pending = pair.start(call("/", empty_body()));
+  let incoming = pair.next_call().await;
+  let mut large = answer(empty_body());
+  large
+    .headers
+    .insert("x", "b".repeat(70_000).parse().unwrap());
+  assert_eq!(incoming.reply.answer(large).await, Err(BodyError::Length));
+  assert_eq!(
+    within(pending).await.unwrap().unwrap_err(),
+    CallFailure::unknown(UnknownReason::BadAnswer)
+  );
+  let pending = pair.start(call("/", empty_body()));
+  pair
+    .next_call()
+    .await
+    .reply
+    .answer(answer(empty_body()))
+    .await
+    .unwrap();
+  within(pending).await.unwrap().unwrap();
+  assert_eq!(pair.server.stats().links(), 1);
+}
+
+/// Guards against calls that wait without bound when the receiving node is busy.
+#[tokio::test]
+async fn calls_beyond_the_bounds_are_refused() {
+  let pair = Pair::with(1, |config| config.max_streams = 3).await;
+  let calls = (0..6)
+    .map(|_| pair.start(call("/", empty_body())))
+    .collect::<Vec<_>>();
+  let mut ended = FuturesUnordered::from_iter(calls);
+  for _ in 0..5 {
+    let outcome = within(ended.next()).await.unwrap().unwrap();
+    assert_eq!(
+      outcome.unwrap_err(),
+      CallFailure::not_run(NotRunReason::Limit)
+    );
+  }
+  assert_eq!(ended.len(), 1);
+}
--- /dev/null
+++ b/crates/nodes/tests/links_failures.rs
@@ -0,0 +1,258 @@
+//! Links that are lost, silent, or speak something else.
+
+mod support;
+
+use {
+  bytes::Bytes,
+  cactusyoke_model::{
+    BodyError, CallFailure, NodeId, NotRunReason, UnknownReason, empty_body, full_body,
+  },
+  cactusyoke_nodes::{
+    Links,
+    wire::{self, Frame, Raw},
+  },
+  http_body_util::{BodyExt, StreamBody},
+  std::time::{Duration, Instant},
+  support::{Pair, RawPeer, answer, call, config, within},
+  tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+  },
+  yare::parameterized,
+};
+
+const UNKNOWN: CallFailure = CallFailure::unknown(UnknownReason::Connection);
+const NOT_RUN: CallFailure = CallFailure::not_run(NotRunReason::Connection);
+
+fn client() -> Links {
+  let mut config = config(NodeId("127.0.0.1:9".parse().unwrap()));
+  config.heartbeat = Duration::from_millis(100);
+  config.silence = Duration::from_millis(300);
+  Links::new(config)
+}
+
+async fn listen() -> (TcpListener, NodeId) {
+  let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let node = NodeId(listener.local_addr().unwrap());
+  (listener, node)
+}
+
+/// Guards against a call reported as unknown, and so not retried, when no peer saw it.
+#[tokio::test]
+async fn a_refused_connection_is_not_run() {
+  let (listener, node) = listen().await;
+  drop(listener);
+  let failure = within(client().call(node, call("/", empty_body()))).await;
+  assert_eq!(failure.unwrap_err(), NOT_RUN);
+}
+
+/// Guards against a call reported as not run after the peer may have seen it, and against a short
+/// body that looks whole.
+#[tokio::test]
+async fn a_lost_link_is_unknown_and_cuts_bodies() {
+  let (listener, node) = listen().await;
+  let client = client();
+  let first = {
+    let client = client.clone();
+    tokio::spawn(async move { client.call(node, call("/1", empty_body())).await })
+  };
+  let mut peer = RawPeer::new(within(listener.accept()).await.unwrap().0);
+  peer.hello(node, wire::VERSION).await;
+  peer.next().await.unwrap();
+  let open = peer.next().await.unwrap();
+  assert!(matches!(wire::decode(&open), Ok(Frame::Open(open)) if open.stream == 1));
+  let second = tokio::spawn(async move { client.call(node, call("/2", empty_body())).await });
+  peer.next().await.unwrap();
+  peer
+    .send(&Frame::Answer(wire::AnswerHead {
+      stream: 1,
+      end: false,
+      status: 200,
+      headers: std::borrow::Cow::Owned(http::HeaderMap::new()),
+      report: cactusyoke_model::Report::IDLE,
+    }))
+    .await;
+  peer
+    .send(&Frame::Data {
+      stream: 1,
+      bytes: Raw(b"half"),
+    })
+    .await;
+  let answer = within(first).await.unwrap().unwrap();
+  drop(peer);
+  let error = within(answer.body.collect()).await.unwrap_err();
+  assert_eq!(error, BodyError::Cut);
+  assert_eq!(within(second).await.unwrap().unwrap_err(), UNKNOWN);
+}
+
+/// Guards against an answer body that fails at its source and ends cleanly at the caller.
+#[tokio::test]
+async fn a_body_that_fails_at_its_source_fails_at_the_receiver() {
+  let mut pair = Pair::new().await;
+  let pending = pair.start(call("/", empty_body()));
+  let incoming = pair.next_call().await;
+  let parts = vec![
+    Ok(http_body::Frame::data(Bytes::from_static(b"half"))),
+    Err(BodyError::Length),
+  ];
+  let body = StreamBody::new(futures_util::stream::iter(parts)).boxed_unsync();
+  assert_eq!(
+    within(incoming.reply.answer(answer(body))).await,
+    Err(BodyError::Length)
+  );
+  let got = within(pending).await.unwrap().unwrap();
+  let error = within(got.body.collect()).await.unwrap_err();
+  assert_eq!(error, BodyError::Length);
+}
+
+/// Guards against an answer that is abandoned half-way and ends cleanly at the caller.
+#[tokio::test]
+async fn an_abandoned_answer_is_cut() {
+  let mut pair = Pair::new().await;
+  let pending = pair.start(call("/", empty_body()));
+  let incoming = pair.next_call().await;
+  let first = http_body::Frame::data(Bytes::from_static(b"half"));
+  let parts = futures_util::stream::once(async { Ok(first) });
+  let endless = futures_util::StreamExt::chain(parts, futures_util::stream::pending());
+  let replying = tokio::spawn(
+    incoming
+      .reply
+      .answer(answer(StreamBody::new(endless).boxed_unsync())),
+  );
+  let mut got = within(pending).await.unwrap().unwrap();
+  let piece = within(got.body.frame()).await.unwrap().unwrap();
+  assert_eq!(piece.into_data().unwrap(), "half");
+  replying.abort();
+  let error = within(got.body.frame()).await.unwrap().unwrap_err();
+  assert_eq!(error, BodyError::Cut);
+}
+
+/// Guards against a silent connection that holds its calls until their deadline.
+#[tokio::test]
+async fn a_silent_peer_is_detected_and_a_new_link_is_opened() {
+  let (listener, node) = listen().await;
+  let client = client();
+  let pending = {
+    let client = client.clone();
+    tokio::spawn(async move { client.call(node, call("/", empty_body())).await })
+  };
+  let mut silent = RawPeer::new(within(listener.accept()).await.unwrap().0);
+  silent.hello(node, wire::VERSION).await;
+  assert_eq!(within(pending).await.unwrap().unwrap_err(), UNKNOWN);
+  let _again = tokio::spawn(async move { client.call(node, call("/", empty_body())).await });
+  within(listener.accept()).await.unwrap();
+}
+
+/// Guards against an acceptor that keeps the links of openers that have gone silent.
+#[tokio::test]
+async fn a_silent_opener_is_detected() {
+  let pair = Pair::with(8, |config| {
+    config.heartbeat = Duration::from_millis(100);
+    config.silence = Duration::from_millis(300);
+  })
+  .await;
+  let mut peer = RawPeer::new(TcpStream::connect(pair.node.0).await.unwrap());
+  peer
+    .hello(NodeId("127.0.0.1:8".parse().unwrap()), wire::VERSION)
+    .await;
+  assert!(peer.next().await.is_some());
+  assert!(peer.next().await.is_none());
+  assert_eq!(pair.server.stats().links(), 0);
+}
+
+/// Guards against a call that outlives its deadline when the peer stays connected.
+#[tokio::test]
+async fn the_deadline_ends_a_call() {
+  let mut pair = Pair::new().await;
+  let mut late = call("/", empty_body());
+  late.head.deadline = Instant::now() + Duration::from_millis(100);
+  let pending = pair.start(late);
+  let incoming = pair.next_call().await;
+  assert_eq!(
+    within(pending).await.unwrap().unwrap_err(),
+    CallFailure::unknown(UnknownReason::Deadline)
+  );
+  within(incoming.cancelled.cancelled()).await;
+  let mut over = call("/", empty_body());
+  over.head.deadline = Instant::now();
+  assert_eq!(
+    within(pair.start(over)).await.unwrap().unwrap_err(),
+    CallFailure::not_run(NotRunReason::Deadline)
+  );
+}
+
+/// Guards against an answer body that trickles past the deadline.
+#[tokio::test]
+async fn the_deadline_ends_an_answer_body() {
+  let mut pair = Pair::new().await;
+  let mut late = call("/", empty_body());
+  late.head.deadline = Instant::now() + Duration::from_millis(300);
+  let pending = pair.start(late);
+  let incoming = pair.next_call().await;
+  let endless = StreamBody::new(futures_util::stream::pending()).boxed_unsync();
+  let replying = tokio::spawn(incoming.reply.answer(answer(endless)));
+  let got = within(pending).await.unwrap().unwrap();
+  assert_eq!(
+    within(got.body.collect()).await.unwrap_err(),
+    BodyError::Deadline
+  );
+  assert_eq!(within(replying).await.unwrap(), Err(BodyError::Cancelled));
+}
+
+/// Guards against a peer of another release that is taken for a broken one.
+#[tokio::test]
+async fn another_version_is_named() {
+  let pair = Pair::new().await;
+  let mut peer = RawPeer::new(TcpStream::connect(pair.node.0).await.unwrap());
+  peer.hello(NodeId("127.0.0.1:8".parse().unwrap()), 2).await;
+  assert!(peer.next().await.is_some());
+  assert!(peer.next().await.is_none());
+  assert_eq!(
+    wire::FrameError::Version { theirs: 2 }.to_string(),
+    "the other node speaks version `2` of the link protocol and this one `1`: run the same release on both"
+  );
+  // A later version may have other fields.
+  assert_eq!(
+    wire::decode(&[0, 9, 255, 255]),
+    Err(wire::FrameError::Version { theirs: 9 })
+  );
+}
+
+/// Guards against bad frames that hurt more than their own connection.
+#[parameterized(
+  oversized = { &[0, 1, 0, 1] },
+  empty = { &[0, 0, 0, 0] },
+  unknown_tag = { &[0, 0, 0, 1, 99] },
+  unopened_stream = { &[0, 0, 0, 3, 7, 200, 1] },
+  frame_of_the_other_side = { &[0, 0, 0, 3, 5, 1, 0] },
+)]
+#[test_macro(tokio::test)]
+async fn a_bad_frame_closes_only_its_connection(bytes: &[u8]) {
+  let mut pair = Pair::new().await;
+  let mut peer = RawPeer::new(TcpStream::connect(pair.node.0).await.unwrap());
+  peer
+    .hello(NodeId("127.0.0.1:8".parse().unwrap()), wire::VERSION)
+    .await;
+  assert!(peer.next().await.is_some());
+  let pending = pair.start(call("/", full_body("x")));
+  let incoming = pair.next_call().await;
+  peer.socket.write_all(bytes).await.unwrap();
+  assert!(peer.next().await.is_none());
+  incoming.reply.answer(answer(full_body("y"))).await.unwrap();
+  let got = within(pending).await.unwrap().unwrap();
+  assert_eq!(within(got.body.collect()).await.unwrap().to_bytes(), "y");
+  assert_eq!(pair.server.stats().malformed(), 1);
+}
+
+/// Guards against calls sent to a node that took over the address of another.
+#[tokio::test]
+async fn another_node_at_the_address_is_refused() {
+  let (listener, node) = listen().await;
+  let client = client();
+  let pending = tokio::spawn(async move { client.call(node, call("/", empty_body())).await });
+  let mut peer = RawPeer::new(within(listener.accept()).await.unwrap().0);
+  peer
+    .hello(NodeId("127.0.0.1:8".parse().unwrap()), wire::VERSION)
+    .await;
+  assert_eq!(within(pending).await.unwrap().unwrap_err(), NOT_RUN);
+}
--- /dev/null
+++ b/crates/nodes/tests/links_flow.rs
@@ -0,0 +1,241 @@
+//! Flow control, cancellation, control messages and shutdown.
+
+mod support;
+
+use {
+  bytes::Bytes,
+  cactusyoke_model::{BodyError, CallFailure, NotRunReason, empty_body, full_body},
+  cactusyoke_nodes::{AskError, Incoming, MAX_ASK},
+  futures_util::stream,
+  http_body::Frame,
+  http_body_util::{BodyExt, StreamBody},
+  std::{
+    sync::{
+      Arc,
+      atomic::{AtomicUsize, Ordering::SeqCst},
+    },
+    time::Duration,
+  },
+  support::{Pair, answer, call, within},
+};
+
+const PIECE: usize = 16 * 1024;
+const WINDOW: usize = 256 * 1024;
+
+/// Body of `count` pieces that counts the bytes drawn from it.
+fn counted(count: usize, drawn: &Arc<AtomicUsize>) -> cactusyoke_model::Body {
+  let drawn = Arc::clone(drawn);
+  StreamBody::new(stream::iter((0..count).map(move |_| {
+    drawn.fetch_add(PIECE, SeqCst);
+    Ok::<_, BodyError>(Frame::data(Bytes::from(vec![1; PIECE])))
+  })))
+  .boxed_unsync()
+}
+
+/// Guards against a large body that is buffered whole, or that delays small calls: the large
+/// answer is held up by its own credit while small calls complete.
+#[tokio::test]
+async fn a_large_body_waits_for_credit_and_small_calls_pass() {
+  let mut pair = Pair::new().await;
+  let drawn = Arc::new(AtomicUsize::new(0));
+  let large = pair.start(call("/large", empty_body()));
+  let incoming = pair.next_call().await;
+  let replying = tokio::spawn(incoming.reply.answer(answer(counted(4096, &drawn))));
+  let large = within(large).await.unwrap().unwrap();
+  for _ in 0..100 {
+    let small = pair.start(call("/small", full_body("x")));
+    let incoming = pair.next_call().await;
+    incoming.reply.answer(answer(full_body("y"))).await.unwrap();
+    let got = within(small).await.unwrap().unwrap();
+    assert_eq!(within(got.body.collect()).await.unwrap().to_bytes(), "y");
+  }
+  assert!(drawn.load(SeqCst) <= WINDOW + 2 * PIECE, "{drawn:?}");
+  let bytes = within(large.body.collect()).await.unwrap().to_bytes();
+  assert_eq!(bytes.len(), 4096 * PIECE);
+  assert_eq!(within(replying).await.unwrap(), Ok(()));
+}
+
+/// Guards against an upload that delays small calls or is buffered whole by the receiving node.
+#[tokio::test]
+async fn a_large_upload_waits_for_its_reader() {
+  let mut pair = Pair::new().await;
+  let drawn = Arc::new(AtomicUsize::new(0));
+  let upload = pair.start(call("/upload", counted(1024, &drawn)));
+  let held = pair.next_call().await;
+  let small = pair.start(call("/small", empty_body()));
+  pair
+    .next_call()
+    .await
+    .reply
+    .answer(answer(empty_body()))
+    .await
+    .unwrap();
+  within(small).await.unwrap().unwrap();
+  assert!(drawn.load(SeqCst) <= WINDOW + 2 * PIECE, "{drawn:?}");
+  let bytes = within(held.call.body.collect()).await.unwrap().to_bytes();
+  assert_eq!(bytes.len(), 1024 * PIECE);
+  held.reply.answer(answer(empty_body())).await.unwrap();
+  within(upload).await.unwrap().unwrap();
+}
+
+/// Guards against an answer that waits for an upload nobody reads, and against an upload that
+/// continues after its answer.
+#[tokio::test]
+async fn an_early_answer_ends_the_upload() {
+  let mut pair = Pair::new().await;
+  let drawn = Arc::new(AtomicUsize::new(0));
+  let upload = pair.start(call("/upload", counted(1024, &drawn)));
+  let incoming = pair.next_call().await;
+  drop(incoming.call);
+  incoming
+    .reply
+    .answer(answer(full_body("no")))
+    .await
+    .unwrap();
+  let got = within(upload).await.unwrap().unwrap();
+  assert_eq!(within(got.body.collect()).await.unwrap().to_bytes(), "no");
+  assert!(drawn.load(SeqCst) <= WINDOW + 2 * PIECE, "{drawn:?}");
+  assert_eq!(pair.client.stats().streams(), 0);
+}
+
+/// Guards against work that continues for a caller that has gone.
+#[tokio::test]
+async fn cancellation_reaches_the_other_side() {
+  let mut pair = Pair::new().await;
+  let pending = pair.start(call("/", empty_body()));
+  let incoming = pair.next_call().await;
+  assert!(!incoming.cancelled.is_cancelled());
+  pending.abort();
+  within(incoming.cancelled.cancelled()).await;
+  assert_eq!(
+    incoming.reply.answer(answer(empty_body())).await,
+    Err(BodyError::Cancelled)
+  );
+
+  let pending = pair.start(call("/", empty_body()));
+  let incoming = pair.next_call().await;
+  let cancelled = incoming.cancelled.clone();
+  let drawn = Arc::new(AtomicUsize::new(0));
+  let replying = tokio::spawn(incoming.reply.answer(answer(counted(4096, &drawn))));
+  drop(within(pending).await.unwrap().unwrap().body);
+  within(cancelled.cancelled()).await;
+  assert_eq!(within(replying).await.unwrap(), Err(BodyError::Cancelled));
+  assert_eq!(pair.server.stats().streams(), 0);
+}
+
+/// Guards against control messages that are cut, mixed up, or larger than their bound.
+#[tokio::test]
+async fn control_messages_of_all_sizes_get_their_replies() {
+  let mut pair = Pair::new().await;
+  let (client, node) = (pair.client.clone(), pair.node);
+  let asks = [0, 1, 5_000, 40_000, MAX_ASK].map(|len| {
+    let client = client.clone();
+    let body = Bytes::from(vec![len as u8; len]);
+    tokio::spawn(async move { client.ask(node, body, Duration::from_secs(10)).await })
+  });
+  for _ in 0..asks.len() {
+    match pair.next().await {
+      Incoming::Ask(ask) => ask.reply.reply(ask.body),
+      Incoming::Call(call) => panic!("{call:?}"),
+    }
+  }
+  for (ask, len) in asks.into_iter().zip([0, 1, 5_000, 40_000, MAX_ASK]) {
+    let reply = within(ask).await.unwrap().unwrap();
+    assert_eq!(reply, vec![len as u8; len]);
+  }
+  let large = client.ask(
+    node,
+    Bytes::from(vec![0; MAX_ASK + 1]),
+    Duration::from_secs(1),
+  );
+  let error = large.await.unwrap_err();
+  assert_eq!(
+    error.to_string(),
+    "the control message has 1048577 bytes, more than 1048576: split it"
+  );
+  assert!(pair.client.stats().control_out() > MAX_ASK as u64);
+  assert!(pair.client.stats().control_in() > MAX_ASK as u64);
+  assert_eq!(pair.client.stats().streams(), 0);
+}
+
+/// Guards against an asker that waits for a reply that will not come.
+#[tokio::test]
+async fn a_declined_or_unanswered_message_fails() {
+  let mut pair = Pair::new().await;
+  let (client, node) = (pair.client.clone(), pair.node);
+  let asking = {
+    let client = client.clone();
+    tokio::spawn(async move {
+      client
+        .ask(node, Bytes::new(), Duration::from_secs(10))
+        .await
+    })
+  };
+  drop(pair.next().await);
+  assert_eq!(
+    within(asking).await.unwrap(),
+    Err(AskError::Refused { node })
+  );
+  let after = Duration::from_millis(50);
+  let kept = tokio::spawn(async move { client.ask(node, Bytes::new(), after).await });
+  let _held = pair.next().await;
+  assert_eq!(
+    within(kept).await.unwrap(),
+    Err(AskError::Timeout { node, after })
+  );
+  assert_eq!(pair.client.stats().streams(), 0);
+}
+
+/// Guards against a shutdown that cuts off a call in flight or lets new ones in.
+#[tokio::test]
+async fn shutdown_finishes_the_calls_in_flight() {
+  let mut pair = Pair::new().await;
+  let drawn = Arc::new(AtomicUsize::new(0));
+  let pending = pair.start(call("/", empty_body()));
+  let incoming = pair.next_call().await;
+  pair.shutdown.cancel();
+  loop {
+    let refused = within(pair.start(call("/", empty_body())));
+    tokio::select! {
+      late = refused => {
+        let failure = late.unwrap().unwrap_err();
+        assert_eq!(failure, CallFailure::not_run(NotRunReason::Draining));
+        break;
+      }
+      // Arrived before the link took notice of the shutdown.
+      early = pair.incoming.recv() => drop(early),
+    }
+  }
+  assert!(!pair.listening.is_finished());
+  let replying = tokio::spawn(incoming.reply.answer(answer(counted(64, &drawn))));
+  let got = within(pending).await.unwrap().unwrap();
+  let bytes = within(got.body.collect()).await.unwrap().to_bytes();
+  assert_eq!(bytes.len(), 64 * PIECE);
+  assert_eq!(within(replying).await.unwrap(), Ok(()));
+  within(pair.listening).await.unwrap();
+  let failure = within(pair.client.call(pair.node, call("/", empty_body()))).await;
+  assert_eq!(
+    failure.unwrap_err(),
+    CallFailure::not_run(NotRunReason::Connection)
+  );
+}
+
+/// Guards against links that stay open without use.
+#[tokio::test]
+async fn an_idle_link_is_closed_and_opened_again() {
+  let mut pair = Pair::with(8, |config| {
+    config.heartbeat = Duration::from_millis(20);
+    config.idle = Duration::from_millis(60);
+  })
+  .await;
+  for _ in 0..2 {
+    let pending = pair.start(call("/", empty_body()));
+    let incoming = pair.next_call().await;
+    assert_eq!(pair.server.stats().links(), 1);
+    incoming.reply.answer(answer(empty_body())).await.unwrap();
+    within(pending).await.unwrap().unwrap();
+    while pair.server.stats().links() + pair.client.stats().links() > 0 {
+      tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+  }
+}
