Add the upstream client, announcements, and the stand-ins for upstreams and load

The working path is callers' listener -> handler -> upstream client -> stand-in.

A failed call may be reported as not run only if no byte of it was written. Comparing a byte counter before and after the failure was ruled out: the task that drives the connection could still write after the comparison. The write and the check share one atomic word instead, and a sealed connection writes nothing.

Tests: bodies and trailers both ways, a 32 MiB body beside small requests, cut bodies both ways. The other features are not tested yet.

--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,20 @@
+//! Stand-in of callers: a seeded open-loop load generator.
+//!
+//! Requests are sent at the times that the rate trace gives, whether or not earlier ones have
+//! ended, so that a slow system meets the same demand as a fast one.
+
+mod attempt;
+mod class_counts;
+mod class_load;
+mod generator;
+mod load_config;
+mod load_report;
+
+pub use {
+  attempt::{Attempt, AttemptOutcome},
+  class_counts::ClassCounts,
+  class_load::ClassLoad,
+  generator::run,
+  load_config::{LoadConfig, Segment},
+  load_report::LoadReport,
+};
--- /dev/null
+++ b/crates/standins/src/load/load_config.rs
@@ -0,0 +1,28 @@
+use {
+  crate::load::ClassLoad,
+  std::{net::SocketAddr, time::Duration},
+};
+
+/// Part of the rate trace.
+#[derive(Clone, Copy, Debug)]
+pub struct Segment {
+  /// Length.
+  pub duration: Duration,
+  /// Requests per second.
+  pub rate: f64,
+}
+
+/// What the load generator sends.
+#[derive(Clone, Debug)]
+pub struct LoadConfig {
+  /// Nodes; each request goes to a random one.
+  pub targets: Vec<SocketAddr>,
+  /// Mix of classes.
+  pub classes: Vec<ClassLoad>,
+  /// Rates, one after the other.
+  pub trace: Vec<Segment>,
+  /// Seed of arrival times, classes and targets.
+  pub seed: u64,
+  /// Most requests sent, retries not counted.
+  pub max_requests: u64,
+}
--- /dev/null
+++ b/crates/standins/src/upstream/config.rs
@@ -0,0 +1,63 @@
+use {
+  crate::upstream::{Runs, ServiceTime},
+  cactusyoke_model::{Connections, ServiceName, Slots},
+  http::Method,
+  std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Call that the stand-in makes, through its node, for each request of a path.
+#[derive(Clone, Debug)]
+pub struct Child {
+  /// Path prefix of the requests that make the call.
+  pub parent: String,
+  /// HTTP method.
+  pub method: Method,
+  /// Path and query.
+  pub path: String,
+}
+
+/// How the stand-in behaves.
+#[derive(Debug)]
+pub struct Config {
+  /// Announced service.
+  pub service: ServiceName,
+  /// Requests that run at once.
+  pub slots: Slots,
+  /// Announced connections.
+  pub connections: Connections,
+  /// Time that a request holds its slot.
+  pub time: ServiceTime,
+  /// Time after a start in which requests take [`Config::cold_factor`] times as long.
+  pub cold_start: Duration,
+  /// See [`Config::cold_start`].
+  pub cold_factor: f64,
+  /// Announcement listener of the node; `None` for a stand-in that does not announce itself.
+  pub node: Option<SocketAddr>,
+  /// Time between two renewals.
+  pub renewal: Duration,
+  /// Egress listener of the node, for [`Config::children`].
+  pub egress: Option<SocketAddr>,
+  /// Calls to other services, in order.
+  pub children: Vec<Child>,
+  /// Runs by request tag; shared by the stand-ins of a test.
+  pub runs: Arc<Runs>,
+}
+
+impl Config {
+  /// Stand-in that answers at once and announces nothing.
+  pub fn new(service: ServiceName) -> Self {
+    Self {
+      service,
+      slots: Slots(100),
+      connections: Connections(200),
+      time: ServiceTime::Fixed(Duration::ZERO),
+      cold_start: Duration::ZERO,
+      cold_factor: 4.0,
+      node: None,
+      renewal: Duration::from_secs(1),
+      egress: None,
+      children: Vec::new(),
+      runs: Arc::default(),
+    }
+  }
+}
--- /dev/null
+++ b/crates/standins/src/upstream/request_work.rs
@@ -0,0 +1,220 @@
+use {
+  crate::upstream::{
+    Child, Client, Config, Faults, Received, TAG_HEADER,
+    bodies::{HASH_HEADER, HashedBody, cut_body, hash_value, pattern_body},
+  },
+  cactusyoke_model::{Body, CONTEXT_HEADER, Context, empty_body, full_body},
+  http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header},
+  http_body_util::BodyExt,
+  hyper::body::Incoming,
+  std::{
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+  },
+  tokio::{
+    sync::Semaphore,
+    time::{sleep, timeout},
+  },
+};
+
+/// What the requests of one stand-in share.
+#[derive(Debug)]
+pub(crate) struct RequestWork {
+  pub(crate) config: Config,
+  pub(crate) faults: Faults,
+  slots: Semaphore,
+  in_flight: AtomicU32,
+  client: Client,
+}
+
+/// Counts a request while it is in flight, whichever way it ends.
+struct InFlight<'a>(&'a AtomicU32);
+
+impl<'a> InFlight<'a> {
+  fn new(count: &'a AtomicU32) -> Self {
+    count.fetch_add(1, Ordering::SeqCst);
+    Self(count)
+  }
+}
+
+impl Drop for InFlight<'_> {
+  fn drop(&mut self) {
+    self.0.fetch_sub(1, Ordering::SeqCst);
+  }
+}
+
+impl RequestWork {
+  pub(crate) fn new(config: Config) -> Self {
+    Self {
+      slots: Semaphore::new(config.slots.0 as usize),
+      config,
+      faults: Faults::default(),
+      in_flight: AtomicU32::new(0),
+      client: Client::default(),
+    }
+  }
+
+  pub(crate) fn in_flight(&self) -> u32 {
+    self.in_flight.load(Ordering::SeqCst)
+  }
+
+  /// Runs one request, within the time that its context leaves.
+  pub(crate) async fn run(&self, request: Request<Incoming>, started: Instant) -> Response<Body> {
+    if let Some(response) = self.hint(request.uri().path()) {
+      return response;
+    }
+    let tag = self.count_start(&request);
+    let limit = text(request.headers(), CONTEXT_HEADER)
+      .parse()
+      .map_or(Duration::MAX, |context: Context| context.remaining);
+    let work = self.work(request, &tag, started);
+    let response = match timeout(limit, work).await {
+      Ok(response) => response,
+      Err(_elapsed) => answer(StatusCode::GATEWAY_TIMEOUT, full_body("late\n")),
+    };
+    if !tag.is_empty() && response.status().is_success() {
+      self.config.runs.finish(&tag);
+    }
+    response
+  }
+
+  /// Counts a received request and returns its tag.
+  pub(crate) fn count_start(&self, request: &Request<Incoming>) -> String {
+    let tag = text(request.headers(), TAG_HEADER).to_owned();
+    if !tag.is_empty() {
+      self.config.runs.start(&tag);
+    }
+    tag
+  }
+
+  fn hint(&self, path: &str) -> Option<Response<Body>> {
+    match path {
+      "/health" if self.faults.health() => Some(answer(StatusCode::OK, full_body("healthy\n"))),
+      "/health" => Some(answer(
+        StatusCode::SERVICE_UNAVAILABLE,
+        full_body("unhealthy\n"),
+      )),
+      "/load" => {
+        let load = serde_json::json!({ "in_flight": self.faults.load(self.in_flight()) });
+        Some(answer(StatusCode::OK, full_body(load.to_string())))
+      }
+      _ => None,
+    }
+  }
+
+  async fn work(&self, request: Request<Incoming>, tag: &str, started: Instant) -> Response<Body> {
+    let _in_flight = InFlight::new(&self.in_flight);
+    if self.faults.is_failing() {
+      return answer(
+        StatusCode::INTERNAL_SERVER_ERROR,
+        full_body("failing fast\n"),
+      );
+    }
+    let Ok(_slot) = self.slots.acquire().await else {
+      return answer(StatusCode::SERVICE_UNAVAILABLE, full_body("closed\n"));
+    };
+    let begun = Instant::now();
+    let mut time = self.faults.stretch(self.config.time.draw());
+    if started.elapsed() < self.config.cold_start {
+      time = time.mul_f64(self.config.cold_factor);
+    }
+    if !time.is_zero() {
+      sleep(time).await;
+    }
+    let path = request.uri().path().to_owned();
+    let context = request.headers().get(CONTEXT_HEADER).cloned();
+    let children = self
+      .config
+      .children
+      .iter()
+      .filter(|child| path.starts_with(&child.parent));
+    for child in children {
+      if let Err(response) = self.call(child, context.as_ref(), tag).await {
+        return response;
+      }
+    }
+    if !tag.is_empty() {
+      self.config.runs.work(tag, begun.elapsed());
+    }
+    respond(&path, request).await
+  }
+
+  /// Calls another service through the node; a failed call fails the request.
+  async fn call(
+    &self,
+    child: &Child,
+    context: Option<&HeaderValue>,
+    tag: &str,
+  ) -> Result<Received, Response<Body>> {
+    let failed = |line: String| answer(StatusCode::BAD_GATEWAY, full_body(line));
+    let Some(egress) = self.config.egress else {
+      return Err(failed("no egress listener is set\n".to_owned()));
+    };
+    let mut request = Request::builder()
+      .method(child.method.clone())
+      .uri(&child.path);
+    if let Some(context) = context {
+      request = request.header(CONTEXT_HEADER, context);
+    }
+    if !tag.is_empty() {
+      request = request.header(TAG_HEADER, format!("{tag}>{}", child.path));
+    }
+    let request = request
+      .body(empty_body())
+      .map_err(|error| failed(format!("child call: {error}\n")))?;
+    match self.client.exchange(egress, request).await {
+      Ok(received) if received.status.is_success() && received.is_intact() => Ok(received),
+      Ok(received) => Err(failed(format!("child call: {}\n", received.status))),
+      Err(error) => Err(failed(format!("child call: {error}\n"))),
+    }
+  }
+}
+
+async fn respond(path: &str, request: Request<Incoming>) -> Response<Body> {
+  let body = request.into_body();
+  if path == "/echo" {
+    let body = body.map_err(|_error| cactusyoke_model::BodyError::Cut);
+    return with_trailer(HashedBody::new(body.boxed_unsync()).boxed_unsync());
+  }
+  if let Some(length) = number(path, "/size/") {
+    return with_trailer(pattern_body(length));
+  }
+  if let Some(length) = number(path, "/cut/") {
+    return answer(StatusCode::OK, cut_body(length));
+  }
+  match Received::read(Response::new(body)).await {
+    Err(_error) => answer(StatusCode::BAD_REQUEST, full_body("the body was cut off\n")),
+    Ok(received) => {
+      let line = format!("{} {:016x}\n", received.length, received.hash);
+      let mut response = answer(StatusCode::OK, full_body(line.clone()));
+      let hash = hash_value(xxhash_rust::xxh3::xxh3_64(line.as_bytes()));
+      response.headers_mut().insert(HASH_HEADER, hash);
+      response
+    }
+  }
+}
+
+fn with_trailer(body: Body) -> Response<Body> {
+  let mut response = answer(StatusCode::OK, body);
+  response
+    .headers_mut()
+    .insert(header::TRAILER, HeaderValue::from_name(HASH_HEADER));
+  response
+}
+
+fn answer(status: StatusCode, body: Body) -> Response<Body> {
+  let mut response = Response::new(body);
+  *response.status_mut() = status;
+  response
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+  let value = headers.get(name);
+  value
+    .and_then(|value| value.to_str().ok())
+    .unwrap_or_default()
+}
+
+fn number(path: &str, prefix: &str) -> Option<u64> {
+  path.strip_prefix(prefix)?.parse().ok()
+}
--- /dev/null
+++ b/crates/standins/src/upstream/standin.rs
@@ -0,0 +1,137 @@
+use {
+  crate::upstream::{
+    Config, Faults, Runs, announcer::Announcer, request_work::RequestWork, server::Server,
+  },
+  std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Instant,
+  },
+  tokio::net::TcpListener,
+  tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Running stand-in of an upstream; crashes when dropped.
+#[derive(Debug)]
+pub struct Upstream {
+  address: SocketAddr,
+  work: Arc<RequestWork>,
+  server: Server,
+  announcer: Option<Arc<Announcer>>,
+  starts: u64,
+}
+
+impl Upstream {
+  /// Listens on a free loopback port and announces itself.
+  pub async fn start(config: Config) -> io::Result<Self> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let address = listener.local_addr()?;
+    let work = Arc::new(RequestWork::new(config));
+    let server = Self::server(&work);
+    let mut this = Self {
+      address,
+      work,
+      server,
+      announcer: None,
+      starts: 0,
+    };
+    this.run(listener);
+    Ok(this)
+  }
+
+  fn server(work: &Arc<RequestWork>) -> Server {
+    Server {
+      work: Arc::clone(work),
+      started: Instant::now(),
+      crash: CancellationToken::new(),
+      stop: CancellationToken::new(),
+      tasks: TaskTracker::new(),
+    }
+  }
+
+  fn run(&mut self, listener: TcpListener) {
+    let server = self.server.clone();
+    self.server.tasks.spawn(server.accept(listener));
+    self.announcer = Announcer::new(&self.work.config, self.address, self.starts).map(Arc::new);
+    let Some(announcer) = self.announcer.clone() else {
+      return;
+    };
+    let work = Arc::clone(&self.work);
+    let Server { crash, stop, .. } = self.server.clone();
+    self.server.tasks.spawn(async move {
+      let renewals = stop.run_until_cancelled(announcer.run(&work.config));
+      crash.run_until_cancelled(renewals).await;
+    });
+  }
+
+  /// Where it listens.
+  pub const fn address(&self) -> SocketAddr {
+    self.address
+  }
+
+  /// Faults to switch.
+  pub fn faults(&self) -> &Faults {
+    &self.work.faults
+  }
+
+  /// Runs by request tag.
+  pub fn runs(&self) -> &Arc<Runs> {
+    &self.work.config.runs
+  }
+
+  /// Requests received and not yet answered.
+  pub fn in_flight(&self) -> u32 {
+    self.work.in_flight()
+  }
+
+  /// True after a crash, by [`Upstream::crash`] or a poison request.
+  pub fn is_crashed(&self) -> bool {
+    self.server.crash.is_cancelled()
+  }
+
+  /// Closes the listener and every connection at once.
+  pub async fn crash(&self) {
+    self.server.crash.cancel();
+    self.server.tasks.close();
+    self.server.tasks.wait().await;
+  }
+
+  /// Starts again at the same address, after a crash or a stop.
+  pub async fn restart(&mut self) -> io::Result<()> {
+    self.crash().await;
+    let listener = TcpListener::bind(self.address).await?;
+    self.starts += 1;
+    self.server = Self::server(&self.work);
+    self.run(listener);
+    Ok(())
+  }
+
+  /// Asks the node to send no more work. Requests in flight and later ones are still answered.
+  pub async fn drain(&self) -> bool {
+    self.post("/drain").await
+  }
+
+  /// Drains, finishes what is in flight, then leaves.
+  pub async fn stop(&self) {
+    self.drain().await;
+    self.server.stop.cancel();
+    self.server.tasks.close();
+    self.server.tasks.wait().await;
+    self.post("/leave").await;
+  }
+
+  async fn post(&self, path: &str) -> bool {
+    let Some(announcer) = &self.announcer else {
+      return false;
+    };
+    let received = announcer.post(path).await;
+    received.is_ok_and(|received| received.status.is_success())
+  }
+}
+
+impl Drop for Upstream {
+  fn drop(&mut self) {
+    self.server.crash.cancel();
+  }
+}
--- /dev/null
+++ b/crates/upstreams/src/announce/actor.rs
@@ -0,0 +1,226 @@
+use {
+  crate::{
+    Hints, Phase, UpstreamView, Views,
+    announce::{AnnounceConfig, AnnounceMessage, Lifecycle, probe},
+  },
+  ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort},
+  std::{
+    mem,
+    net::SocketAddr,
+    time::{Duration, Instant},
+  },
+};
+
+/// Time between two checks of renewals and cold starts.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Actor that holds the life cycle of the upstream.
+#[derive(Debug)]
+pub(crate) struct AnnounceActor;
+
+/// What the actor starts with.
+#[derive(Debug)]
+pub(crate) struct AnnounceArguments {
+  pub(crate) config: AnnounceConfig,
+  pub(crate) listener: SocketAddr,
+  pub(crate) views: Views,
+}
+
+#[derive(Debug)]
+pub(crate) struct AnnounceState {
+  config: AnnounceConfig,
+  listener: SocketAddr,
+  views: Views,
+  lifecycle: Lifecycle,
+  hints: Hints,
+  started: Instant,
+  warned: bool,
+  connecting: bool,
+  polling: bool,
+  polled: Option<Instant>,
+}
+
+impl Actor for AnnounceActor {
+  type Msg = AnnounceMessage;
+  type State = AnnounceState;
+  type Arguments = AnnounceArguments;
+
+  async fn pre_start(
+    &self,
+    myself: ActorRef<AnnounceMessage>,
+    args: AnnounceArguments,
+  ) -> Result<AnnounceState, ActorProcessingErr> {
+    myself.send_interval(TICK, || AnnounceMessage::Tick);
+    Ok(AnnounceState {
+      started: args.config.clock.now(),
+      config: args.config,
+      listener: args.listener,
+      views: args.views,
+      lifecycle: Lifecycle::default(),
+      hints: Hints::default(),
+      warned: false,
+      connecting: false,
+      polling: false,
+      polled: None,
+    })
+  }
+
+  async fn handle(
+    &self,
+    myself: ActorRef<AnnounceMessage>,
+    message: AnnounceMessage,
+    state: &mut AnnounceState,
+  ) -> Result<(), ActorProcessingErr> {
+    // A failed check is repeated with the next tick, not at once.
+    let repeat = !matches!(message, AnnounceMessage::Unreached);
+    state.receive(message);
+    if repeat {
+      state.connect(&myself);
+    }
+    state.poll_hints(&myself);
+    Ok(())
+  }
+}
+
+impl AnnounceState {
+  fn receive(&mut self, message: AnnounceMessage) {
+    let now = self.config.clock.now();
+    let mut reply = None;
+    let lifecycle = mem::take(&mut self.lifecycle);
+    self.lifecycle = match message {
+      AnnounceMessage::Announce(announcement, port) => {
+        reply = Some(port);
+        lifecycle.announce(announcement, now)
+      }
+      AnnounceMessage::Drain(port) => {
+        reply = Some(port);
+        lifecycle.drain(now)
+      }
+      AnnounceMessage::Leave(port) => {
+        reply = Some(port);
+        lifecycle.leave(now)
+      }
+      AnnounceMessage::Connected(address) => {
+        self.connecting = false;
+        lifecycle.connected(address, now)
+      }
+      AnnounceMessage::Refused(address) => {
+        self.connecting = false;
+        lifecycle.refused(address, now)
+      }
+      AnnounceMessage::Unreached => {
+        self.connecting = false;
+        lifecycle
+      }
+      AnnounceMessage::Hints(address, hints) => {
+        self.polling = false;
+        let current = lifecycle.announcement().map(|known| known.address);
+        if let Some(hints) = hints.filter(|_hints| current == Some(address)) {
+          self.hints = hints;
+        }
+        lifecycle
+      }
+      AnnounceMessage::Tick => lifecycle.tick(self.config.renewal, now),
+    };
+    self.publish();
+    if let Some(port) = reply {
+      self.reply(port);
+    }
+    self.warn_once(now);
+  }
+
+  fn reply(&self, port: RpcReplyPort<Phase>) {
+    if let Err(error) = port.send(self.lifecycle.phase()) {
+      tracing::debug!(%error, "announcement without a receiver for its answer");
+    }
+  }
+
+  fn publish(&mut self) {
+    let phase = self.lifecycle.phase();
+    if phase == Phase::Gone {
+      self.hints = Hints::default();
+    }
+    let view = UpstreamView {
+      phase,
+      since: self.lifecycle.since().unwrap_or(self.started),
+      announcement: self.lifecycle.announcement().cloned(),
+      hints: self.hints,
+    };
+    let before = self.views.load();
+    if **before == view {
+      return;
+    }
+    if before.phase != phase {
+      let known = view.announcement.as_ref();
+      tracing::info!(
+        from = %before.phase,
+        to = %phase,
+        service = known.map(|known| known.service.as_str()),
+        address = known.map(|known| known.address.to_string()),
+        "upstream phase changed"
+      );
+    }
+    self.views.publish(view);
+  }
+
+  fn warn_once(&mut self, now: Instant) {
+    let waited = now.saturating_duration_since(self.started);
+    if self.warned || self.lifecycle != Lifecycle::Absent || waited < self.config.first {
+      return;
+    }
+    self.warned = true;
+    tracing::warn!(
+      listener = %self.listener,
+      waited_s = waited.as_secs(),
+      "no upstream has announced itself: send `PUT /announce` to the listener every second"
+    );
+  }
+
+  /// Checks that an announced upstream accepts connections.
+  fn connect(&mut self, myself: &ActorRef<AnnounceMessage>) {
+    let Lifecycle::Announced(life) = &self.lifecycle else {
+      return;
+    };
+    if mem::replace(&mut self.connecting, true) {
+      return;
+    }
+    let address = life.announcement.address;
+    let myself = myself.clone();
+    tokio::spawn(async move {
+      send(&myself, probe::connect(address).await);
+    });
+  }
+
+  fn poll_hints(&mut self, myself: &ActorRef<AnnounceMessage>) {
+    let now = self.config.clock.now();
+    let reachable = match self.lifecycle.phase() {
+      Phase::Warming | Phase::Serving | Phase::Draining => true,
+      Phase::Announced | Phase::Gone => false,
+    };
+    let due = self
+      .polled
+      .is_none_or(|polled| now.saturating_duration_since(polled) >= self.config.hints);
+    let Some(known) = self
+      .lifecycle
+      .announcement()
+      .filter(|_known| reachable && due && !self.polling)
+    else {
+      return;
+    };
+    self.polling = true;
+    self.polled = Some(now);
+    let address = known.address;
+    let clock = self.config.clock.clone();
+    let myself = myself.clone();
+    tokio::spawn(async move {
+      let hints = probe::hints(address, &*clock).await;
+      send(&myself, AnnounceMessage::Hints(address, hints));
+    });
+  }
+}
+
+fn send(actor: &ActorRef<AnnounceMessage>, message: AnnounceMessage) {
+  if let Err(error) = actor.cast(message) {
+    tracing::debug!(%error, "announce actor has stopped");
+  }
+}
--- /dev/null
+++ b/crates/upstreams/src/announce/probe.rs
@@ -0,0 +1,93 @@
+//! Short connections to the upstream that carry no calls.
+
+use {
+  crate::{Hint, Hints, announce::AnnounceMessage},
+  bytes::Bytes,
+  cactusyoke_model::Clock,
+  http::{Request, StatusCode, header},
+  http_body_util::{BodyExt, Empty, Limited},
+  hyper::client::conn::http1::{SendRequest, handshake},
+  hyper_util::rt::TokioIo,
+  serde::Deserialize,
+  std::{io, net::SocketAddr, time::Duration},
+  tokio::{net::TcpStream, time::timeout},
+};
+
+/// Time for a connection, and for reading both hints.
+const LIMIT: Duration = Duration::from_secs(1);
+
+/// Longest hint, bytes.
+const MAX_HINT: usize = 4096;
+
+/// Body of `GET /load`.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct RawLoad {
+  in_flight: u32,
+  #[serde(default)]
+  queued: u32,
+}
+
+/// Opens a connection and closes it.
+pub(crate) async fn connect(address: SocketAddr) -> AnnounceMessage {
+  match timeout(LIMIT, TcpStream::connect(address)).await {
+    Ok(Ok(_stream)) => AnnounceMessage::Connected(address),
+    Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+      AnnounceMessage::Refused(address)
+    }
+    Ok(Err(error)) => {
+      tracing::debug!(%address, %error, "announced upstream not reached");
+      AnnounceMessage::Unreached
+    }
+    Err(_elapsed) => AnnounceMessage::Unreached,
+  }
+}
+
+/// Reads `GET /health` and `GET /load`; `None` when the upstream does not answer in time.
+pub(crate) async fn hints(address: SocketAddr, clock: &dyn Clock) -> Option<Hints> {
+  timeout(LIMIT, read_hints(address, clock)).await.ok()?
+}
+
+async fn read_hints(address: SocketAddr, clock: &dyn Clock) -> Option<Hints> {
+  let stream = TcpStream::connect(address).await.ok()?;
+  let (mut sender, driver) = handshake(TokioIo::new(stream)).await.ok()?;
+  let driver = tokio::spawn(driver);
+  let hints = async {
+    let (status, _body) = get(&mut sender, address, "/health").await?;
+    let health = match status {
+      StatusCode::NOT_FOUND | StatusCode::METHOD_NOT_ALLOWED | StatusCode::NOT_IMPLEMENTED => None,
+      status => Some(Hint {
+        value: status.is_success(),
+        measured: clock.now(),
+      }),
+    };
+    let (status, body) = get(&mut sender, address, "/load").await?;
+    let load = serde_json::from_slice::<RawLoad>(&body)
+      .ok()
+      .filter(|_load| status.is_success())
+      .map(|load| Hint {
+        value: load.in_flight.saturating_add(load.queued),
+        measured: clock.now(),
+      });
+    Some(Hints { health, load })
+  };
+  let hints = hints.await;
+  driver.abort();
+  hints
+}
+
+async fn get(
+  sender: &mut SendRequest<Empty<Bytes>>,
+  address: SocketAddr,
+  path: &str,
+) -> Option<(StatusCode, Bytes)> {
+  sender.ready().await.ok()?;
+  let request = Request::get(path)
+    .header(header::HOST, address.to_string())
+    .body(Empty::new())
+    .ok()?;
+  let response = sender.send_request(request).await.ok()?;
+  let status = response.status();
+  let body = Limited::new(response.into_body(), MAX_HINT);
+  let body = body.collect().await.ok()?.to_bytes();
+  Some((status, body))
+}
--- /dev/null
+++ b/crates/upstreams/src/answer_body.rs
@@ -0,0 +1,114 @@
+use {
+  crate::{CallWatch, Crash, CrashPart, Expiry, Lease},
+  bytes::Bytes,
+  cactusyoke_model::{BodyError, RequestId, SpanId},
+  http_body::{Body, Frame, SizeHint},
+  hyper::body::Incoming,
+  std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+  },
+};
+
+/// Body of an answer; returns its connection to the pool when it has been read whole, and closes
+/// it when dropped before.
+#[derive(Debug)]
+pub(crate) struct AnswerBody {
+  inner: Incoming,
+  watch: CallWatch,
+  lease: Option<Lease>,
+  root: RequestId,
+  span: SpanId,
+}
+
+impl AnswerBody {
+  pub(crate) fn new(
+    inner: Incoming,
+    watch: CallWatch,
+    lease: Lease,
+    root: RequestId,
+    span: SpanId,
+  ) -> Self {
+    let mut this = Self {
+      inner,
+      watch,
+      lease: Some(lease),
+      root,
+      span,
+    };
+    if this.inner.is_end_stream() {
+      this.finish();
+    }
+    this
+  }
+
+  fn finish(&mut self) {
+    if let Some(lease) = self.lease.take() {
+      self.watch.answered();
+      lease.release();
+    }
+  }
+
+  fn lost(&mut self) -> BodyError {
+    let Some(lease) = self.lease.take() else {
+      return BodyError::Cut;
+    };
+    if let Some(error) = lease.state().body_error() {
+      return error;
+    }
+    (lease.pool().config().crashed)(Crash {
+      root: self.root,
+      span: self.span,
+      part: CrashPart::Body,
+      reused: false,
+    });
+    BodyError::Cut
+  }
+}
+
+impl Body for AnswerBody {
+  type Data = Bytes;
+  type Error = BodyError;
+
+  fn poll_frame(
+    self: Pin<&mut Self>,
+    cx: &mut Context<'_>,
+  ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    let this = self.get_mut();
+    let frame = match Pin::new(&mut this.inner).poll_frame(cx) {
+      Poll::Pending => {
+        let Some(lease) = &this.lease else {
+          return Poll::Pending;
+        };
+        let expiry = ready!(this.watch.poll_expired(cx, lease.state()));
+        this.lease = None;
+        return Poll::Ready(Some(Err(match expiry {
+          Expiry::Deadline => BodyError::Deadline,
+          Expiry::Silence => BodyError::Cut,
+        })));
+      }
+      Poll::Ready(None) => {
+        this.finish();
+        return Poll::Ready(None);
+      }
+      Poll::Ready(Some(Err(error))) => {
+        tracing::debug!(%error, "answer cut off");
+        return Poll::Ready(Some(Err(this.lost())));
+      }
+      Poll::Ready(Some(Ok(frame))) => frame,
+    };
+    this.watch.progress();
+    if this.inner.is_end_stream() {
+      this.finish();
+    }
+    Poll::Ready(Some(Ok(frame)))
+  }
+
+  fn is_end_stream(&self) -> bool {
+    self.inner.is_end_stream()
+  }
+
+  fn size_hint(&self) -> SizeHint {
+    self.inner.size_hint()
+  }
+}
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -3,18 +3,22 @@
 //! [`announce`] follows the life cycle of the upstream and publishes it as [`UpstreamView`];
 //! [`Upstream`] calls it; [`egress`] listens for the calls that it makes.
 
-#![expect(
-  dead_code,
-  clippy::unused_async,
-  reason = "the signatures are published before their bodies"
-)]
-
 pub mod announce;
+mod answer_body;
+mod call_run;
+mod call_watch;
+mod connection_state;
 mod crash;
 pub mod egress;
 mod hint;
+mod idle;
+mod lease;
 mod loopback;
 mod phase;
+mod pool;
+mod sent_body;
+mod silence;
+mod tracked_io;
 mod upstream;
 mod upstream_config;
 mod upstream_view;
@@ -25,8 +29,20 @@
   hint::{Hint, Hints},
   loopback::LoopbackError,
   phase::Phase,
+  silence::Silence,
   upstream::Upstream,
   upstream_config::UpstreamConfig,
   upstream_view::UpstreamView,
   views::Views,
 };
+
+use {
+  answer_body::AnswerBody,
+  call_run::CallRun,
+  call_watch::{CallWatch, Expiry},
+  connection_state::ConnectionState,
+  lease::Lease,
+  pool::Pool,
+  sent_body::SentBody,
+  tracked_io::TrackedIo,
+};
--- /dev/null
+++ b/crates/upstreams/src/pool.rs
@@ -0,0 +1,176 @@
+use {
+  crate::{
+    ConnectionState, Lease, Silence, TrackedIo, UpstreamConfig, announce::Announcement, idle::Idle,
+  },
+  cactusyoke_model::NotRunReason,
+  hyper::client::conn::http1::Builder,
+  hyper_util::rt::TokioIo,
+  std::{
+    collections::VecDeque,
+    io,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Instant,
+  },
+  tokio::{
+    net::TcpStream,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::timeout,
+  },
+};
+
+/// Read buffer of a connection, bytes; also the longest head of an answer.
+const BUFFER: usize = 64 * 1024;
+
+/// Connections to one announced upstream.
+#[derive(Debug)]
+pub(crate) struct Pool {
+  config: UpstreamConfig,
+  announcement: Announcement,
+  /// One permit per call that uses a connection.
+  busy: Arc<Semaphore>,
+  /// One permit per connection, returned when its socket is closed.
+  open: Arc<Semaphore>,
+  idle: Mutex<VecDeque<Idle>>,
+  silence: Mutex<Silence>,
+}
+
+impl Pool {
+  pub(crate) fn new(config: UpstreamConfig, announcement: Announcement) -> Self {
+    // One of the announced connections is left for `GET /health` and `GET /load`.
+    let bound = announcement.connections.0.saturating_sub(1).max(1) as usize;
+    let silence = Mutex::new(Silence::new(config.silence));
+    Self {
+      config,
+      announcement,
+      busy: Arc::new(Semaphore::new(bound)),
+      open: Arc::new(Semaphore::new(bound)),
+      idle: Mutex::new(VecDeque::new()),
+      silence,
+    }
+  }
+
+  /// True when the pool connects to the announced upstream.
+  pub(crate) fn serves(&self, announcement: &Announcement) -> bool {
+    self.announcement.address == announcement.address
+      && self.announcement.connections == announcement.connections
+      && self.announcement.instance == announcement.instance
+  }
+
+  pub(crate) fn announcement(&self) -> &Announcement {
+    &self.announcement
+  }
+
+  pub(crate) fn config(&self) -> &UpstreamConfig {
+    &self.config
+  }
+
+  pub(crate) fn silence(&self) -> MutexGuard<'_, Silence> {
+    self
+      .silence
+      .lock()
+      .expect("no thread panics while it holds the lock")
+  }
+
+  fn idle(&self) -> MutexGuard<'_, VecDeque<Idle>> {
+    self
+      .idle
+      .lock()
+      .expect("no thread panics while it holds the lock")
+  }
+
+  /// Refuses calls that wait for a connection, and closes idle connections.
+  pub(crate) fn close(&self) {
+    self.busy.close();
+    self.idle().clear();
+  }
+
+  /// An idle connection, or a new one.
+  pub(crate) async fn lease(self: &Arc<Self>) -> Result<Lease, NotRunReason> {
+    let permit = Arc::clone(&self.busy)
+      .acquire_owned()
+      .await
+      .map_err(|_closed| NotRunReason::NoUpstream)?;
+    loop {
+      // The most recently used connection is the least likely to be closed by the upstream.
+      let idle = self.idle().pop_back();
+      let Some(mut idle) = idle else {
+        break;
+      };
+      if idle.sender.ready().await.is_ok() {
+        return Ok(Lease::new(idle, Arc::clone(self), permit, true));
+      }
+    }
+    self.connect(permit).await
+  }
+
+  /// A new connection.
+  pub(crate) async fn connect(
+    self: &Arc<Self>,
+    permit: OwnedSemaphorePermit,
+  ) -> Result<Lease, NotRunReason> {
+    let open = Arc::clone(&self.open)
+      .acquire_owned()
+      .await
+      .map_err(|_closed| NotRunReason::NoUpstream)?;
+    let address = self.announcement.address;
+    let stream = match timeout(self.config.connect, TcpStream::connect(address)).await {
+      Ok(Ok(stream)) => stream,
+      Ok(Err(error)) => {
+        tracing::debug!(%address, %error, "upstream connection failed");
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+          self.config.views.refused(address);
+        }
+        return Err(NotRunReason::Connection);
+      }
+      Err(_elapsed) => {
+        tracing::debug!(%address, "upstream connection timed out");
+        return Err(NotRunReason::Connection);
+      }
+    };
+    // Requests are written whole; waiting to merge small packets would only delay them.
+    if let Err(error) = stream.set_nodelay(true) {
+      tracing::debug!(%address, %error, "upstream connection without nodelay");
+    }
+    let state = Arc::new(ConnectionState::new(Arc::clone(&self.config.clock)));
+    let io = TokioIo::new(TrackedIo {
+      stream,
+      state: Arc::clone(&state),
+    });
+    let (sender, driver) = Builder::new()
+      .max_buf_size(BUFFER)
+      .handshake(io)
+      .await
+      .map_err(|_error| NotRunReason::Connection)?;
+    let driver = tokio::spawn(async move {
+      // Declared first, hence dropped after the socket.
+      let _open = open;
+      if let Err(error) = driver.await {
+        tracing::debug!(%address, %error, "upstream connection ended");
+      }
+    });
+    let idle = Idle {
+      sender,
+      state,
+      driver: driver.abort_handle(),
+      since: self.config.clock.now(),
+    };
+    Ok(Lease::new(idle, Arc::clone(self), permit, false))
+  }
+
+  /// Keeps a connection for the next call.
+  pub(crate) fn put_back(&self, mut connection: Idle, now: Instant) {
+    connection.since = now;
+    let mut idle = self.idle();
+    if self.busy.is_closed() {
+      return;
+    }
+    idle.push_back(connection);
+    let limit = self.config.idle;
+    while idle
+      .front()
+      .is_some_and(|oldest| now.saturating_duration_since(oldest.since) > limit)
+    {
+      idle.pop_front();
+    }
+  }
+}
--- /dev/null
+++ b/crates/upstreams/src/tracked_io.rs
@@ -0,0 +1,83 @@
+use {
+  crate::ConnectionState,
+  std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+  },
+  tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+  },
+};
+
+/// Connection to the upstream that records what was transferred and stops writing once sealed.
+#[derive(Debug)]
+pub(crate) struct TrackedIo {
+  pub(crate) stream: TcpStream,
+  pub(crate) state: Arc<ConnectionState>,
+}
+
+impl TrackedIo {
+  fn write(
+    &mut self,
+    write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+  ) -> Poll<io::Result<usize>> {
+    if !self.state.begin_write() {
+      self.state.end_write(0);
+      return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+    }
+    let result = write(Pin::new(&mut self.stream));
+    let bytes = match &result {
+      Poll::Ready(Ok(bytes)) => *bytes,
+      Poll::Ready(Err(_)) | Poll::Pending => 0,
+    };
+    self.state.end_write(bytes);
+    result
+  }
+}
+
+impl AsyncRead for TrackedIo {
+  fn poll_read(
+    self: Pin<&mut Self>,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+  ) -> Poll<io::Result<()>> {
+    let this = self.get_mut();
+    let before = buf.filled().len();
+    let result = Pin::new(&mut this.stream).poll_read(cx, buf);
+    if buf.filled().len() > before {
+      this.state.note_moved();
+    }
+    result
+  }
+}
+
+impl AsyncWrite for TrackedIo {
+  fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    self.get_mut().write(|stream| stream.poll_write(cx, buf))
+  }
+
+  fn poll_write_vectored(
+    self: Pin<&mut Self>,
+    cx: &mut Context<'_>,
+    bufs: &[io::IoSlice<'_>],
+  ) -> Poll<io::Result<usize>> {
+    self
+      .get_mut()
+      .write(|stream| stream.poll_write_vectored(cx, bufs))
+  }
+
+  fn is_write_vectored(&self) -> bool {
+    self.stream.is_write_vectored()
+  }
+
+  fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+  }
+
+  fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+  }
+}
--- /dev/null
+++ b/crates/upstreams/tests/streaming.rs
@@ -0,0 +1,109 @@
+//! Bodies and trailers pass through the listener and the client whole, or visibly cut.
+
+mod support;
+
+use {
+  cactusyoke_model::BodyError,
+  cactusyoke_standins::upstream::{
+    ClientError, Config, HASH_HEADER, Upstream, pattern, pattern_body, pattern_hash,
+  },
+  futures_util::stream,
+  http::Method,
+  http_body::Frame,
+  http_body_util::{BodyExt, StreamBody},
+  std::time::Duration,
+  support::{Node, client, service, serving},
+  tokio::time::{sleep, timeout},
+};
+
+async fn start() -> (Upstream, Node) {
+  let upstream = Upstream::start(Config::new(service()))
+    .await
+    .expect("the stand-in starts");
+  let (config, _crashes) = client(serving(upstream.address(), 10));
+  let node = Node::forward(config).await;
+  (upstream, node)
+}
+
+/// Guards against lost or reordered bytes and lost trailers in both directions.
+#[tokio::test]
+async fn echo_keeps_bytes_and_trailers() {
+  let (_upstream, node) = start().await;
+  let length = 3_000_001;
+  let received = node
+    .send(Method::POST, "/echo", pattern_body(length))
+    .await
+    .expect("a whole answer");
+  assert_eq!(received.header("cactusyoke-outcome"), "answered");
+  assert_eq!(received.length, length);
+  assert_eq!(received.hash, pattern_hash(length));
+  assert!(received.trailers.contains_key(HASH_HEADER));
+  assert!(received.is_intact());
+}
+
+/// Guards against large bodies that hold up small requests, and against bodies read into memory
+/// before they are forwarded: the echo ends only after the small requests were answered.
+#[tokio::test]
+async fn small_requests_pass_large_bodies() {
+  let (_upstream, node) = start().await;
+  let length = 32 << 20;
+  let (gate, opened) = tokio::sync::oneshot::channel::<()>();
+  let body = pattern_body(length).into_data_stream();
+  let tail = stream::once(async move {
+    opened.await.map_err(|_closed| BodyError::Cancelled)?;
+    Ok(pattern(0, 1))
+  });
+  let body = stream::StreamExt::chain(body, tail);
+  let body = stream::StreamExt::map(body, |data| data.map(Frame::data));
+  let large = node.send(Method::POST, "/echo", StreamBody::new(body).boxed_unsync());
+  let small = async {
+    for _ in 0..50 {
+      let received = node.get("/small").await.expect("a whole answer");
+      assert_eq!(received.header("cactusyoke-outcome"), "answered");
+    }
+    gate.send(()).expect("the large body is still being sent");
+  };
+  let (large, ()) = tokio::join!(large, small);
+  let large = large.expect("a whole answer");
+  assert_eq!(large.length, length + 1);
+  assert!(large.is_intact());
+}
+
+/// Guards against a cut answer that looks whole to the caller.
+#[tokio::test]
+async fn cut_answer_breaks_the_callers_connection() {
+  let (_upstream, node) = start().await;
+  let error = node.get("/cut/100000").await.expect_err("a cut answer");
+  assert_eq!(error, ClientError::Cut);
+}
+
+/// Guards against a request that reaches the upstream short but looks whole, and against an
+/// upstream that keeps working for a caller that has gone.
+#[tokio::test]
+async fn cut_request_ends_the_upstreams_request() {
+  let (upstream, node) = start().await;
+  let (gate, cut) = tokio::sync::oneshot::channel::<()>();
+  let head = stream::iter([Ok(Frame::data(pattern(0, 1000)))]);
+  let tail = stream::once(async move { cut.await.map_err(|_closed| BodyError::Cut) });
+  let tail = stream::StreamExt::map(tail, |ended| ended.map(|()| Frame::data(pattern(0, 0))));
+  let body = StreamBody::new(stream::StreamExt::chain(head, tail)).boxed_unsync();
+  let sent = node.send(Method::POST, "/record", body);
+  let break_off = async {
+    in_flight(&upstream, 1).await;
+    drop(gate);
+  };
+  let (sent, ()) = tokio::join!(sent, break_off);
+  sent.expect_err("the caller itself breaks the connection");
+  in_flight(&upstream, 0).await;
+}
+
+async fn in_flight(upstream: &Upstream, count: u32) {
+  let reached = async {
+    while upstream.in_flight() != count {
+      sleep(Duration::from_millis(5)).await;
+    }
+  };
+  timeout(Duration::from_secs(30), reached)
+    .await
+    .expect("the requests in flight reach the count");
+}
--- /dev/null
+++ b/crates/upstreams/tests/support/mod.rs
@@ -0,0 +1,167 @@
+//! Node made of the callers' listener, a handler without admission, and the upstream client.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+  cactusyoke_callers::{CallHandler, CallerRequest, Limits, serve},
+  cactusyoke_model::{
+    Answer, Body, Call, CallFailure, CallHead, ClassRank, Connections, Context, Priority,
+    RequestId, Retries, ServiceName, Slots, SpanId, SystemClock, empty_body,
+  },
+  cactusyoke_standins::upstream::{Client, ClientError, Received},
+  cactusyoke_upstreams::{
+    Crash, Hints, Phase, Upstream, UpstreamConfig, UpstreamView, Views, announce::Announcement,
+  },
+  http::{HeaderMap, Method, Request},
+  std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+      Arc, Mutex,
+      atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+  },
+  tokio::net::TcpListener,
+  tokio_util::sync::CancellationToken,
+};
+
+/// Service of every test.
+pub fn service() -> ServiceName {
+  "plaques".parse().expect("a valid name")
+}
+
+/// Views of an upstream that serves.
+pub fn serving(address: SocketAddr, connections: u32) -> Views {
+  Views::new(UpstreamView {
+    phase: Phase::Serving,
+    since: Instant::now(),
+    announcement: Some(Announcement {
+      service: service(),
+      address,
+      slots: Slots(1),
+      connections: Connections(connections),
+      cold_start: Duration::ZERO,
+      instance: None,
+    }),
+    hints: Hints::default(),
+  })
+}
+
+/// Crashes in the order of their reports.
+pub type Crashes = Arc<Mutex<Vec<Crash>>>;
+
+/// Upstream client that records crashes.
+pub fn client(views: Views) -> (UpstreamConfig, Crashes) {
+  let crashes = Crashes::default();
+  let record = Arc::clone(&crashes);
+  let config = UpstreamConfig {
+    crashed: Arc::new(move |crash| {
+      record.lock().expect("not poisoned").push(crash);
+    }),
+    ..UpstreamConfig::new(views)
+  };
+  (config, crashes)
+}
+
+/// Call with a deadline.
+pub fn call(method: Method, path: &str, body: Body, limit: Duration) -> (Call, Context) {
+  static SPANS: AtomicU64 = AtomicU64::new(1);
+  let span = SpanId(SPANS.fetch_add(1, Ordering::SeqCst));
+  let root = RequestId(u128::from(span.0));
+  let priority = Priority::new(ClassRank(0), root);
+  let head = CallHead {
+    root,
+    route: "test".parse().expect("a valid name"),
+    service: service(),
+    method,
+    path: path.to_owned(),
+    headers: HeaderMap::new(),
+    priority,
+    idempotent: false,
+    key: None,
+    retries: Retries::ZERO,
+    deadline: Instant::now() + limit,
+  };
+  let context = Context {
+    root,
+    span,
+    priority,
+    remaining: limit,
+    retries: Retries::ZERO,
+  };
+  (Call { head, body }, context)
+}
+
+/// `GET` without a body.
+pub fn get(path: &str) -> (Call, Context) {
+  call(Method::GET, path, empty_body(), Duration::from_mins(1))
+}
+
+/// Handler that passes every request to the upstream.
+#[derive(Debug)]
+pub struct Forward(pub Upstream);
+
+impl CallHandler for Forward {
+  async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
+    let limit = Duration::from_mins(1);
+    let (mut call, context) = call(request.method, &request.path, request.body, limit);
+    call.head.headers = request.headers;
+    call.head.key = request.key;
+    self.0.call(call, context).await
+  }
+}
+
+/// Callers' listener on a free loopback port.
+#[derive(Debug)]
+pub struct Node {
+  pub address: SocketAddr,
+  pub client: Client,
+  pub shutdown: CancellationToken,
+  pub task: tokio::task::JoinHandle<()>,
+}
+
+impl Node {
+  pub async fn start<H: CallHandler>(handler: H, limits: Limits) -> Self {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+      .await
+      .expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let shutdown = CancellationToken::new();
+    let task = tokio::spawn(serve(listener, Arc::new(handler), limits, shutdown.clone()));
+    Self {
+      address,
+      client: Client::default(),
+      shutdown,
+      task,
+    }
+  }
+
+  /// Node that passes every request to an upstream.
+  pub async fn forward(config: UpstreamConfig) -> Self {
+    Self::start(Forward(Upstream::new(config)), Limits::default()).await
+  }
+
+  pub async fn send(
+    &self,
+    method: Method,
+    path: &str,
+    body: Body,
+  ) -> Result<Received, ClientError> {
+    let request = Request::builder()
+      .method(method)
+      .uri(path)
+      .header("te", "trailers")
+      .body(body)
+      .expect("a valid request");
+    self.client.exchange(self.address, request).await
+  }
+
+  pub async fn get(&self, path: &str) -> Result<Received, ClientError> {
+    self.send(Method::GET, path, empty_body()).await
+  }
+}
+
+/// Clock of the machine.
+pub fn clock() -> Arc<SystemClock> {
+  Arc::new(SystemClock)
+}
