platform: test random histories of operators, faults and restarts

Two operators and two watchers work on a store that refuses calls, loses answers, applies writes late, drops them and serves older values. Afterwards every accepted change stands in the audit trail exactly once, no refused one does, and the revisions that each watcher published only grow.

--- /dev/null
+++ b/crates/platform/tests/histories.rs
@@ -0,0 +1,255 @@
+//! Random histories of two operators and two watchers on a store that fails in every way that its
+//! interface allows: revisions adopted only grow, and every accepted change is in the audit trail
+//! exactly once.
+
+#[path = "support/faulty_store.rs"]
+mod faulty_store;
+mod support;
+
+use {
+  cactusyoke_model::{Config, Revision, SystemClock},
+  cactusyoke_platform::{
+    AuditFilter, ChangeRequest, Configuration, ConfigurationError, Intent, OfferResult, Record,
+    RetryLimits, Store, Watcher,
+  },
+  faulty_store::{FaultyStore, LONGEST_DELAY},
+  proptest::prelude::*,
+  std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex},
+    time::Duration,
+  },
+  support::{name, put, request},
+  tokio::{runtime::Builder, task::JoinHandle, time::sleep},
+};
+
+/// One step of an operator.
+#[derive(Clone, Debug)]
+enum Step {
+  Use(u8),
+  Put(u8, u8),
+  Wait(u16),
+  Outage(u16),
+  /// The process that writes for the operator is replaced after so many milliseconds of the next
+  /// change, which is repeated with the same id.
+  Restart(u16),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+  let step = prop_oneof![
+    2 => (0..3_u8).prop_map(Step::Use),
+    8 => (0..3_u8, any::<u8>()).prop_map(|(preset, content)| Step::Put(preset, content)),
+    1 => (0..500_u16).prop_map(Step::Wait),
+    1 => (0..1_500_u16).prop_map(Step::Outage),
+    2 => (0..150_u16).prop_map(Step::Restart),
+  ];
+  prop::collection::vec(step, 20..60)
+}
+
+#[derive(Debug, Default)]
+struct Results {
+  accepted: BTreeMap<u128, Record>,
+  refused: BTreeSet<u128>,
+  unconfirmed: BTreeSet<u128>,
+}
+
+#[derive(Clone, Debug)]
+struct Operator {
+  name: &'static str,
+  store: Arc<FaultyStore>,
+  watcher: Watcher,
+  results: Arc<Mutex<Results>>,
+}
+
+impl Operator {
+  fn configuration(&self) -> Configuration {
+    let limits = RetryLimits {
+      attempts: 12,
+      within: Duration::from_secs(3),
+      first_wait: Duration::from_millis(5),
+      longest_wait: Duration::from_millis(100),
+    };
+    Configuration::new(Arc::clone(&self.store) as _, Arc::new(SystemClock), limits)
+  }
+
+  async fn run(self, ids: u128, steps: Vec<Step>) {
+    let mut restart = None;
+    for (number, step) in steps.into_iter().enumerate() {
+      let intent = match step {
+        Step::Use(preset) => Intent::Use(name(&format!("p{preset}"))),
+        Step::Put(preset, content) => put(&format!("p{preset}"), &content.to_string()),
+        Step::Wait(ms) => {
+          sleep(Duration::from_millis(ms.into())).await;
+          continue;
+        }
+        Step::Outage(ms) => {
+          self.store.set_down(true);
+          let store = Arc::clone(&self.store);
+          tokio::spawn(async move {
+            sleep(Duration::from_millis(ms.into())).await;
+            store.set_down(false);
+          });
+          continue;
+        }
+        Step::Restart(ms) => {
+          restart = Some(Duration::from_millis(ms.into()));
+          continue;
+        }
+      };
+      let base = self.watcher.config().load().revision;
+      let request = request(ids + number as u128, self.name, base.0, intent);
+      self.change(request, base, restart.take()).await;
+    }
+  }
+
+  async fn change(&self, request: ChangeRequest, base: Revision, restart: Option<Duration>) {
+    if let Some(after) = restart {
+      let cut = self.configuration();
+      let first = request.clone();
+      let task: JoinHandle<_> = tokio::spawn(async move { cut.change(&first, base).await });
+      sleep(after).await;
+      task.abort();
+    }
+    let mut result = self.configuration().change(&request, base).await;
+    for _ in 0..3 {
+      let Err(ConfigurationError::Conflict { revision, .. }) = result else {
+        break;
+      };
+      let repeated = ChangeRequest {
+        based_on: revision,
+        ..request.clone()
+      };
+      result = self.configuration().change(&repeated, base).await;
+    }
+    let mut results = self.results.lock().unwrap();
+    match result {
+      Ok(record) => {
+        results.accepted.insert(request.id.0, record);
+      }
+      Err(ConfigurationError::Unconfirmed { .. }) => {
+        results.unconfirmed.insert(request.id.0);
+      }
+      // The writer that was cut off may have left a write on its way.
+      Err(_) if restart.is_some() => {
+        results.unconfirmed.insert(request.id.0);
+      }
+      Err(_) => {
+        results.refused.insert(request.id.0);
+      }
+    }
+  }
+}
+
+/// Records each revision that a watcher publishes and passes it on to the other one.
+async fn follow(from: Watcher, to: Watcher, seen: Arc<Mutex<Vec<Revision>>>) {
+  let mut adopted = from.adopted();
+  while adopted.changed().await.is_ok() {
+    let config = from.config().load_full();
+    seen.lock().unwrap().push(config.revision);
+    let behind = to.config().load().revision;
+    match from.delta_since(behind).await {
+      Some(cactusyoke_platform::ConfigUpdate::Delta(delta)) => {
+        let offered = to.offer(delta).await;
+        assert!(!matches!(offered, Some(OfferResult::Invalid(_))));
+      }
+      Some(cactusyoke_platform::ConfigUpdate::Full(snapshot)) => {
+        to.offer_full(snapshot).await;
+      }
+      None => return,
+    }
+  }
+}
+
+async fn history(seed: u64, first: Vec<Step>, second: Vec<Step>) {
+  let store = Arc::new(FaultyStore::new(seed));
+  let mut watchers = Vec::new();
+  for _ in 0..2 {
+    let store = Arc::clone(&store) as Arc<dyn Store>;
+    let (watcher, _) = Watcher::start(store, Arc::new(SystemClock)).await.unwrap();
+    watcher.set_watching(true);
+    watchers.push(watcher);
+  }
+  let published = [Arc::default(), Arc::default()];
+  let followers = [
+    tokio::spawn(follow(
+      watchers[0].clone(),
+      watchers[1].clone(),
+      Arc::clone(&published[0]),
+    )),
+    tokio::spawn(follow(
+      watchers[1].clone(),
+      watchers[0].clone(),
+      Arc::clone(&published[1]),
+    )),
+  ];
+  let results = Arc::<Mutex<Results>>::default();
+  let operator = |name, watcher: &Watcher| Operator {
+    name,
+    store: Arc::clone(&store),
+    watcher: watcher.clone(),
+    results: Arc::clone(&results),
+  };
+  tokio::join!(
+    operator("ana", &watchers[0]).run(1_000, first),
+    operator("ben", &watchers[1]).run(2_000, second),
+  );
+  store.heal();
+  sleep(LONGEST_DELAY + Duration::from_secs(10)).await;
+  let configuration = operator("ana", &watchers[0]).configuration();
+  let results = std::mem::take(&mut *results.lock().unwrap());
+  check(&configuration, &watchers, &results).await;
+  for (watcher, follower) in watchers.iter().zip(followers) {
+    watcher.stop();
+    follower.abort();
+  }
+  for revisions in published {
+    let revisions = revisions.lock().unwrap();
+    assert!(revisions.is_sorted(), "adopted {revisions:?}");
+  }
+}
+
+async fn check(configuration: &Configuration, watchers: &[Watcher], results: &Results) {
+  let audit = configuration.audit(&AuditFilter::default()).await.unwrap();
+  let revisions = audit.iter().rev().map(|record| record.revision.0);
+  assert!(revisions.eq(1..=audit.len() as u64), "{audit:?}");
+  let ids = audit.iter().map(|record| record.id.0);
+  let audited = ids.clone().collect::<BTreeSet<_>>();
+  assert_eq!(audited.len(), audit.len(), "a change was applied twice");
+  for (id, record) in &results.accepted {
+    assert!(
+      audit.contains(record),
+      "accepted change {id} is not audited"
+    );
+  }
+  let refused = results.refused.intersection(&audited).collect::<Vec<_>>();
+  assert!(refused.is_empty(), "refused and applied: {refused:?}");
+  for id in ids {
+    let known = results.accepted.contains_key(&id) || results.unconfirmed.contains(&id);
+    assert!(known, "nobody asked for {id}");
+  }
+  let config = Config::try_from(configuration.load().await.unwrap()).unwrap();
+  assert_eq!(config.revision.0, audit.len() as u64);
+  for watcher in watchers {
+    assert_eq!(**watcher.config().load(), config);
+  }
+}
+
+proptest! {
+  #![proptest_config(ProptestConfig::with_cases(64))]
+
+  /// Guards against lost, repeated or reverted changes in any order of lost and late answers,
+  /// outages, older values, restarts and concurrent operators.
+  #[test]
+  fn every_accepted_change_counts_once_and_nothing_reverts(
+    seed in any::<u64>(),
+    first in steps(),
+    second in steps(),
+  ) {
+    Builder::new_current_thread()
+      .enable_time()
+      .start_paused(true)
+      .build()
+      .unwrap()
+      .block_on(history(seed, first, second));
+  }
+}
