--- /dev/null
+++ b/crates/demo/src/deployment.rs
@@ -0,0 +1,168 @@
+//! The two deployments of the demonstration, with the slots and connections of their servers.
+
+use {
+  cactusyoke_standins::{load::ClassLoad, upstream::Child},
+  http::Method,
+  std::time::Duration,
+};
+
+/// Service with its servers.
+#[derive(Clone, Debug)]
+pub struct Service {
+  /// Name.
+  pub name: &'static str,
+  /// Path prefix of its routes.
+  pub path: &'static str,
+  /// Servers.
+  pub servers: u8,
+  /// Slots of each server.
+  pub slots: u32,
+  /// Connections of each server.
+  pub connections: u32,
+  /// Mean time of a call.
+  pub time: Duration,
+  /// Calls that it makes for each of its own.
+  pub children: Vec<Child>,
+}
+
+/// Services, preset and load.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+  /// Preset, YAML.
+  pub preset: &'static str,
+  /// Services.
+  pub services: Vec<Service>,
+  /// Mix of the load, most important class first.
+  pub classes: Vec<ClassLoad>,
+  /// Ordinary load, requests per second.
+  pub rate: f64,
+  /// Load during the surge, relative to the ordinary load.
+  pub surge: f64,
+}
+
+fn child(parent: &str, path: &str) -> Child {
+  Child {
+    parent: parent.to_owned(),
+    method: Method::GET,
+    path: path.to_owned(),
+  }
+}
+
+/// Callers that send a request again twice, shortly after it failed.
+fn class(name: &str, path: &str, weight: f64) -> ClassLoad {
+  let deadline = Duration::from_secs(3);
+  let backoff = Duration::from_millis(200);
+  ClassLoad {
+    weight,
+    deadline,
+    retries: 2,
+    backoff,
+    ..ClassLoad::get(name, path)
+  }
+}
+
+impl Deployment {
+  /// Map, pledges, installs and plaques; the plaques are the bottleneck.
+  pub fn merrimack() -> Self {
+    let service = |name, path, slots, connections, children| Service {
+      name,
+      path,
+      servers: 3,
+      slots,
+      connections,
+      time: Duration::from_millis(40),
+      children,
+    };
+    let plaque = "/plaques/text";
+    Self {
+      preset: include_str!("../presets/merrimack.yaml"),
+      services: vec![
+        service("bench-map", "/map", 120, 800, vec![child("/map", plaque)]),
+        service(
+          "pledges",
+          "/pledges",
+          120,
+          800,
+          vec![child("/pledges", plaque)],
+        ),
+        service("installs", "/photos", 120, 800, Vec::new()),
+        Service {
+          time: Duration::from_millis(75),
+          ..service("plaques", "/plaques", 25, 250, Vec::new())
+        },
+      ],
+      classes: vec![
+        ClassLoad {
+          method: Method::POST,
+          keyed: true,
+          ..class("pledge-confirmation", "/pledges", 0.1)
+        },
+        ClassLoad {
+          method: Method::POST,
+          body: 100_000,
+          ..class("photo-upload", "/photos", 0.05)
+        },
+        class("plaque-status", "/plaques", 0.3),
+        class("map-browsing", "/map", 0.55),
+      ],
+      rate: 400.0,
+      surge: 6.0,
+    }
+  }
+
+  /// Order status, order taking, artwork and inventory; the inventory is the bottleneck.
+  pub fn northgate() -> Self {
+    let service = |name, path, servers, slots, connections, children| Service {
+      name,
+      path,
+      servers,
+      slots,
+      connections,
+      time: Duration::from_millis(40),
+      children,
+    };
+    let stock = "/stock/item";
+    Self {
+      preset: include_str!("../presets/northgate.yaml"),
+      services: vec![
+        service(
+          "order-status",
+          "/status",
+          4,
+          45,
+          375,
+          vec![child("/status", stock)],
+        ),
+        service(
+          "order-taking",
+          "/orders",
+          3,
+          60,
+          470,
+          vec![child("/orders", stock)],
+        ),
+        service("artwork", "/artwork", 3, 60, 470, Vec::new()),
+        Service {
+          time: Duration::from_millis(60),
+          ..service("inventory", "/stock", 3, 20, 220, Vec::new())
+        },
+      ],
+      classes: vec![
+        ClassLoad {
+          method: Method::POST,
+          keyed: true,
+          ..class("order-placement", "/orders", 0.1)
+        },
+        class("stock-check", "/stock", 0.3),
+        ClassLoad {
+          method: Method::POST,
+          body: 100_000,
+          ..class("artwork-upload", "/artwork", 0.05)
+        },
+        class("order-status", "/status", 0.55),
+      ],
+      rate: 400.0,
+      surge: 6.0,
+    }
+  }
+}
--- /dev/null
+++ b/crates/demo/src/fleet.rs
@@ -0,0 +1,218 @@
+//! Stand-ins and nodes of one run.
+
+use {
+  crate::{Deployment, Service, baseline::Baseline},
+  cactusyoke::{Server, Settings, SettingsError, StartError},
+  cactusyoke_model::{
+    ChangeId, Connections, NameError, Preset, PresetError, Revision, Slots, SystemClock,
+  },
+  cactusyoke_platform::{
+    ChangeRequest, Configuration, ConfigurationError, HttpStore, Intent, RetryLimits, StoreLimits,
+  },
+  cactusyoke_standins::{
+    Addresses,
+    platform::Platform,
+    upstream::{Config, Runs, ServiceTime, Upstream},
+  },
+  std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Port for other nodes; the further listeners follow.
+const NODE_PORT: u16 = 7101;
+
+/// Time for the members to find each other and for the preset to spread.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// Running stand-ins, with nodes or with the baseline.
+#[derive(Debug)]
+pub struct Fleet {
+  /// Where callers send.
+  pub targets: Vec<SocketAddr>,
+  /// Runs by request tag.
+  pub runs: Arc<Runs>,
+  /// Upstreams, in the order of the deployment's services.
+  pub upstreams: Vec<Upstream>,
+  servers: Vec<Server>,
+  baseline: Option<Baseline>,
+  platform: Option<Platform>,
+}
+
+/// Why a run did not start.
+#[derive(Debug)]
+pub enum FleetError {
+  /// A stand-in did not start.
+  StandIn(io::Error),
+  /// Settings are wrong.
+  Settings(SettingsError),
+  /// A node did not start.
+  Start(StartError),
+  /// The preset is wrong.
+  Preset(PresetError),
+  /// The preset was not put in force.
+  Configuration(ConfigurationError),
+  /// A name is wrong.
+  Name(NameError),
+}
+
+impl fmt::Display for FleetError {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::StandIn(error) => write!(f, "a stand-in did not start: {error}: free loopback ports"),
+      Self::Settings(error) => error.fmt(f),
+      Self::Start(error) => error.fmt(f),
+      Self::Preset(error) => error.fmt(f),
+      Self::Configuration(error) => error.fmt(f),
+      Self::Name(error) => error.fmt(f),
+    }
+  }
+}
+
+impl std::error::Error for FleetError {}
+
+macro_rules! from {
+  ($($variant:ident($error:ty)),+ $(,)?) => {
+    $(impl From<$error> for FleetError {
+      fn from(error: $error) -> Self {
+        Self::$variant(error)
+      }
+    })+
+  };
+}
+
+from! {
+  StandIn(io::Error),
+  Settings(SettingsError),
+  Start(StartError),
+  Preset(PresetError),
+  Configuration(ConfigurationError),
+  Name(NameError),
+}
+
+impl Fleet {
+  /// Starts the platform's stand-in, a node beside each upstream, and puts the preset in force.
+  pub async fn with_control(deployment: &Deployment) -> Result<Self, FleetError> {
+    let platform = Platform::start().await?;
+    put_in_force(&platform, deployment.preset).await?;
+    let addresses = Addresses::default();
+    let runs = Arc::<Runs>::default();
+    let (mut servers, mut upstreams, mut targets) = (Vec::new(), Vec::new(), Vec::new());
+    for service in &deployment.services {
+      for _ in 0..service.servers {
+        let number = servers.len() as u8 + 1;
+        let settings = settings(addresses, number, platform.address())?;
+        servers.push(Server::start(settings, Arc::new(SystemClock)).await?);
+        targets.push(addresses.listener(number, NODE_PORT + 1));
+        let config = Config {
+          node: Some(addresses.listener(number, NODE_PORT + 3)),
+          egress: Some(addresses.listener(number, NODE_PORT + 2)),
+          ..config(service, number, &runs)?
+        };
+        upstreams.push(Upstream::start(config).await?);
+      }
+    }
+    tokio::time::sleep(SETTLE).await;
+    Ok(Self {
+      targets,
+      runs,
+      upstreams,
+      servers,
+      baseline: None,
+      platform: Some(platform),
+    })
+  }
+
+  /// Starts the upstreams with the baseline in front of them.
+  pub async fn without_control(deployment: &Deployment) -> Result<Self, FleetError> {
+    let baseline = Baseline::start().await?;
+    let runs = Arc::<Runs>::default();
+    let mut upstreams = Vec::new();
+    for service in &deployment.services {
+      let mut servers = Vec::new();
+      for number in 0..service.servers {
+        let egress = Some(baseline.address);
+        let config = Config {
+          egress,
+          ..config(service, number, &runs)?
+        };
+        let upstream = Upstream::start(config).await?;
+        servers.push(upstream.address());
+        upstreams.push(upstream);
+      }
+      baseline.add(service.path, servers);
+    }
+    let targets = vec![baseline.address];
+    let (servers, baseline) = (Vec::new(), Some(baseline));
+    Ok(Self {
+      targets,
+      runs,
+      upstreams,
+      servers,
+      baseline,
+      platform: None,
+    })
+  }
+
+  /// Stops everything.
+  pub async fn stop(self) {
+    for server in self.servers {
+      server.abort();
+    }
+    if let Some(baseline) = self.baseline {
+      baseline.stop();
+    }
+    for upstream in self.upstreams {
+      upstream.crash().await;
+    }
+    if let Some(platform) = self.platform {
+      platform.stop().await;
+    }
+  }
+}
+
+async fn put_in_force(platform: &Platform, yaml: &str) -> Result<(), FleetError> {
+  let preset = yaml.parse::<Preset>()?;
+  let store = Arc::new(HttpStore::new(platform.address(), StoreLimits::default()));
+  let configuration = Configuration::new(store, Arc::new(SystemClock), RetryLimits::default());
+  let request = |id, based_on, intent| ChangeRequest {
+    id: ChangeId(id),
+    operator: "demo".to_owned(),
+    reason: "demonstration".to_owned(),
+    based_on: Revision(based_on),
+    intent,
+  };
+  let put = request(1, 0, Intent::Put(Box::new(preset.raw().clone())));
+  configuration.change(&put, Revision(0)).await?;
+  let put_in_force = request(2, 1, Intent::Use(preset.name));
+  configuration.change(&put_in_force, Revision(1)).await?;
+  Ok(())
+}
+
+fn settings(
+  addresses: Addresses,
+  number: u8,
+  platform: SocketAddr,
+) -> Result<Settings, SettingsError> {
+  let listener = |offset| addresses.listener(number, NODE_PORT + offset);
+  let contact = addresses.listener(1, NODE_PORT);
+  format!(
+    "node: {}\ndata_centre: concord\ndata_centres: {{concord: {{contacts: ['{contact}']}}}}\n\
+     callers: {}\negress: {}\nannounce: {}\noperators: {}\nplatform: {platform}\n",
+    listener(0),
+    listener(1),
+    listener(2),
+    listener(3),
+    listener(4),
+  )
+  .parse()
+}
+
+fn config(service: &Service, seed: u8, runs: &Arc<Runs>) -> Result<Config, NameError> {
+  Ok(Config {
+    slots: Slots(service.slots),
+    connections: Connections(service.connections),
+    time: ServiceTime::exponential(service.time, u64::from(seed)),
+    children: service.children.clone(),
+    runs: Arc::clone(runs),
+    ..Config::new(service.name.parse()?)
+  })
+}
--- /dev/null
+++ b/crates/demo/src/report.rs
@@ -0,0 +1,40 @@
+use crate::{ClassOutcome, Outcome};
+
+/// Prints both runs side by side.
+pub fn print(control: &Outcome, baseline: &Outcome) {
+  println!();
+  println!(
+    "{:<12} {:<20} {:>7} {:>9} {:>8} {:>8} {:>12} {:>9}",
+    "run", "class", "sent", "answered", "not run", "unknown", "goodput/s", "recovery"
+  );
+  for (name, outcome) in [("cactusyoke", control), ("no control", baseline)] {
+    for class in &outcome.classes {
+      print_class(name, class);
+    }
+  }
+  println!();
+  println!("goodput: requests answered whole, a second, of those sent during the surge");
+  println!("recovery: time after the surge until 99% of requests are answered whole");
+  println!(
+    "upstream time wasted on requests that were not answered: {:.1}% with cactusyoke, {:.1}% without control",
+    control.wasted * 100.0,
+    baseline.wasted * 100.0
+  );
+  for broken in &baseline.broken {
+    println!("without control: {broken}");
+  }
+  for broken in &control.broken {
+    println!("BROKEN with cactusyoke: {broken}");
+  }
+}
+
+fn print_class(run: &str, class: &ClassOutcome) {
+  let recovery = match class.recovery {
+    Some(time) => format!("{:.1} s", time.as_secs_f64()),
+    None => "never".to_owned(),
+  };
+  println!(
+    "{run:<12} {:<20} {:>7} {:>9} {:>8} {:>8} {:>12.1} {recovery:>9}",
+    class.name, class.sent, class.answered, class.not_run, class.unknown, class.goodput
+  );
+}
--- /dev/null
+++ b/crates/demo/src/run.rs
@@ -0,0 +1,122 @@
+use {
+  crate::{Args, Deployment, Fleet, FleetError, Outcome, print},
+  cactusyoke_standins::load::{LoadConfig, Progress, Segment},
+  std::{process::ExitCode, sync::Arc, time::Duration},
+  tokio::time::interval,
+};
+
+/// Share of the time before, in and after the surge.
+const SHARES: [f64; 3] = [0.2, 0.4, 0.4];
+
+/// Most requests of one run.
+const MAX_REQUESTS: u64 = 1_000_000;
+
+/// Runs the demonstration; the exit code says whether an invariant was broken.
+pub fn run(args: &Args) -> ExitCode {
+  let runtime = match tokio::runtime::Builder::new_multi_thread()
+    .enable_all()
+    .build()
+  {
+    Ok(runtime) => runtime,
+    Err(error) => {
+      eprintln!("error: cannot start the runtime: {error}");
+      return ExitCode::FAILURE;
+    }
+  };
+  match runtime.block_on(both(args)) {
+    Ok((control, baseline)) => {
+      print(&control, &baseline);
+      if control.broken.is_empty() {
+        ExitCode::SUCCESS
+      } else {
+        ExitCode::FAILURE
+      }
+    }
+    Err(error) => {
+      eprintln!("error: {error}");
+      ExitCode::FAILURE
+    }
+  }
+}
+
+async fn both(args: &Args) -> Result<(Outcome, Outcome), FleetError> {
+  let deployment = args.deployment.deployment();
+  println!(
+    "{}: starting stand-ins and nodes on loopback",
+    args.deployment
+  );
+  let fleet = Fleet::with_control(&deployment).await?;
+  let control = load("cactusyoke", fleet, &deployment, args).await;
+  let fleet = Fleet::without_control(&deployment).await?;
+  let baseline = load("no control", fleet, &deployment, args).await;
+  Ok((control, baseline))
+}
+
+async fn load(name: &'static str, fleet: Fleet, deployment: &Deployment, args: &Args) -> Outcome {
+  let length = Duration::from_secs(args.seconds);
+  let lengths = SHARES.map(|share| length.mul_f64(share));
+  let rates = [
+    deployment.rate,
+    deployment.rate * deployment.surge,
+    deployment.rate,
+  ];
+  let progress = Arc::<Progress>::default();
+  let config = LoadConfig {
+    targets: fleet.targets.clone(),
+    classes: deployment.classes.clone(),
+    trace: lengths
+      .into_iter()
+      .zip(rates)
+      .map(|(duration, rate)| Segment { duration, rate })
+      .collect(),
+    seed: args.seed,
+    max_requests: MAX_REQUESTS,
+    progress: Arc::clone(&progress),
+  };
+  let watching = tokio::spawn(show(name, progress, lengths, rates));
+  let report = cactusyoke_standins::load::run(config).await;
+  watching.abort();
+  let surge = (lengths[0], lengths[0] + lengths[1]);
+  let outcome = Outcome::new(&deployment.classes, &report, &fleet.runs, surge);
+  fleet.stop().await;
+  outcome
+}
+
+/// Prints a line each second.
+async fn show(
+  name: &'static str,
+  progress: Arc<Progress>,
+  lengths: [Duration; 3],
+  rates: [f64; 3],
+) {
+  let mut ticks = interval(Duration::from_secs(1));
+  ticks.tick().await;
+  let mut last = progress.counts();
+  let mut second = 0;
+  loop {
+    ticks.tick().await;
+    second += 1;
+    let counts = progress.counts();
+    let now = Duration::from_millis(second * 1000 - 500);
+    println!(
+      "{name:<12} {second:>3} s  sent {:>5.0}/s  answered {:>5}/s  not run {:>5}/s  other {:>5}/s",
+      rate_at(now, lengths, rates),
+      counts.0 - last.0,
+      counts.1 - last.1,
+      counts.2 - last.2
+    );
+    last = counts;
+  }
+}
+
+fn rate_at(now: Duration, lengths: [Duration; 3], rates: [f64; 3]) -> f64 {
+  if now < lengths[0] {
+    rates[0]
+  } else if now < lengths[0] + lengths[1] {
+    rates[1]
+  } else if now < lengths[0] + lengths[1] + lengths[2] {
+    rates[2]
+  } else {
+    0.0
+  }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,8 @@
 //! Small stand-ins of the platform, upstreams and load, for tests and the demonstration.
 
-pub mod platform;
+mod addresses;
 pub mod load;
+pub mod platform;
 pub mod upstream;
+
+pub use addresses::Addresses;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -9,6 +9,8 @@
 mod generator;
 mod load_config;
 mod load_report;
+mod progress;
+mod sample;
 
 pub use {
   attempt::{Attempt, AttemptOutcome},
@@ -17,4 +19,6 @@
   generator::run,
   load_config::{LoadConfig, Segment},
   load_report::LoadReport,
+  progress::Progress,
+  sample::Sample,
 };
--- a/crates/standins/src/load/generator.rs
+++ b/crates/standins/src/load/generator.rs
@@ -1,6 +1,6 @@
 use {
   crate::{
-    load::{Attempt, AttemptOutcome, ClassLoad, LoadConfig, LoadReport},
+    load::{Attempt, AttemptOutcome, ClassLoad, LoadConfig, LoadReport, Sample},
     upstream::{Client, ClientError, Received, TAG_HEADER, pattern_body},
   },
   cactusyoke_model::{KEY_HEADER, empty_body},
@@ -17,6 +17,7 @@
 struct Finished {
   class: usize,
   attempts: Vec<Attempt>,
+  scheduled: Instant,
   latency: Duration,
 }
 
@@ -33,7 +34,8 @@
   let client = Arc::new(Client::default());
   let mut requests = JoinSet::new();
   let mut number = 0;
-  let mut start = Instant::now();
+  let begin = Instant::now();
+  let mut start = begin;
   for segment in &config.trace {
     let end = start + segment.duration;
     let mut next = start;
@@ -46,7 +48,7 @@
       }
       sleep_until(next).await;
       while let Some(finished) = requests.try_join_next() {
-        record(&mut report, &config, finished);
+        record(&mut report, &config, begin, finished);
       }
       let class = rng.sample(&mix);
       let Some(target) = config.targets.choose(&mut rng) else {
@@ -67,7 +69,7 @@
     start = end;
   }
   while let Some(finished) = requests.join_next().await {
-    record(&mut report, &config, finished);
+    record(&mut report, &config, begin, finished);
   }
   report
 }
@@ -75,6 +77,7 @@
 fn record(
   report: &mut LoadReport,
   config: &LoadConfig,
+  begin: Instant,
   finished: Result<Finished, tokio::task::JoinError>,
 ) {
   let finished = finished.expect("no request of the load generator panics");
@@ -84,6 +87,13 @@
   counts.attempts += finished.attempts.len() as u64;
   if let Some(last) = finished.attempts.last() {
     counts.record(last.outcome, finished.latency);
+    report.samples.push(Sample {
+      class: finished.class,
+      scheduled: finished.scheduled.duration_since(begin),
+      latency: finished.latency,
+      outcome: last.outcome,
+    });
+    config.progress.count(last.outcome);
   }
   report.attempts.extend(finished.attempts);
 }
@@ -113,6 +123,7 @@
     Finished {
       class: self.index,
       attempts,
+      scheduled: self.scheduled,
       latency: self.scheduled.elapsed(),
     }
   }
--- a/crates/standins/src/load/load_config.rs
+++ b/crates/standins/src/load/load_config.rs
@@ -1,6 +1,6 @@
 use {
-  crate::load::ClassLoad,
-  std::{net::SocketAddr, time::Duration},
+  crate::load::{ClassLoad, Progress},
+  std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Part of the rate trace.
@@ -25,4 +25,6 @@
   pub seed: u64,
   /// Most requests sent, retries not counted.
   pub max_requests: u64,
+  /// Counts that can be read while the load runs.
+  pub progress: Arc<Progress>,
 }
--- a/crates/standins/src/load/load_report.rs
+++ b/crates/standins/src/load/load_report.rs
@@ -1,6 +1,6 @@
 use {
   crate::{
-    load::{Attempt, AttemptOutcome, ClassCounts},
+    load::{Attempt, AttemptOutcome, ClassCounts, Sample},
     upstream::Runs,
   },
   std::collections::BTreeMap,
@@ -13,6 +13,8 @@
   pub classes: BTreeMap<String, ClassCounts>,
   /// Every attempt.
   pub attempts: Vec<Attempt>,
+  /// Every request.
+  pub samples: Vec<Sample>,
 }
 
 impl LoadReport {
