operators: add the listener, its client and the metrics

Changes need the token of the settings, compared in constant time with `subtle`; without one in the settings they are refused. Heads, bodies, connections and times are bounded.

Counters of a class of a service are looked up once, when a preset is adopted; the request path bumps plain atomics. New dependencies: `subtle` and `serde_urlencoded`.

--- a/crates/operators/src/api.rs
+++ b/crates/operators/src/api.rs
@@ -1,11 +1,11 @@
 //! Bodies of the operators' requests and responses, as JSON.
 
 use {
+  crate::Timestamp,
   cactusyoke_model::{
     ChangeId, DataCentre, Incarnation, NodeId, PresetName, RawPreset, Revision, ServiceName,
   },
   serde::{Deserialize, Serialize},
-  std::time::SystemTime,
 };
 
 /// Request to put a preset in force.
@@ -42,6 +42,17 @@
   pub based_on: Revision,
 }
 
+/// Who asks for something that is not a change of the configuration, and why.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reason {
+  /// Who asks.
+  pub operator: String,
+  /// Why.
+  #[serde(default)]
+  pub reason: String,
+}
+
 /// A change that is in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
@@ -87,9 +98,9 @@
 #[serde(deny_unknown_fields, default)]
 pub struct AuditQuery {
   /// Not before.
-  pub since: Option<SystemTime>,
+  pub since: Option<Timestamp>,
   /// Not after.
-  pub until: Option<SystemTime>,
+  pub until: Option<Timestamp>,
   /// Changes of this preset only.
   pub preset: Option<PresetName>,
   /// Changes by this operator only.
@@ -107,8 +118,8 @@
   pub id: ChangeId,
   /// Who made it.
   pub operator: String,
-  /// When, RFC 3339.
-  pub time: String,
+  /// When.
+  pub time: Timestamp,
   /// Why.
   pub reason: String,
   /// `use` or `put`.
--- /dev/null
+++ b/crates/operators/src/handler.rs
@@ -0,0 +1,204 @@
+use {
+  crate::{
+    AuditQuery, Metrics, Node, NodeError, PutRequest, Reason, Reply, Token, UseRequest, failure,
+    json, text,
+  },
+  cactusyoke_model::PresetName,
+  http::{Method, Request, StatusCode, header::AUTHORIZATION, request::Parts},
+  http_body_util::{BodyExt, Limited},
+  hyper::body::Incoming,
+  serde::de::DeserializeOwned,
+  std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
+  tokio::time::timeout,
+  tracing::{info, warn},
+};
+
+/// Answers the requests of operators.
+#[derive(Debug)]
+pub(crate) struct Handler {
+  node: Arc<dyn Node>,
+  metrics: Arc<Metrics>,
+  token: Option<Token>,
+  max_body: usize,
+}
+
+impl Handler {
+  pub(crate) fn new(
+    node: Arc<dyn Node>,
+    metrics: Arc<Metrics>,
+    token: Option<Token>,
+    max_body: usize,
+  ) -> Self {
+    Self {
+      node,
+      metrics,
+      token,
+      max_body,
+    }
+  }
+
+  pub(crate) async fn handle(
+    &self,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+    limit: Duration,
+  ) -> Result<Reply, Infallible> {
+    let (head, body) = request.into_parts();
+    let answered = timeout(limit, self.answer(&head, body, peer)).await;
+    let result = answered.unwrap_or_else(|_elapsed| {
+      Err(NodeError::Unavailable {
+        message: "the node did not answer in time: try again later".into(),
+      })
+    });
+    Ok(result.unwrap_or_else(|error| failure(&error)))
+  }
+
+  async fn answer(
+    &self,
+    head: &Parts,
+    body: Incoming,
+    peer: SocketAddr,
+  ) -> Result<Reply, NodeError> {
+    let path = head.uri.path();
+    let reads = head.method == Method::GET || head.method == Method::HEAD;
+    match path.trim_start_matches('/').split_once('/') {
+      None if reads => self.read(path, head).await,
+      Some(("preset", name)) if reads => Ok(json(&self.node.preset(&preset_name(name)?).await?)),
+      None | Some(_) if reads => Err(unknown(head)),
+      None | Some(_) => {
+        self.authorize(head, peer)?;
+        self.change(head, body).await
+      }
+    }
+  }
+
+  async fn read(&self, path: &str, head: &Parts) -> Result<Reply, NodeError> {
+    match path {
+      "/status" => Ok(json(&self.node.status().await?)),
+      "/config" => Ok(json(&self.node.config().await?)),
+      "/preset" => Ok(json(&self.node.config().await?.presets)),
+      "/audit" => Ok(json(&self.node.audit(query(head)?).await?)),
+      "/quarantine" => Ok(json(&self.node.quarantine().await?)),
+      "/metrics" => match self.metrics.encode() {
+        Ok(metrics) => Ok(text(StatusCode::OK, metrics)),
+        Err(error) => Err(NodeError::Internal {
+          message: format!("the metrics cannot be written: {error}"),
+        }),
+      },
+      "/healthz" => Ok(text(StatusCode::OK, "ok\n".into())),
+      "/readyz" if self.node.ready() => Ok(text(StatusCode::OK, "ready\n".into())),
+      "/readyz" => Ok(text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into())),
+      _ => Err(unknown(head)),
+    }
+  }
+
+  async fn change(&self, head: &Parts, body: Incoming) -> Result<Reply, NodeError> {
+    match (&head.method, head.uri.path()) {
+      (&Method::POST, "/preset/use") => {
+        let request = self.body::<UseRequest>(body).await?;
+        Ok(json(&self.node.use_preset(request).await?))
+      }
+      (&Method::POST, "/drain") => {
+        let reason = self.body::<Reason>(body).await?;
+        info!(
+          operator = reason.operator,
+          reason = reason.reason,
+          "drain requested"
+        );
+        self.node.drain(reason).await?;
+        Ok(json(&()))
+      }
+      (&Method::POST, "/undrain") => {
+        let reason = self.body::<Reason>(body).await?;
+        info!(
+          operator = reason.operator,
+          reason = reason.reason,
+          "end of drain requested"
+        );
+        self.node.undrain(reason).await?;
+        Ok(json(&()))
+      }
+      (&Method::PUT, path) => {
+        let name = path.strip_prefix("/preset/").ok_or_else(|| unknown(head))?;
+        let name = preset_name(name)?;
+        let request = self.body::<PutRequest>(body).await?;
+        if request.preset.name != name {
+          return Err(NodeError::Invalid {
+            message: format!(
+              "the path names preset `{name}` and the body `{}`: use one name",
+              request.preset.name
+            ),
+          });
+        }
+        Ok(json(&self.node.put_preset(request).await?))
+      }
+      (&Method::DELETE, path) => {
+        let id = path
+          .strip_prefix("/quarantine/")
+          .ok_or_else(|| unknown(head))?;
+        let reason = self.body::<Reason>(body).await?;
+        info!(
+          id,
+          operator = reason.operator,
+          reason = reason.reason,
+          "release requested"
+        );
+        self.node.release(id, reason).await?;
+        Ok(json(&()))
+      }
+      _ => Err(unknown(head)),
+    }
+  }
+
+  fn authorize(&self, head: &Parts, peer: SocketAddr) -> Result<(), NodeError> {
+    let Some(token) = &self.token else {
+      return Err(NodeError::ChangesOff);
+    };
+    let given = head
+      .headers
+      .get(AUTHORIZATION)
+      .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    if given.is_some_and(|given| token.matches(given)) {
+      return Ok(());
+    }
+    let given = given.is_some();
+    let path = head.uri.path();
+    warn!(%peer, method = %head.method, path, given, "operator token refused");
+    Err(NodeError::Unauthorized)
+  }
+
+  async fn body<T: DeserializeOwned>(&self, body: Incoming) -> Result<T, NodeError> {
+    let body = Limited::new(body, self.max_body).collect().await;
+    let body = body.map_err(|error| NodeError::Invalid {
+      message: format!(
+        "the body cannot be read ({error}): send at most {} bytes",
+        self.max_body
+      ),
+    })?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|error| NodeError::Invalid {
+      message: format!("the body is not a valid request: {error}"),
+    })
+  }
+}
+
+fn preset_name(text: &str) -> Result<PresetName, NodeError> {
+  text.parse().map_err(|error| NodeError::Invalid {
+    message: format!("{error}"),
+  })
+}
+
+fn query(head: &Parts) -> Result<AuditQuery, NodeError> {
+  let query = head.uri.query().unwrap_or_default();
+  serde_urlencoded::from_str(query).map_err(|error| NodeError::Invalid {
+    message: format!(
+      "the query is not valid ({error}): use `since`, `until`, `preset`, `operator` and `limit`"
+    ),
+  })
+}
+
+fn unknown(head: &Parts) -> NodeError {
+  NodeError::NoSuchRequest {
+    method: head.method.to_string(),
+    path: head.uri.path().into(),
+  }
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,12 +1,40 @@
 //! The listener for operators, its client and the metrics.
 
 mod api;
+mod call_metrics;
+mod client;
+mod client_error;
+mod handler;
+mod listener;
+mod listener_limits;
+mod metrics;
 mod node;
 mod node_error;
+mod reply;
+mod scrape;
+mod timestamp;
+mod token;
 
 pub use api::{
   Accepted, AuditQuery, AuditRecord, ConfigView, MemberView, NodeStatus, PlatformView,
-  PresetSummary, PresetView, PutRequest, QuarantineView, StatusView, UpstreamView, UseRequest,
+  PresetSummary, PresetView, PutRequest, QuarantineView, Reason, StatusView, UpstreamView,
+  UseRequest,
 };
+pub use call_metrics::CallMetrics;
+pub use client::Client;
+pub use client_error::ClientError;
+pub use listener::serve;
+pub use listener_limits::ListenerLimits;
+pub use metrics::Metrics;
 pub use node::{Node, NodeFuture};
 pub use node_error::{ConflictView, NodeError};
+pub use timestamp::Timestamp;
+pub use token::{Token, TokenError};
+
+use {
+  call_metrics::WAIT_BOUNDS,
+  handler::Handler,
+  metrics::{MEMBER_STATUSES, PLATFORM_CALLS, PLATFORM_RESULTS, Pairs},
+  reply::{Failure, Reply, failure, json, text},
+  scrape::Scrape,
+};
--- /dev/null
+++ b/crates/operators/src/metrics.rs
@@ -0,0 +1,142 @@
+//! Metrics of a node: plain atomics that the request path bumps, read when they are scraped.
+//!
+//! A label lookup on the request path would cost more than the decision that it counts, so counters
+//! are looked up once, when a preset is adopted, and the label sets are bounded.
+
+use {
+  crate::{CallMetrics, Scrape},
+  cactusyoke_model::{ClassName, Clock, Revision, ServiceName},
+  prometheus_client::{encoding, registry::Registry},
+  std::{
+    array,
+    collections::BTreeMap,
+    fmt,
+    sync::{
+      Arc, Mutex, PoisonError,
+      atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    time::Instant,
+  },
+};
+
+/// Most pairs of service and class with counters of their own: 300 services with six classes each.
+/// Any further pair is counted under `other`, so presets cannot fill the memory.
+const MAX_PAIRS: usize = 1_800;
+
+/// Kinds of calls to the platform.
+pub(crate) const PLATFORM_CALLS: [&str; 4] = ["get", "put", "lease", "watch"];
+/// Results of calls to the platform.
+pub(crate) const PLATFORM_RESULTS: [&str; 6] = [
+  "ok",
+  "conflict",
+  "unavailable",
+  "timed-out",
+  "too-large",
+  "quota",
+];
+/// Statuses of members.
+pub(crate) const MEMBER_STATUSES: [&str; 3] = ["alive", "suspected", "dead"];
+
+pub(crate) type Pairs = BTreeMap<(String, String), Arc<CallMetrics>>;
+
+/// Metrics of a node.
+#[derive(Debug)]
+pub struct Metrics {
+  /// Concurrency limit of the upstream next to the node.
+  pub limit: AtomicU64,
+  /// Calls in flight at that upstream.
+  pub in_flight: AtomicU64,
+  /// Calls in the queue.
+  pub queued: AtomicU64,
+  /// Control bytes sent to other nodes.
+  pub control_sent: AtomicU64,
+  /// Control bytes received from other nodes.
+  pub control_received: AtomicU64,
+  clock: Arc<dyn Clock>,
+  pairs: Mutex<Pairs>,
+  config: Mutex<Option<(Revision, Instant)>>,
+  platform: [[AtomicU64; PLATFORM_RESULTS.len()]; PLATFORM_CALLS.len()],
+  members: [AtomicU64; MEMBER_STATUSES.len()],
+}
+
+impl Metrics {
+  /// Metrics, all zero.
+  pub fn new(clock: Arc<dyn Clock>) -> Self {
+    Self {
+      limit: AtomicU64::default(),
+      in_flight: AtomicU64::default(),
+      queued: AtomicU64::default(),
+      control_sent: AtomicU64::default(),
+      control_received: AtomicU64::default(),
+      clock,
+      pairs: Mutex::default(),
+      config: Mutex::default(),
+      platform: array::from_fn(|_| array::from_fn(|_| AtomicU64::default())),
+      members: array::from_fn(|_| AtomicU64::default()),
+    }
+  }
+
+  /// Counters of a class of a service, to be kept with the route.
+  pub fn calls(&self, service: &ServiceName, class: &ClassName) -> Arc<CallMetrics> {
+    let mut pairs = self.pairs.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut key = (service.to_string(), class.to_string());
+    if pairs.len() >= MAX_PAIRS && !pairs.contains_key(&key) {
+      key = ("other".into(), "other".into());
+    }
+    Arc::clone(pairs.entry(key).or_default())
+  }
+
+  /// Records the adoption of a revision.
+  pub fn adopted(&self, revision: Revision) {
+    let mut config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
+    *config = Some((revision, self.clock.now()));
+  }
+
+  /// Counts a call to the platform; a kind or result that is not known is not counted.
+  pub fn platform_call(&self, kind: &str, result: &str) {
+    let kind = PLATFORM_CALLS.iter().position(|known| *known == kind);
+    let result = PLATFORM_RESULTS.iter().position(|known| *known == result);
+    if let (Some(kind), Some(result)) = (kind, result) {
+      self.platform[kind][result].fetch_add(1, Relaxed);
+    }
+  }
+
+  /// Sets the number of members that are alive, suspected and dead.
+  pub fn set_members(&self, alive: u64, suspected: u64, dead: u64) {
+    for (member, count) in self.members.iter().zip([alive, suspected, dead]) {
+      member.store(count, Relaxed);
+    }
+  }
+
+  /// All metrics as Prometheus text.
+  pub fn encode(&self) -> Result<String, fmt::Error> {
+    let mut registry = Registry::with_prefix("cactusyoke");
+    registry.register_collector(Box::new(self.scrape()));
+    let mut text = String::new();
+    encoding::text::encode(&mut text, &registry)?;
+    Ok(text)
+  }
+
+  fn scrape(&self) -> Scrape {
+    let config = *self.config.lock().unwrap_or_else(PoisonError::into_inner);
+    let load = |value: &AtomicU64| value.load(Relaxed);
+    Scrape {
+      pairs: self
+        .pairs
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone(),
+      limit: load(&self.limit),
+      in_flight: load(&self.in_flight),
+      queued: load(&self.queued),
+      control_sent: load(&self.control_sent),
+      control_received: load(&self.control_received),
+      config: config.map(|(revision, since)| {
+        let age = self.clock.now().saturating_duration_since(since);
+        (revision, age)
+      }),
+      platform: array::from_fn(|kind| array::from_fn(|result| load(&self.platform[kind][result]))),
+      members: array::from_fn(|status| load(&self.members[status])),
+    }
+  }
+}
--- a/crates/operators/src/node.rs
+++ b/crates/operators/src/node.rs
@@ -1,7 +1,7 @@
 use {
   crate::{
     Accepted, AuditQuery, AuditRecord, ConfigView, NodeError, PresetView, PutRequest,
-    QuarantineView, StatusView, UseRequest,
+    QuarantineView, Reason, StatusView, UseRequest,
   },
   cactusyoke_model::PresetName,
   std::{fmt::Debug, pin::Pin},
@@ -34,14 +34,14 @@
   fn audit(&self, query: AuditQuery) -> NodeFuture<'_, Vec<AuditRecord>>;
 
   /// Starts draining.
-  fn drain<'a>(&'a self, operator: &'a str, reason: &'a str) -> NodeFuture<'a, ()>;
+  fn drain(&self, reason: Reason) -> NodeFuture<'_, ()>;
 
   /// Takes calls again.
-  fn undrain<'a>(&'a self, operator: &'a str, reason: &'a str) -> NodeFuture<'a, ()>;
+  fn undrain(&self, reason: Reason) -> NodeFuture<'_, ()>;
 
   /// Requests in quarantine.
   fn quarantine(&self) -> NodeFuture<'_, Vec<QuarantineView>>;
 
   /// Releases a request from quarantine.
-  fn release<'a>(&'a self, id: &'a str, operator: &'a str) -> NodeFuture<'a, ()>;
+  fn release<'a>(&'a self, id: &'a str, reason: Reason) -> NodeFuture<'a, ()>;
 }
--- a/crates/operators/src/node_error.rs
+++ b/crates/operators/src/node_error.rs
@@ -1,4 +1,5 @@
 use {
+  crate::Timestamp,
   cactusyoke_model::{ChangeId, PresetName, Revision},
   serde::{Deserialize, Serialize},
   std::{
@@ -16,8 +17,8 @@
   pub revision: Revision,
   /// Its operator.
   pub operator: String,
-  /// When it was made, RFC 3339.
-  pub time: String,
+  /// When it was made.
+  pub time: Timestamp,
   /// Its reason.
   pub reason: String,
   /// What it did, such as `put preset `peak` in force`.
@@ -45,6 +46,13 @@
     /// Id asked for.
     id: String,
   },
+  /// The listener has no such request.
+  NoSuchRequest {
+    /// Method.
+    method: String,
+    /// Path.
+    path: String,
+  },
   /// The token is missing or wrong.
   Unauthorized,
   /// The node has no token, so it takes no changes.
@@ -58,6 +66,8 @@
   Unconfirmed {
     /// Identity of the change.
     id: ChangeId,
+    /// Revision on which it was based.
+    based_on: Revision,
   },
   /// The node failed.
   Internal {
@@ -79,7 +89,9 @@
         other.reason.escape_debug(),
         other.revision
       ),
-      Self::Invalid { message } | Self::Internal { message } => f.write_str(message),
+      Self::Invalid { message } | Self::Unavailable { message } | Self::Internal { message } => {
+        f.write_str(message)
+      }
       Self::NoPreset { name } => write!(
         f,
         "there is no preset `{name}`: list them with `cactusyoke preset list`"
@@ -89,16 +101,20 @@
         "nothing with id `{}` is in quarantine: list the ids with `cactusyoke quarantine list`",
         id.escape_debug()
       ),
+      Self::NoSuchRequest { method, path } => write!(
+        f,
+        "the node has no request `{method} {}`: see docs/operators.md",
+        path.escape_debug()
+      ),
       Self::Unauthorized => {
         f.write_str("the node does not accept the token: check `--token` or `CACTUSYOKE_TOKEN`")
       }
       Self::ChangesOff => {
         f.write_str("the node accepts no changes: set `operators.token` in its settings")
       }
-      Self::Unavailable { message } => write!(f, "nothing was changed: {message}"),
-      Self::Unconfirmed { id } => write!(
+      Self::Unconfirmed { id, based_on } => write!(
         f,
-        "the platform did not confirm change `{id}`, which may be in force: repeat the command with `--id {id}`, which never applies it twice"
+        "the platform did not confirm change `{id}`, which may be in force: repeat the command with `--id {id} --revision {based_on}`, which never applies it twice"
       ),
     }
   }
--- /dev/null
+++ b/crates/operators/src/reply.rs
@@ -0,0 +1,65 @@
+//! Answers of the listener.
+
+use {
+  crate::NodeError,
+  bytes::Bytes,
+  http::{Response, StatusCode, header::CONTENT_TYPE},
+  http_body_util::Full,
+  serde::{Deserialize, Serialize},
+};
+
+pub(crate) type Reply = Response<Full<Bytes>>;
+
+/// Body of a failure.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Failure {
+  pub(crate) error: NodeError,
+  pub(crate) message: String,
+}
+
+pub(crate) fn json<T: Serialize>(body: &T) -> Reply {
+  with_status(StatusCode::OK, body)
+}
+
+pub(crate) fn failure(error: &NodeError) -> Reply {
+  let status = match error {
+    NodeError::Invalid { .. } => StatusCode::BAD_REQUEST,
+    NodeError::Unauthorized => StatusCode::UNAUTHORIZED,
+    NodeError::ChangesOff => StatusCode::FORBIDDEN,
+    NodeError::NoPreset { .. }
+    | NodeError::NoQuarantine { .. }
+    | NodeError::NoSuchRequest { .. } => StatusCode::NOT_FOUND,
+    NodeError::Conflict(_) => StatusCode::CONFLICT,
+    NodeError::Internal { .. } => StatusCode::INTERNAL_SERVER_ERROR,
+    NodeError::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+    NodeError::Unconfirmed { .. } => StatusCode::GATEWAY_TIMEOUT,
+  };
+  let body = Failure {
+    message: error.to_string(),
+    error: error.clone(),
+  };
+  with_status(status, &body)
+}
+
+pub(crate) fn text(status: StatusCode, body: String) -> Reply {
+  reply(
+    status,
+    "text/plain; version=0.0.4; charset=utf-8",
+    body.into(),
+  )
+}
+
+fn with_status<T: Serialize>(status: StatusCode, body: &T) -> Reply {
+  match serde_json::to_vec(body) {
+    Ok(body) => reply(status, "application/json", body.into()),
+    Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+  }
+}
+
+fn reply(status: StatusCode, content: &'static str, body: Bytes) -> Reply {
+  let mut response = Response::new(Full::new(body));
+  *response.status_mut() = status;
+  let content = http::HeaderValue::from_static(content);
+  response.headers_mut().insert(CONTENT_TYPE, content);
+  response
+}
