--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -270,7 +270,9 @@
           && self.core.edges.try_retry(&self.head.route, now)
           && self.left.take_one();
         if allowed {
-          self.core.meters.retry();
+          if let Some(calls) = self.core.meters.route(&self.head.route) {
+            calls.retried();
+          }
         }
         if allowed && !self.untried_left() {
           self.tried.clear();
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -45,7 +45,7 @@
     let deadline = started + route.deadline;
     let head = head_of(&request, route, root, priority, route.retries, deadline);
     let result = self.send(&preset, route, head, request).await;
-    self.meters.outcome(&route.service, &route.class, &result);
+    self.meters.outcome(&route.name, &result);
     result
   }
 
@@ -79,7 +79,7 @@
     };
     let result = self.send(&preset, route, head, request).await;
     pending.finish(&result);
-    self.meters.outcome(&route.service, &route.class, &result);
+    self.meters.outcome(&route.name, &result);
     result
   }
 
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -39,7 +39,7 @@
   core::Core,
   raw_settings::{RawCentre, RawLimits, RawSettings},
   server::{Server, Unfinished},
-  settings::{Centre, Settings, Token},
+  settings::{Centre, Settings},
   settings_error::SettingsError,
   start_error::StartError,
 };
--- a/crates/cactusyoke/src/meters.rs
+++ b/crates/cactusyoke/src/meters.rs
@@ -1,62 +1,56 @@
-//! Counts of outcomes on the request path.
+//! Counters of outcomes, one set for each route of the preset in force.
 
 use {
-  cactusyoke_model::{Answer, CallFailure, ClassName, ServiceName},
-  std::{
-    collections::HashMap,
-    sync::{
-      Arc, PoisonError, RwLock,
-      atomic::{AtomicU64, Ordering::Relaxed},
-    },
-  },
+  arc_swap::ArcSwap,
+  cactusyoke_model::{Answer, CallFailure, Clock, Preset, RouteName},
+  cactusyoke_operators::{CallMetrics, Metrics},
+  std::{collections::HashMap, sync::Arc},
 };
 
-/// Counts of one service and class.
-#[derive(Debug, Default)]
-pub(crate) struct ClassMeter {
-  pub(crate) answered: AtomicU64,
-  pub(crate) not_run: AtomicU64,
-  pub(crate) unknown: AtomicU64,
-}
-
-/// Counts of a node.
-#[derive(Debug, Default)]
+/// Counters of a node.
+#[derive(Debug)]
 pub(crate) struct Meters {
-  classes: RwLock<HashMap<(ServiceName, ClassName), Arc<ClassMeter>>>,
-  retries: AtomicU64,
+  pub(crate) metrics: Arc<Metrics>,
+  routes: ArcSwap<HashMap<RouteName, Arc<CallMetrics>>>,
 }
 
 impl Meters {
-  pub(crate) fn retry(&self) {
-    self.retries.fetch_add(1, Relaxed);
+  pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+    Self {
+      metrics: Arc::new(Metrics::new(clock)),
+      routes: ArcSwap::default(),
+    }
   }
 
-  pub(crate) fn outcome(
-    &self,
-    service: &ServiceName,
-    class: &ClassName,
-    result: &Result<Answer, CallFailure>,
-  ) {
-    let meter = self.meter(service, class);
-    let counter = match result {
-      Ok(_) => &meter.answered,
-      Err(CallFailure::NotRun { .. }) => &meter.not_run,
-      Err(CallFailure::Unknown { .. }) => &meter.unknown,
-    };
-    counter.fetch_add(1, Relaxed);
+  /// Prepares the counters for the routes of a preset.
+  pub(crate) fn adopt(&self, preset: &Preset) {
+    let routes = preset
+      .routes
+      .iter()
+      .map(|route| {
+        (
+          route.name.clone(),
+          self.metrics.calls(&route.service, &route.class),
+        )
+      })
+      .collect();
+    self.routes.store(Arc::new(routes));
   }
 
-  fn meter(&self, service: &ServiceName, class: &ClassName) -> Arc<ClassMeter> {
-    let key = (service.clone(), class.clone());
-    let known = self
-      .classes
-      .read()
-      .unwrap_or_else(PoisonError::into_inner)
-      .get(&key)
-      .cloned();
-    known.unwrap_or_else(|| {
-      let mut classes = self.classes.write().unwrap_or_else(PoisonError::into_inner);
-      Arc::clone(classes.entry(key).or_default())
-    })
+  /// Counters of a route; `None` for a route of a preset that is no longer in force.
+  pub(crate) fn route(&self, route: &RouteName) -> Option<Arc<CallMetrics>> {
+    self.routes.load().get(route).cloned()
+  }
+
+  /// Counts how a request or an outgoing call ended.
+  pub(crate) fn outcome(&self, route: &RouteName, result: &Result<Answer, CallFailure>) {
+    let Some(calls) = self.route(route) else {
+      return;
+    };
+    match result {
+      Ok(_) => calls.answered(),
+      Err(CallFailure::NotRun { reason, .. }) => calls.not_run(*reason),
+      Err(CallFailure::Unknown { reason }) => calls.unknown(*reason),
+    }
   }
 }
--- a/crates/cactusyoke/src/operator_node.rs
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -3,10 +3,11 @@
 use {
   crate::{Core, status},
   cactusyoke_decisions::load::Fingerprint,
-  cactusyoke_model::{ChangeId, PresetName, Revision},
+  cactusyoke_model::{PresetName, Revision},
   cactusyoke_operators::{
     Accepted, AuditQuery, AuditRecord, ConfigView, ConflictView, Node, NodeError, NodeFuture,
-    PresetSummary, PresetView, PutRequest, QuarantineView, StatusView, UseRequest,
+    PresetSummary, PresetView, PutRequest, QuarantineView, Reason, StatusView, Timestamp,
+    UseRequest,
   },
   cactusyoke_platform::{
     AuditFilter, ChangeRequest, ConfigurationError, Intent, Record, RecordedEdit,
@@ -96,31 +97,38 @@
     Box::pin(async move {
       let default = AuditFilter::default();
       let filter = AuditFilter {
-        since: query.since,
-        until: query.until,
+        since: query.since.map(|time| time.0),
+        until: query.until.map(|time| time.0),
         preset: query.preset,
         operator: query.operator,
         limit: query.limit.unwrap_or(default.limit),
       };
-      let id = ChangeId(0);
       match self.0.configuration.audit(&filter).await {
         Ok(records) => Ok(records.into_iter().map(audit_record).collect()),
-        Err(error) => Err(node_error(error, id)),
+        Err(error) => Err(node_error(error)),
       }
     })
   }
 
-  fn drain<'a>(&'a self, operator: &'a str, reason: &'a str) -> NodeFuture<'a, ()> {
+  fn drain(&self, reason: Reason) -> NodeFuture<'_, ()> {
     Box::pin(async move {
-      tracing::info!(event = "drain", operator, reason);
+      tracing::info!(
+        event = "drain",
+        operator = reason.operator,
+        reason = reason.reason
+      );
       self.0.set_draining(true);
       Ok(())
     })
   }
 
-  fn undrain<'a>(&'a self, operator: &'a str, reason: &'a str) -> NodeFuture<'a, ()> {
+  fn undrain(&self, reason: Reason) -> NodeFuture<'_, ()> {
     Box::pin(async move {
-      tracing::info!(event = "undrain", operator, reason);
+      tracing::info!(
+        event = "undrain",
+        operator = reason.operator,
+        reason = reason.reason
+      );
       self.0.set_draining(false);
       Ok(())
     })
@@ -143,7 +151,7 @@
     })
   }
 
-  fn release<'a>(&'a self, id: &'a str, operator: &'a str) -> NodeFuture<'a, ()> {
+  fn release<'a>(&'a self, id: &'a str, reason: Reason) -> NodeFuture<'a, ()> {
     Box::pin(async move {
       let unknown = || NodeError::NoQuarantine { id: id.to_owned() };
       let fingerprint = u128::from_str_radix(id, 16)
@@ -152,7 +160,7 @@
       if !self.0.quarantine().release(fingerprint) {
         return Err(unknown());
       }
-      tracing::info!(event = "quarantine_released", %fingerprint, operator);
+      tracing::info!(event = "quarantine_released", %fingerprint, operator = reason.operator, reason = reason.reason);
       Ok(())
     })
   }
@@ -161,7 +169,6 @@
 impl OperatorNode {
   async fn change(&self, request: ChangeRequest) -> Result<Accepted, NodeError> {
     let adopted = self.0.config.load().revision;
-    let id = request.id;
     match self.0.configuration.change(&request, adopted).await {
       Ok(record) => {
         tracing::info!(
@@ -178,12 +185,12 @@
           revision: record.revision,
         })
       }
-      Err(error) => Err(node_error(error, id)),
+      Err(error) => Err(node_error(error)),
     }
   }
 }
 
-fn node_error(error: ConfigurationError, id: ChangeId) -> NodeError {
+fn node_error(error: ConfigurationError) -> NodeError {
   match error {
     ConfigurationError::Conflict { other, revision } => {
       NodeError::Conflict(Box::new(conflict(&other, revision)))
@@ -193,7 +200,7 @@
     ConfigurationError::Behind { .. } => NodeError::Unavailable {
       message: error.to_string(),
     },
-    ConfigurationError::Unconfirmed { .. } => NodeError::Unconfirmed { id },
+    ConfigurationError::Unconfirmed { id, based_on } => NodeError::Unconfirmed { id, based_on },
     ConfigurationError::Corrupt { .. } | ConfigurationError::Collision(_) => NodeError::Internal {
       message: error.to_string(),
     },
@@ -213,7 +220,7 @@
     id: other.id,
     revision,
     operator: other.operator.clone(),
-    time: humantime::format_rfc3339_millis(other.time).to_string(),
+    time: Timestamp(other.time),
     reason: other.reason.clone(),
     summary: other.edit.to_string(),
   }
@@ -236,7 +243,7 @@
     revision: record.revision,
     id: record.id,
     preset: record.edit.preset().clone(),
-    time: humantime::format_rfc3339_millis(record.time).to_string(),
+    time: Timestamp(record.time),
     operator: record.operator,
     reason: record.reason,
     action: action.to_owned(),
--- a/crates/cactusyoke/src/raw_settings.rs
+++ b/crates/cactusyoke/src/raw_settings.rs
@@ -1,5 +1,6 @@
 use {
   cactusyoke_model::{ByteSize, DataCentre, NodeId},
+  cactusyoke_operators::Token,
   serde::Deserialize,
   std::{collections::BTreeMap, net::SocketAddr},
 };
@@ -24,7 +25,7 @@
   pub operators: SocketAddr,
   /// Secret for changes.
   #[serde(default)]
-  pub token: Option<String>,
+  pub token: Option<Token>,
   /// Address of the platform's key-value service.
   pub platform: SocketAddr,
   /// Bounds.
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -24,6 +24,7 @@
   cactusyoke_nodes::{
     Hop, Incoming, IncomingCall, Links, LinksConfig, Membership, MembershipConfig, MembershipHandle,
   },
+  cactusyoke_operators::ListenerLimits,
   cactusyoke_platform::{Configuration, HttpStore, RetryLimits, Store, StoreLimits, Watcher},
   cactusyoke_upstreams::{Upstream, UpstreamConfig, Views, announce, egress},
   ractor::Actor,
@@ -132,7 +133,7 @@
       spawn_links(&core, listeners.node, refuse_work.clone()),
     ];
     let egress = spawn_egress(&core, listeners.egress, limits, stop.clone());
-    drop((OperatorNode(Arc::clone(&core)), listeners.operators));
+    spawn_operators(&core, listeners.operators, stop.clone());
     tracing::info!(
       event = "started",
       node = %core.settings.node,
@@ -235,7 +236,7 @@
     edges: Edges::default(),
     keyed: Keyed::new(rosters, settings.keys),
     spread: Spread::default(),
-    meters: Meters::default(),
+    meters: Meters::new(Arc::clone(&clock)),
     draining: AtomicBool::new(false),
     next_span: AtomicU64::new(rand::random()),
     in_flight: InFlight::default(),
@@ -365,6 +366,16 @@
   })
 }
 
+fn spawn_operators(core: &Arc<Core>, listener: TcpListener, stop: CancellationToken) {
+  let node = Arc::new(OperatorNode(Arc::clone(core)));
+  let metrics = Arc::clone(&core.meters.metrics);
+  let token = core.settings.token.clone();
+  let limits = ListenerLimits::default();
+  tokio::spawn(cactusyoke_operators::serve(
+    listener, node, metrics, token, limits, stop,
+  ));
+}
+
 impl Core {
   /// Takes a call of another node to the upstream beside this one, or on to another instance.
   async fn answer_call(self: Arc<Self>, incoming: IncomingCall) {
--- a/crates/cactusyoke/src/settings.rs
+++ b/crates/cactusyoke/src/settings.rs
@@ -3,9 +3,10 @@
 use {
   crate::{RawSettings, SettingsError},
   cactusyoke_model::{ByteSize, DataCentre, NodeId},
+  cactusyoke_operators::Token,
   std::{
     collections::{BTreeMap, BTreeSet},
-    fmt, fs,
+    fs,
     net::SocketAddr,
     path::Path,
     str::FromStr,
@@ -19,23 +20,6 @@
 /// Longest queue of calls that wait for the upstream.
 const MAX_QUEUE: usize = 100_000;
 
-/// Secret that operators send with a change.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Token(String);
-
-impl Token {
-  /// The secret as text.
-  pub fn reveal(&self) -> &str {
-    &self.0
-  }
-}
-
-impl fmt::Debug for Token {
-  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-    f.write_str("Token(..)")
-  }
-}
-
 /// What a node knows of one data centre.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Centre {
@@ -144,9 +128,6 @@
         },
       );
     }
-    if raw.token.as_ref().is_some_and(|token| token.len() < 8) {
-      return Err(SettingsError::ShortToken);
-    }
     Ok(Self {
       node: raw.node,
       centre: raw.data_centre,
@@ -155,7 +136,7 @@
       egress: raw.egress,
       announce: raw.announce,
       operators: raw.operators,
-      token: raw.token.map(Token),
+      token: raw.token,
       platform: raw.platform,
       connections: raw.limits.connections,
       body: raw.limits.body,
--- a/crates/cactusyoke/src/settings_error.rs
+++ b/crates/cactusyoke/src/settings_error.rs
@@ -26,8 +26,6 @@
   Range(&'static str, usize, usize),
   /// A time cannot be read.
   Time(String, String),
-  /// The token is too short.
-  ShortToken,
   /// Error in a named file.
   InFile(String, Box<Self>),
 }
@@ -77,7 +75,6 @@
         "`{field}` is `{}`: write a time such as `500us`, `30s` or `2min`",
         text.escape_debug()
       ),
-      Self::ShortToken => f.write_str("`token` is too short: use at least 8 characters"),
       Self::InFile(path, error) => write!(f, "`{path}`: {error}"),
     }
   }
--- a/crates/cactusyoke/src/spread.rs
+++ b/crates/cactusyoke/src/spread.rs
@@ -119,6 +119,7 @@
 
 impl SpreadState {
   async fn choose(&mut self) {
+    self.core.update_gauges();
     let own = self.core.settings.node;
     let view = self.core.members.view();
     self.core.edges.retain(|node| view.member(*node).is_some());
--- a/crates/cactusyoke/src/status.rs
+++ b/crates/cactusyoke/src/status.rs
@@ -9,12 +9,46 @@
   cactusyoke_model::{NodeId, Revision},
   cactusyoke_operators::{MemberView, NodeStatus, PlatformView, StatusView, UpstreamView},
   futures_util::stream::{FuturesUnordered, StreamExt},
-  std::{collections::HashMap, sync::Arc, time::Duration},
+  std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+  },
 };
 
 /// Time in which another node tells its revision.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
+impl Core {
+  /// Brings the gauges of the metrics up to date.
+  pub(crate) fn update_gauges(&self) {
+    let metrics = &self.meters.metrics;
+    let gate = self.admission.status();
+    metrics.limit.store(u64::from(gate.limit), Relaxed);
+    metrics.in_flight.store(u64::from(gate.in_flight), Relaxed);
+    metrics.queued.store(u64::from(gate.queued), Relaxed);
+    metrics
+      .control_sent
+      .store(self.links.stats().control_out(), Relaxed);
+    metrics
+      .control_received
+      .store(self.links.stats().control_in(), Relaxed);
+    let view = self.members.view();
+    let count = |status| {
+      view
+        .members()
+        .iter()
+        .filter(|member| member.status == status)
+        .count() as u64
+    };
+    metrics.set_members(
+      count(Status::Alive),
+      count(Status::Suspect),
+      count(Status::Dead),
+    );
+  }
+}
+
 /// Collects the status.
 pub(crate) async fn of(core: &Arc<Core>) -> StatusView {
   let revisions = revisions(core).await;
--- a/crates/cactusyoke/src/upstream_follower.rs
+++ b/crates/cactusyoke/src/upstream_follower.rs
@@ -104,7 +104,9 @@
       self.admission.set_queue_wait(preset.queue_wait);
       self.keyed.set_memory(preset.key_memory);
       self.edges.reset_ratios();
+      self.meters.adopt(preset);
     }
+    self.meters.metrics.adopted(revision);
     self.spread.adopted(revision);
   }
 }
--- a/crates/model/tests/text_forms.rs
+++ b/crates/model/tests/text_forms.rs
@@ -2,8 +2,8 @@
 
 use {
   cactusyoke_model::{
-    ByteSize, ClassRank, Context, DataCentre, IdempotencyKey, Level, Priority, RequestId, Retries,
-    ServiceName, SpanId,
+    ByteSize, ClassRank, Context, ContextError, DataCentre, IdempotencyKey, Level, Priority,
+    RequestId, Retries, ServiceName, SpanId,
   },
   std::time::Duration,
   yare::parameterized,
@@ -28,7 +28,7 @@
   number = { "1;abc;7;0300;1500;many" },
 )]
 fn a_damaged_context_is_refused(text: &str) {
-  assert!(text.parse::<Context>().is_err());
+  assert_eq!(text.parse::<Context>(), Err(ContextError));
 }
 
 #[parameterized(
