--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -269,10 +269,8 @@
           && self.left.0 > 0
           && self.core.edges.try_retry(&self.head.route, now)
           && self.left.take_one();
-        if allowed {
-          if let Some(calls) = self.core.meters.route(&self.head.route) {
-            calls.retried();
-          }
+        if allowed && let Some(calls) = self.core.meters.route(&self.head.route) {
+          calls.retried();
         }
         if allowed && !self.untried_left() {
           self.tried.clear();
--- /dev/null
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -0,0 +1,256 @@
+use {
+  super::{NodeProcess, eventually},
+  cactusyoke_model::{ChangeId, Connections, Preset, Revision, Slots, SystemClock},
+  cactusyoke_operators::Client as Operator,
+  cactusyoke_platform::{
+    ChangeRequest, Configuration, HttpStore, Intent, RetryLimits, StoreLimits,
+  },
+  cactusyoke_standins::{
+    Addresses,
+    platform::Platform,
+    upstream::{Child, Client, ClientError, Config, Received, Runs, ServiceTime, Upstream},
+  },
+  http::{Method, Request},
+  std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Secret of all nodes.
+pub const TOKEN: &str = "test-token-0123456789";
+
+/// One service of a cluster.
+#[derive(Clone, Debug)]
+struct Service {
+  name: &'static str,
+  instances: u8,
+  children: Vec<Child>,
+}
+
+/// What a test sets up.
+#[derive(Clone, Debug)]
+pub struct ClusterBuilder {
+  preset: String,
+  services: Vec<Service>,
+  centres: Vec<&'static str>,
+  slots: u32,
+  time: Duration,
+  shutdown: &'static str,
+}
+
+/// Node processes with their upstreams.
+#[derive(Debug)]
+pub struct Cluster {
+  pub addresses: Addresses,
+  pub platform: Platform,
+  pub nodes: Vec<NodeProcess>,
+  pub upstreams: Vec<Upstream>,
+  pub runs: Arc<Runs>,
+  pub client: Client,
+  /// Data centre of each node.
+  centres: Vec<&'static str>,
+}
+
+impl ClusterBuilder {
+  /// Cluster in one data centre with a preset.
+  pub fn new(preset: &str) -> Self {
+    Self {
+      preset: preset.to_owned(),
+      services: Vec::new(),
+      centres: vec!["one"],
+      slots: 20,
+      time: Duration::from_millis(2),
+      shutdown: "20s",
+    }
+  }
+
+  /// Adds a service; `calls` are the paths that its upstream requests for each of its own.
+  pub fn service(mut self, name: &'static str, instances: u8, calls: &[(&str, &str)]) -> Self {
+    let children = calls
+      .iter()
+      .map(|(parent, path)| Child {
+        parent: (*parent).to_owned(),
+        method: Method::GET,
+        path: (*path).to_owned(),
+      })
+      .collect();
+    self.services.push(Service {
+      name,
+      instances,
+      children,
+    });
+    self
+  }
+
+  /// Spreads the instances of each service over these data centres in turn.
+  pub fn centres(mut self, centres: &[&'static str]) -> Self {
+    self.centres = centres.to_vec();
+    self
+  }
+
+  /// Slots of each upstream and the time of a request.
+  pub fn capacity(mut self, slots: u32, time: Duration) -> Self {
+    self.slots = slots;
+    self.time = time;
+    self
+  }
+
+  /// Bound on a graceful shutdown.
+  pub fn shutdown_limit(mut self, limit: &'static str) -> Self {
+    self.shutdown = limit;
+    self
+  }
+
+  /// Starts everything and waits until each node serves.
+  pub async fn start(self) -> Cluster {
+    let platform = Platform::start().await.expect("a loopback port is free");
+    put_in_force(platform.address(), &self.preset).await;
+    let addresses = Addresses::default();
+    let runs = Arc::<Runs>::default();
+    let mut cluster = Cluster {
+      addresses,
+      platform,
+      nodes: Vec::new(),
+      upstreams: Vec::new(),
+      runs,
+      client: Client::default(),
+      centres: Vec::new(),
+    };
+    for service in &self.services {
+      for instance in 0..service.instances {
+        let centre = usize::from(instance) % self.centres.len();
+        self.add(&mut cluster, service, centre).await;
+      }
+    }
+    cluster.wait_serving().await;
+    cluster
+  }
+
+  async fn add(&self, cluster: &mut Cluster, service: &Service, centre: usize) {
+    let number = cluster.nodes.len() as u8 + 1;
+    let yaml = self.settings(cluster, number, centre);
+    let name = format!("{}", cluster.addresses.node(number));
+    cluster.nodes.push(NodeProcess::start(&name, &yaml));
+    cluster.centres.push(self.centres[centre]);
+    let config = Config {
+      slots: Slots(self.slots),
+      connections: Connections(self.slots * 4),
+      time: ServiceTime::Fixed(self.time),
+      node: Some(cluster.addresses.listener(number, 7104)),
+      egress: Some(cluster.addresses.listener(number, 7103)),
+      renewal: Duration::from_millis(500),
+      children: service.children.clone(),
+      runs: Arc::clone(&cluster.runs),
+      ..Config::new(service.name.parse().expect("the name is correct"))
+    };
+    cluster.upstreams.push(
+      Upstream::start(config)
+        .await
+        .expect("a loopback port is free"),
+    );
+  }
+
+  fn settings(&self, cluster: &Cluster, number: u8, centre: usize) -> String {
+    let listener = |port| cluster.addresses.listener(number, port);
+    let mut centres = String::new();
+    for (index, name) in self.centres.iter().enumerate() {
+      // The first instances of the first service are spread over the data centres in turn.
+      let contact = cluster.addresses.listener(index as u8 + 1, 7101);
+      centres += &format!("  {name}: {{distance: 1ms, contacts: ['{contact}']}}\n");
+    }
+    format!(
+      "node: {}\ndata_centre: {}\ndata_centres:\n{centres}callers: {}\negress: {}\nannounce: {}\n\
+       operators: {}\ntoken: {TOKEN}\nplatform: {}\nshutdown_limit: {}\n",
+      listener(7101),
+      self.centres[centre],
+      listener(7102),
+      listener(7103),
+      listener(7104),
+      listener(7105),
+      cluster.platform.address(),
+      self.shutdown,
+    )
+  }
+}
+
+impl Cluster {
+  /// Listener for callers of a node, by its index.
+  pub fn callers(&self, node: usize) -> SocketAddr {
+    self.addresses.listener(node as u8 + 1, 7102)
+  }
+
+  /// Client of a node for operators, by its index.
+  pub fn operator(&self, node: usize) -> Operator {
+    let token = Some(TOKEN.parse().expect("the token is long enough"));
+    Operator::new(self.addresses.listener(node as u8 + 1, 7105), token)
+  }
+
+  /// Sends a request without a body through a node.
+  pub async fn get(&self, node: usize, path: &str) -> Result<Received, ClientError> {
+    let request = Request::get(path).body(cactusyoke_model::empty_body());
+    self
+      .send(node, request.expect("the request is correct"))
+      .await
+  }
+
+  /// Sends a request through a node.
+  pub async fn send(
+    &self,
+    node: usize,
+    request: Request<cactusyoke_model::Body>,
+  ) -> Result<Received, ClientError> {
+    self.client.exchange(self.callers(node), request).await
+  }
+
+  /// Waits until each node has the preset and knows all upstreams of its data centre as serving.
+  pub async fn wait_serving(&self) {
+    for index in 0..self.nodes.len() {
+      let operator = self.operator(index);
+      let what = format!("node {index} serves; its log:\n{}", self.nodes[index].log());
+      eventually(&what, || async {
+        let Ok(status) = operator.status().await else {
+          return false;
+        };
+        let known = status
+          .members
+          .iter()
+          .filter(|member| member.status == "alive");
+        let (mut alive, mut serving) = (0, 0);
+        for member in known {
+          alive += 1;
+          serving += usize::from(member.state == "serving");
+        }
+        let centre = &status.node.data_centre;
+        let expected = self.expected_members(centre.as_str());
+        status.node.in_force.is_some() && alive == expected && serving == expected
+      })
+      .await;
+    }
+  }
+
+  fn expected_members(&self, centre: &str) -> usize {
+    self.centres.iter().filter(|name| **name == centre).count()
+  }
+}
+
+async fn put_in_force(platform: SocketAddr, yaml: &str) {
+  let preset = yaml.parse::<Preset>().expect("the preset is correct");
+  let store = Arc::new(HttpStore::new(platform, StoreLimits::default()));
+  let configuration = Configuration::new(store, Arc::new(SystemClock), RetryLimits::default());
+  let edits = [
+    Intent::Put(Box::new(preset.raw().clone())),
+    Intent::Use(preset.name),
+  ];
+  for (index, intent) in edits.into_iter().enumerate() {
+    let based_on = Revision(index as u64);
+    let request = ChangeRequest {
+      id: ChangeId(index as u128 + 1),
+      operator: "test".to_owned(),
+      reason: String::new(),
+      based_on,
+      intent,
+    };
+    configuration
+      .change(&request, based_on)
+      .await
+      .expect("the platform serves");
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/tests/common/mod.rs
@@ -0,0 +1,28 @@
+//! Builder for tests with real node processes and stand-ins on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part of the builder")]
+
+mod cluster;
+mod node_process;
+
+pub use {
+  cluster::{Cluster, ClusterBuilder},
+  node_process::NodeProcess,
+};
+
+use std::time::Duration;
+
+/// Longest wait for a state that a test expects; far above what is needed on a busy machine.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
+/// Waits until `ready` says so; panics with `what` after a time limit.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut ready: impl FnMut() -> F) {
+  let end = tokio::time::Instant::now() + WAIT_LIMIT;
+  while !ready().await {
+    assert!(
+      tokio::time::Instant::now() < end,
+      "not reached within {WAIT_LIMIT:?}: {what}"
+    );
+    tokio::time::sleep(Duration::from_millis(50)).await;
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/tests/common/node_process.rs
@@ -0,0 +1,99 @@
+use {
+  rustix::process::{Pid, Signal, kill_process},
+  std::{
+    fs::{self, File},
+    io::Write,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
+  },
+};
+
+/// Process of a node.
+#[derive(Debug)]
+pub struct NodeProcess {
+  settings: PathBuf,
+  log: PathBuf,
+  child: Child,
+}
+
+impl NodeProcess {
+  /// Starts a node with these settings.
+  pub fn start(name: &str, yaml: &str) -> Self {
+    let directory = std::env::temp_dir().join(format!("cactusyoke-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("the temporary directory can be written");
+    let settings = directory.join(format!("{name}.yaml"));
+    let log = directory.join(format!("{name}.log"));
+    let mut file = File::create(&settings).expect("the settings can be written");
+    file
+      .write_all(yaml.as_bytes())
+      .expect("the settings can be written");
+    let child = spawn(&settings, &log);
+    Self {
+      settings,
+      log,
+      child,
+    }
+  }
+
+  /// Starts the node again after it has ended.
+  pub fn restart(&mut self) {
+    self.kill();
+    self.child = spawn(&self.settings, &self.log);
+  }
+
+  /// Ends the process at once.
+  pub fn kill(&mut self) {
+    // The process may have ended already.
+    let _ = self.child.kill();
+    let _ = self.child.wait();
+  }
+
+  /// Sends a signal.
+  pub fn signal(&self, signal: Signal) {
+    let pid = Pid::from_child(&self.child);
+    kill_process(pid, signal).expect("the process is running");
+  }
+
+  /// Waits for the end of the process; `None` when it is still running after `limit`.
+  pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+      if let Ok(Some(status)) = self.child.try_wait() {
+        return Some(status);
+      }
+      std::thread::sleep(Duration::from_millis(20));
+    }
+    None
+  }
+
+  /// What the process has logged.
+  pub fn log(&self) -> String {
+    fs::read_to_string(&self.log).unwrap_or_default()
+  }
+}
+
+impl Drop for NodeProcess {
+  fn drop(&mut self) {
+    // A stopped process does not end before it goes on.
+    let _ = kill_process(Pid::from_child(&self.child), Signal::CONT);
+    self.kill();
+  }
+}
+
+fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+  let log = File::options()
+    .create(true)
+    .append(true)
+    .open(log)
+    .expect("the log can be written");
+  Command::new(env!("CARGO_BIN_EXE_cactusyoke"))
+    .arg("node")
+    .arg("--settings")
+    .arg(settings)
+    .stdin(Stdio::null())
+    .stdout(Stdio::null())
+    .stderr(log)
+    .spawn()
+    .expect("the binary can be started")
+}
