Test the callers' listener by feature

The tests found that a limit of fewer than 100 headers was not applied: the parser's bound is only raised, never lowered, to spare an allocation for each request. The number is now compared after parsing and refused with 431.

--- /dev/null
+++ b/crates/callers/tests/bodies.rs
@@ -0,0 +1,143 @@
+//! Bodies reach the other side whole, or visibly cut.
+
+mod support;
+
+use {
+  cactusyoke_callers::Limits,
+  cactusyoke_model::{BodyError, CallFailure, NotRunReason, empty_body},
+  cactusyoke_standins::upstream::ClientError,
+  futures_util::stream,
+  http::{HeaderMap, HeaderValue, Request, header},
+  http_body_util::BodyExt,
+  std::future::pending,
+  support::{HANG, Listener, answer, read_until, stream_body, text},
+  tokio::{io::AsyncWriteExt, sync::mpsc, time::timeout},
+  yare::parameterized,
+};
+
+/// Guards against an answer of another length than announced, or a cut one, that looks whole.
+#[parameterized(
+  short = { Some("5"), &[Ok("1234")] },
+  long_in_one_piece = { Some("5"), &[Ok("123456")] },
+  long_in_two_pieces = { Some("5"), &[Ok("12345"), Ok("6")] },
+  error_after_the_length = { Some("5"), &[Ok("12345"), Err(BodyError::Cut)] },
+  error_before_the_length = { Some("5"), &[Ok("1234"), Err(BodyError::Deadline)] },
+  error_without_length = { None, &[Ok("12345"), Err(BodyError::Cut)] },
+  error_only = { None, &[Err(BodyError::Cancelled)] },
+)]
+#[test_macro(tokio::test)]
+async fn wrong_answers_break_the_connection(
+  length: Option<&'static str>,
+  frames: &'static [Result<&'static str, BodyError>],
+) {
+  let listener = Listener::start(Limits::default(), move |_request| async move {
+    let mut headers = HeaderMap::new();
+    if let Some(length) = length {
+      headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static(length));
+    }
+    let body = stream_body(stream::iter(frames.iter().copied()));
+    Ok(answer(headers, body))
+  })
+  .await;
+  let request = Request::get("/").body(empty_body()).expect("valid");
+  let error = listener
+    .client
+    .exchange(listener.address, request)
+    .await
+    .expect_err("no whole answer");
+  assert_ne!(error, ClientError::Connect);
+}
+
+/// Guards against a cut request that looks whole to the upstream.
+#[parameterized(
+  length = { "content-length: 10\r\n\r\n12345" },
+  chunked = { "transfer-encoding: chunked\r\n\r\n5\r\n12345\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn cut_requests_end_with_an_error(rest: &str) {
+  let (ended, mut errors) = mpsc::unbounded_channel();
+  let listener = Listener::start(Limits::default(), move |request| {
+    let ended = ended.clone();
+    async move {
+      let mut body = request.body;
+      while let Some(frame) = body.frame().await {
+        if let Err(error) = frame {
+          ended.send(error).expect("the test waits for the error");
+        }
+      }
+      Err(CallFailure::not_run(NotRunReason::Cancelled))
+    }
+  })
+  .await;
+  let mut stream = listener.connect().await;
+  stream
+    .write_all(format!("POST / HTTP/1.1\r\nhost: x\r\n{rest}").as_bytes())
+    .await
+    .expect("the listener reads");
+  stream.shutdown().await.expect("the connection is open");
+  let error = timeout(HANG, errors.recv()).await.expect("an error");
+  assert_eq!(error, Some(BodyError::Cut));
+}
+
+/// Guards against answers to `HEAD` that are taken for short bodies.
+#[tokio::test]
+async fn head_keeps_the_length() {
+  let listener = Listener::start(Limits::default(), |_request| async {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("5000"));
+    Ok(answer(headers, empty_body()))
+  })
+  .await;
+  let response = listener
+    .raw("HEAD / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+    .await;
+  assert!(response.contains("content-length: 5000\r\n"), "{response}");
+  assert!(response.ends_with("\r\n\r\n"), "{response}");
+}
+
+/// Guards against callers that wait for `100 Continue` before they send a body.
+#[tokio::test]
+async fn continue_is_sent_when_the_body_is_read() {
+  let listener = Listener::start(Limits::default(), |request| async move {
+    let body = request.body.collect().await.expect("a whole body");
+    assert_eq!(body.to_bytes(), "12345");
+    assert!(!request.headers.contains_key(header::EXPECT));
+    Ok(text("done"))
+  })
+  .await;
+  let mut stream = listener.connect().await;
+  stream
+    .write_all(b"PUT / HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 5\r\n\r\n")
+    .await
+    .expect("the listener reads");
+  read_until(&mut stream, "HTTP/1.1 100 Continue\r\n\r\n").await;
+  stream
+    .write_all(b"12345")
+    .await
+    .expect("the listener reads");
+  read_until(&mut stream, "done").await;
+}
+
+/// Guards against calls that go on after their caller has gone.
+#[tokio::test]
+async fn lost_caller_drops_the_call() {
+  let (started, mut calls) = mpsc::unbounded_channel();
+  let listener = Listener::start(Limits::default(), move |_request| {
+    let (alive, dropped) = mpsc::channel::<()>(1);
+    started.send(dropped).expect("the test waits for the call");
+    async move {
+      let _alive = alive;
+      pending().await
+    }
+  })
+  .await;
+  let mut stream = listener.connect().await;
+  stream
+    .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+    .await
+    .expect("the listener reads");
+  let mut dropped = calls.recv().await.expect("a call");
+  drop(stream);
+  let end = timeout(HANG, dropped.recv()).await.expect("a dropped call");
+  assert_eq!(end, None);
+}
--- a/crates/http/src/caller_request.rs
+++ b/crates/http/src/caller_request.rs
@@ -60,6 +60,9 @@
     if path.len() + fields.sum::<usize>() > limits.header_bytes {
       return Err(Refusal::HeaderBytes(limits.header_bytes));
     }
+    if headers.len() > limits.headers {
+      return Err(Refusal::Headers(limits.headers));
+    }
     if http_body::Body::size_hint(&body).lower() > limits.body.0 {
       return Err(Refusal::BodyBytes(limits.body));
     }
--- a/crates/http/src/refusal.rs
+++ b/crates/http/src/refusal.rs
@@ -14,6 +14,8 @@
   Connect,
   /// The head is longer than this many bytes.
   HeaderBytes(usize),
+  /// The head has more headers than this.
+  Headers(usize),
   /// The body is longer than this.
   BodyBytes(ByteSize),
   /// The idempotency key is not usable.
@@ -37,6 +39,10 @@
         f,
         "the request line and headers are longer than {limit} bytes: send fewer or shorter headers"
       ),
+      Self::Headers(limit) => write!(
+        f,
+        "the request has more than {limit} headers: send fewer headers"
+      ),
       Self::BodyBytes(limit) => write!(
         f,
         "the body is longer than {limit}: send a shorter one or split it"
@@ -60,7 +66,7 @@
     match self {
       Self::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
       Self::Connect => StatusCode::METHOD_NOT_ALLOWED,
-      Self::HeaderBytes(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+      Self::HeaderBytes(_) | Self::Headers(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
       Self::BodyBytes(_) => StatusCode::PAYLOAD_TOO_LARGE,
       Self::Key(_) | Self::RepeatedKey | Self::Context => StatusCode::BAD_REQUEST,
       Self::Connections(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -70,7 +76,9 @@
   /// Reason as it stands in the `cactusyoke-reason` header.
   pub const fn reason(&self) -> NotRunReason {
     match self {
-      Self::HeaderBytes(_) | Self::BodyBytes(_) | Self::Connections(_) => NotRunReason::Limit,
+      Self::HeaderBytes(_) | Self::Headers(_) | Self::BodyBytes(_) | Self::Connections(_) => {
+        NotRunReason::Limit
+      }
       Self::Version | Self::Connect | Self::Key(_) | Self::RepeatedKey | Self::Context => {
         NotRunReason::BadRequest
       }
@@ -85,6 +93,7 @@
       Self::Version
       | Self::Connect
       | Self::HeaderBytes(_)
+      | Self::Headers(_)
       | Self::BodyBytes(_)
       | Self::Key(_)
       | Self::RepeatedKey
