--- a/crates/upstreams/src/upstream.rs
+++ b/crates/upstreams/src/upstream.rs
@@ -48,7 +48,9 @@
       .map_err(CallFailure::not_run)?;
     let context = Context {
       // The wait for a connection is part of the call's time.
-      remaining: context.remaining.min(deadline - Instant::now()),
+      remaining: context
+        .remaining
+        .min(deadline.saturating_duration_since(Instant::now())),
       ..context
     };
     let header = HeaderValue::from_maybe_shared(Bytes::from(context.to_string()))
--- /dev/null
+++ b/crates/upstreams/tests/outcomes.rs
@@ -0,0 +1,248 @@
+//! How the ways in which an upstream fails become outcomes.
+
+mod support;
+
+use {
+  cactusyoke_model::{
+    BodyError, Call, CallFailure, Context, NotRunReason, UnknownReason, empty_body,
+  },
+  cactusyoke_upstreams::{CrashPart, Phase, Upstream, UpstreamView, Views},
+  futures_util::stream,
+  http::Method,
+  http_body::Frame,
+  http_body_util::{BodyExt, StreamBody},
+  std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+  },
+  support::{HANG, call, client, get, raw_upstream, read_head, serving},
+  tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    sync::mpsc,
+    time::timeout,
+  },
+  yare::parameterized,
+};
+
+/// Upstream that reads one request head for each connection, sends `answer`, and closes.
+async fn answering(answer: &'static str) -> SocketAddr {
+  raw_upstream(move |_number, mut stream| async move {
+    read_head(&mut stream).await;
+    stream
+      .write_all(answer.as_bytes())
+      .await
+      .expect("the client reads");
+  })
+  .await
+}
+
+fn failure(answer: Result<cactusyoke_model::Answer, CallFailure>) -> CallFailure {
+  answer.expect_err("no answer")
+}
+
+/// Guards against an outcome that permits a second run of a request that may have run, and against
+/// poison requests that are not counted.
+#[parameterized(
+  nothing = { "", UnknownReason::Connection, 1 },
+  half_a_head = { "HTTP/1.1 200 OK\r\ncontent-le", UnknownReason::Connection, 1 },
+  no_http = { "SSH-2.0-x\r\n\r\n", UnknownReason::BadAnswer, 0 },
+  no_end = { "HTTP/1.1 200 OK\r\n\r\nhello", UnknownReason::BadAnswer, 0 },
+  http_1_0 = { "HTTP/1.0 200 OK\r\n\r\nhello", UnknownReason::BadAnswer, 0 },
+  switched = {
+    "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+    UnknownReason::BadAnswer, 0,
+  },
+  two_lengths = {
+    "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+    UnknownReason::BadAnswer, 0,
+  },
+)]
+#[test_macro(tokio::test)]
+async fn failures_after_the_request_are_unknown(
+  answer: &'static str,
+  reason: UnknownReason,
+  crashes: usize,
+) {
+  let (config, reports) = client(serving(answering(answer).await, 10));
+  let (call, context) = get("/");
+  let failed = failure(Upstream::new(config).call(call, context).await);
+  assert_eq!(failed, CallFailure::unknown(reason));
+  let reports = reports.lock().expect("not poisoned");
+  assert_eq!(reports.len(), crashes);
+  for report in reports.iter() {
+    assert_eq!(report.part, CrashPart::Head);
+    assert_eq!(report.span, context.span);
+    assert_eq!(report.root, context.root);
+    assert!(!report.reused);
+  }
+}
+
+/// Guards against a cut answer that looks whole, and against a crash in the body that is not
+/// counted.
+#[parameterized(
+  length = { "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n12345" },
+  chunked = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n12345\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn crash_in_the_body_is_an_error(answer: &'static str) {
+  let (config, reports) = client(serving(answering(answer).await, 10));
+  let (call, context) = get("/");
+  let answer = Upstream::new(config)
+    .call(call, context)
+    .await
+    .expect("a head");
+  let error = answer.body.collect().await.expect_err("a cut body");
+  assert_eq!(error, BodyError::Cut);
+  let reports = reports.lock().expect("not poisoned");
+  assert_eq!(reports.len(), 1);
+  assert_eq!(reports[0].part, CrashPart::Body);
+}
+
+/// Guards against unknown outcomes where nothing can have run.
+#[tokio::test]
+async fn refused_connection_is_not_run() {
+  let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+  let address = listener.local_addr().expect("a bound address");
+  drop(listener);
+  let (config, reports) = client(serving(address, 10));
+  let (call, context) = get("/");
+  let failed = failure(Upstream::new(config).call(call, context).await);
+  assert_eq!(failed, CallFailure::not_run(NotRunReason::Connection));
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
+
+/// Guards against work for an upstream that takes none.
+#[parameterized(
+  announced = { Phase::Announced, NotRunReason::NoUpstream },
+  draining = { Phase::Draining, NotRunReason::Draining },
+  gone = { Phase::Gone, NotRunReason::NoUpstream },
+)]
+#[test_macro(tokio::test)]
+async fn phases_without_work_are_not_run(phase: Phase, reason: NotRunReason) {
+  let (config, _reports) = client(Views::new(UpstreamView {
+    phase,
+    ..UpstreamView::absent(Instant::now())
+  }));
+  let (call, context) = get("/");
+  let failed = failure(Upstream::new(config).call(call, context).await);
+  assert_eq!(failed, CallFailure::not_run(reason));
+}
+
+/// Guards against calls that are started although their time is over, and against paths that
+/// change the request.
+#[parameterized(
+  late = { "/", Duration::ZERO, NotRunReason::Deadline },
+  no_path = { "x:1", HANG, NotRunReason::BadRequest },
+  two_lines = { "/ HTTP/1.1\r\nx: y", HANG, NotRunReason::BadRequest },
+)]
+#[test_macro(tokio::test)]
+async fn unusable_calls_are_not_run(path: &str, limit: Duration, reason: NotRunReason) {
+  let address = raw_upstream(|_number, _stream| async { panic!("a connection") }).await;
+  let (config, _reports) = client(serving(address, 10));
+  let (call, context) = call(Method::GET, path, empty_body(), limit);
+  let failed = failure(Upstream::new(config).call(call, context).await);
+  assert_eq!(failed, CallFailure::not_run(reason));
+}
+
+/// Guards against calls that outlive their deadline, and against an upstream that is not told.
+#[tokio::test]
+async fn deadline_closes_the_connection() {
+  let (report, mut events) = mpsc::unbounded_channel();
+  let address = raw_upstream(move |_number, mut stream| {
+    let report = report.clone();
+    async move {
+      read_head(&mut stream).await;
+      let end = stream.read(&mut [0; 16]).await;
+      report.send(end.unwrap_or(0)).expect("the test waits");
+    }
+  })
+  .await;
+  let (config, reports) = client(serving(address, 10));
+  let limit = Duration::from_millis(100);
+  let (call, context) = call(Method::GET, "/", empty_body(), limit);
+  let failed = failure(Upstream::new(config).call(call, context).await);
+  assert_eq!(failed, CallFailure::unknown(UnknownReason::Deadline));
+  let end = timeout(HANG, events.recv())
+    .await
+    .expect("a closed connection");
+  assert_eq!(end, Some(0));
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
+
+/// Guards against bodies that outlive the deadline of their call.
+#[tokio::test]
+async fn deadline_cuts_the_body() {
+  let address = raw_upstream(|_number, mut stream| async move {
+    read_head(&mut stream).await;
+    let head = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n12345";
+    stream.write_all(head).await.expect("the client reads");
+    read_head(&mut stream).await;
+  })
+  .await;
+  let (config, reports) = client(serving(address, 10));
+  let limit = Duration::from_millis(300);
+  let (call, context) = call(Method::GET, "/", empty_body(), limit);
+  let answer = Upstream::new(config)
+    .call(call, context)
+    .await
+    .expect("a head");
+  let error = answer.body.collect().await.expect_err("a cut body");
+  assert_eq!(error, BodyError::Deadline);
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
+
+/// Guards against upstreams that work for cancelled calls.
+#[parameterized(head = { "" }, body = { "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n12345" })]
+#[test_macro(tokio::test)]
+async fn cancellation_closes_the_connection(answer: &'static str) {
+  let (report, mut events) = mpsc::unbounded_channel();
+  let address = raw_upstream(move |_number, mut stream| {
+    let report = report.clone();
+    async move {
+      read_head(&mut stream).await;
+      stream
+        .write_all(answer.as_bytes())
+        .await
+        .expect("the client reads");
+      report.send(1).expect("the test waits");
+      let end = stream.read(&mut [0; 16]).await;
+      report.send(end.unwrap_or(0)).expect("the test waits");
+    }
+  })
+  .await;
+  let (config, reports) = client(serving(address, 10));
+  let upstream = Upstream::new(config);
+  let (call, context) = get("/");
+  let running = tokio::spawn(async move {
+    let answer = upstream.call(call, context).await;
+    answer.expect("a head").body.collect().await
+  });
+  assert_eq!(events.recv().await, Some(1));
+  running.abort();
+  let end = timeout(HANG, events.recv())
+    .await
+    .expect("a closed connection");
+  assert_eq!(end, Some(0));
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
+
+/// Guards against crashes being counted for requests whose own sender broke them off.
+#[tokio::test]
+async fn cut_request_is_cancelled_not_crashed() {
+  let address = raw_upstream(|_number, mut stream| async move {
+    read_head(&mut stream).await;
+    read_head(&mut stream).await;
+  })
+  .await;
+  let (config, reports) = client(serving(address, 10));
+  let cut = stream::once(async {
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    Err::<Frame<bytes::Bytes>, BodyError>(BodyError::Cut)
+  });
+  let (call, context): (Call, Context) =
+    call(Method::POST, "/", StreamBody::new(cut).boxed_unsync(), HANG);
+  let failed = failure(Upstream::new(config).call(call, context).await);
+  assert_eq!(failed, CallFailure::unknown(UnknownReason::Cancelled));
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
--- /dev/null
+++ b/crates/upstreams/tests/pool.rs
@@ -0,0 +1,220 @@
+//! Connections to the upstream: reuse, bound, replacement and silence.
+
+mod support;
+
+use {
+  cactusyoke_model::{Answer, CallFailure, NotRunReason, UnknownReason, empty_body},
+  cactusyoke_upstreams::{Silence, Upstream, UpstreamConfig},
+  futures_util::future::join_all,
+  http::Method,
+  http_body_util::BodyExt,
+  std::{
+    sync::{
+      Arc,
+      atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+  },
+  support::{HANG, call, client, get, raw_upstream, read_head, serving},
+  tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    sync::{Notify, mpsc},
+    time::{sleep, timeout},
+  },
+};
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Answers requests until the connection is closed.
+async fn answer_all(stream: &mut TcpStream, pause: Duration) {
+  while !read_head(stream).await.is_empty() {
+    sleep(pause).await;
+    if stream.write_all(OK).await.is_err() {
+      return;
+    }
+  }
+}
+
+async fn run(upstream: &Upstream, path: &str) -> Result<(), CallFailure> {
+  let (call, context) = get(path);
+  let Answer { body, .. } = upstream.call(call, context).await?;
+  let body = body.collect().await.expect("a whole body");
+  assert_eq!(body.to_bytes(), "ok");
+  Ok(())
+}
+
+/// Guards against more connections than the upstream announced. One is left for its hints.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_stay_within_the_announced_bound() {
+  let open = Arc::new(AtomicUsize::new(0));
+  let most = Arc::new(AtomicUsize::new(0));
+  let (opened, highest) = (Arc::clone(&open), Arc::clone(&most));
+  let address = raw_upstream(move |_number, mut stream| {
+    let (opened, highest) = (Arc::clone(&opened), Arc::clone(&highest));
+    async move {
+      highest.fetch_max(opened.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+      answer_all(&mut stream, Duration::from_millis(1)).await;
+      opened.fetch_sub(1, Ordering::SeqCst);
+    }
+  })
+  .await;
+  let (config, _reports) = client(serving(address, 4));
+  let upstream = Upstream::new(config);
+  let calls = (0..200).map(|number| {
+    let upstream = &upstream;
+    async move {
+      if number % 5 > 0 {
+        return run(upstream, "/").await.expect("an answer");
+      }
+      // A cancelled call closes its connection, which makes room for another.
+      let (call, context) = get("/");
+      drop(timeout(Duration::from_micros(500), upstream.call(call, context)).await);
+    }
+  });
+  timeout(HANG, join_all(calls)).await.expect("no call hangs");
+  assert!(most.load(Ordering::SeqCst) <= 3);
+}
+
+/// Guards against a connection for each call.
+#[tokio::test]
+async fn connections_are_reused() {
+  let opened = Arc::new(AtomicUsize::new(0));
+  let count = Arc::clone(&opened);
+  let address = raw_upstream(move |_number, mut stream| {
+    count.fetch_add(1, Ordering::SeqCst);
+    async move { answer_all(&mut stream, Duration::ZERO).await }
+  })
+  .await;
+  let (config, _reports) = client(serving(address, 4));
+  let upstream = Upstream::new(config);
+  for _ in 0..50 {
+    run(&upstream, "/").await.expect("an answer");
+  }
+  assert_eq!(opened.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against calls that wait for a connection beyond their deadline.
+#[tokio::test]
+async fn waiting_for_a_connection_ends_with_the_deadline() {
+  let address = raw_upstream(|_number, mut stream| async move {
+    read_head(&mut stream).await;
+    read_head(&mut stream).await;
+  })
+  .await;
+  let (config, _reports) = client(serving(address, 2));
+  let upstream = Upstream::new(config);
+  let (first, first_context) = get("/");
+  let limit = Duration::from_millis(100);
+  let (second, second_context) = call(Method::GET, "/", empty_body(), limit);
+  let failed = tokio::select! {
+    biased;
+    _ = upstream.call(first, first_context) => panic!("the first call hangs"),
+    failed = upstream.call(second, second_context) => failed,
+  };
+  let failed = failed.expect_err("no connection is free");
+  assert_eq!(failed, CallFailure::not_run(NotRunReason::Deadline));
+}
+
+/// Guards against failures of calls for which an idle connection was chosen that the upstream has
+/// closed meanwhile.
+#[tokio::test]
+async fn closed_idle_connection_is_replaced() {
+  let (closed, mut closings) = mpsc::unbounded_channel();
+  let address = raw_upstream(move |_number, mut stream| {
+    let closed = closed.clone();
+    async move {
+      read_head(&mut stream).await;
+      stream.write_all(OK).await.expect("the client reads");
+      drop(stream);
+      closed.send(()).expect("the test waits");
+    }
+  })
+  .await;
+  let (config, reports) = client(serving(address, 4));
+  let upstream = Upstream::new(config);
+  for _ in 0..20 {
+    run(&upstream, "/").await.expect("an answer");
+    closings.recv().await.expect("a closed connection");
+    // The runtime reads the close from the socket, where it already is.
+    sleep(Duration::from_millis(5)).await;
+  }
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
+
+/// Guards against connections that stay in use although they went silent for good.
+#[tokio::test]
+async fn silent_connection_is_taken_out_of_use() {
+  let received = Arc::new(Notify::new());
+  let notify = Arc::clone(&received);
+  let address = raw_upstream(move |number, mut stream| {
+    let notify = Arc::clone(&notify);
+    async move {
+      if number == 0 {
+        read_head(&mut stream).await;
+        notify.notify_one();
+        read_head(&mut stream).await;
+        return;
+      }
+      answer_all(&mut stream, Duration::ZERO).await;
+    }
+  })
+  .await;
+  let (config, reports) = client(serving(address, 4));
+  let upstream = Arc::new(Upstream::new(UpstreamConfig {
+    silence: Duration::from_millis(50),
+    ..config
+  }));
+  let silent = Arc::clone(&upstream);
+  let silent = tokio::spawn(async move { run(&silent, "/").await });
+  received.notified().await;
+  let others = async {
+    while !silent.is_finished() {
+      run(&upstream, "/").await.expect("an answer");
+      sleep(Duration::from_millis(1)).await;
+    }
+  };
+  timeout(HANG, others).await.expect("the silent call ends");
+  let failed = silent.await.expect("no panic").expect_err("no answer");
+  assert_eq!(failed, CallFailure::unknown(UnknownReason::Connection));
+  // Silence is not a crash.
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
+
+/// Guards against slow routes, pauses of the whole upstream, and single slow calls being taken for
+/// silent connections.
+#[test]
+fn silence_needs_others_of_the_route_that_are_much_faster() {
+  let second = Duration::from_secs(1);
+  let mut silence = Silence::new(3 * second);
+  let (fast, slow) = (
+    "fast".parse().expect("valid"),
+    "slow".parse().expect("valid"),
+  );
+  let now = Instant::now();
+  for _ in 0..3 {
+    silence.note(&fast, second / 100, now);
+    silence.note(&slow, 10 * second, now);
+  }
+  assert!(silence.is_silent(&fast, 4 * second, 0, now));
+  assert!(
+    !silence.is_silent(&fast, 3 * second, 0, now),
+    "below the floor"
+  );
+  assert!(
+    !silence.is_silent(&fast, 60 * second, 1, now),
+    "two others only"
+  );
+  assert!(
+    !silence.is_silent(&slow, 60 * second, 0, now),
+    "slow by design"
+  );
+  assert!(silence.is_silent(&slow, 81 * second, 0, now));
+  let unknown = "unknown".parse().expect("valid");
+  assert!(
+    !silence.is_silent(&unknown, 60 * second, 0, now),
+    "no others"
+  );
+  // Half a minute later the longest wait counts half.
+  assert!(silence.is_silent(&slow, 41 * second, 0, now + 30 * second));
+}
--- a/crates/upstreams/tests/support/mod.rs
+++ b/crates/upstreams/tests/support/mod.rs
@@ -6,7 +6,7 @@
   cactusyoke_callers::{CallHandler, CallerRequest, Limits, serve},
   cactusyoke_model::{
     Answer, Body, Call, CallFailure, CallHead, ClassRank, Connections, Context, Priority,
-    RequestId, Retries, ServiceName, Slots, SpanId, SystemClock, empty_body,
+    RequestId, Retries, ServiceName, Slots, SpanId, empty_body,
   },
   cactusyoke_standins::upstream::{Client, ClientError, Received},
   cactusyoke_upstreams::{
@@ -21,10 +21,16 @@
     },
     time::{Duration, Instant},
   },
-  tokio::net::TcpListener,
+  tokio::{
+    io::AsyncReadExt,
+    net::{TcpListener, TcpStream},
+  },
   tokio_util::sync::CancellationToken,
 };
 
+/// Longer than any wait of a passing test.
+pub const HANG: Duration = Duration::from_secs(30);
+
 /// Service of every test.
 pub fn service() -> ServiceName {
   "plaques".parse().expect("a valid name")
@@ -161,7 +167,33 @@
   }
 }
 
-/// Clock of the machine.
-pub fn clock() -> Arc<SystemClock> {
-  Arc::new(SystemClock)
+/// Listener that runs a function on each connection, with the connection's number from 0.
+pub async fn raw_upstream<F, R>(serve: F) -> SocketAddr
+where
+  F: Fn(usize, TcpStream) -> R + Send + 'static,
+  R: Future<Output = ()> + Send + 'static,
+{
+  let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+    .await
+    .expect("a free port");
+  let address = listener.local_addr().expect("a bound address");
+  tokio::spawn(async move {
+    for number in 0.. {
+      let (stream, _peer) = listener.accept().await.expect("a connection");
+      tokio::spawn(serve(number, stream));
+    }
+  });
+  address
+}
+
+/// Reads the head of a request.
+pub async fn read_head(stream: &mut TcpStream) -> String {
+  let mut head = Vec::new();
+  while !head.ends_with(b"\r\n\r\n") {
+    match stream.read_u8().await {
+      Ok(byte) => head.push(byte),
+      Err(_error) => break,
+    }
+  }
+  String::from_utf8_lossy(&head).into_owned()
 }
