cactusyoke: add the operators' commands

A bad preset file, address, time or token is refused before anything is sent. After a change that was not confirmed the message holds the options that repeat it without applying it twice.

--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -1,1 +1,3 @@
 //! The node process and the command line of cactusyoke.
+
+pub mod subcommand;
--- /dev/null
+++ b/crates/cactusyoke/src/subcommand/author.rs
@@ -0,0 +1,29 @@
+use {
+  super::{CommandError, node_options::variable},
+  bpaf::Bpaf,
+  cactusyoke_operators::Reason,
+};
+
+/// Who asks, and why.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Author {
+  /// Your name in the audit trail; by default `USER`
+  #[bpaf(argument("NAME"), optional)]
+  pub operator: Option<String>,
+  /// Why, for the audit trail
+  #[bpaf(argument("TEXT"), fallback(String::new()))]
+  pub reason: String,
+}
+
+impl Author {
+  /// Name and reason as nodes take them.
+  pub fn reason(&self) -> Result<Reason, CommandError> {
+    match self.operator.clone().or_else(|| variable("USER")) {
+      Some(operator) => Ok(Reason {
+        operator,
+        reason: self.reason.clone(),
+      }),
+      None => Err(CommandError::NoOperator),
+    }
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/subcommand/preset_edit.rs
@@ -0,0 +1,63 @@
+use {
+  super::{Author, CommandError, NodeOptions, author, change_options::new_id, node_options},
+  bpaf::Bpaf,
+  cactusyoke_model::{ChangeId, Preset, RawPreset, Revision},
+  cactusyoke_operators::PutRequest,
+  std::{
+    fs,
+    path::{Path, PathBuf},
+  },
+};
+
+/// `preset edit`.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct PresetEdit {
+  #[bpaf(external)]
+  node_options: NodeOptions,
+  #[bpaf(external)]
+  author: Author,
+  /// Revision that the file is based on, as preset show printed it
+  #[bpaf(argument("REVISION"))]
+  revision: u64,
+  /// Id of a change that was not confirmed, to repeat it
+  #[bpaf(argument("ID"), optional)]
+  id: Option<ChangeId>,
+  /// YAML file with the whole preset
+  #[bpaf(positional("FILE"))]
+  file: PathBuf,
+}
+
+impl PresetEdit {
+  pub(super) async fn execute(self) -> Result<String, CommandError> {
+    let client = self.node_options.client()?;
+    let author = self.author.reason()?;
+    let preset = read(&self.file)?;
+    // A name that is not known yet is more often a slip than a new preset.
+    let name = client.preset(&preset.name).await?.preset.name;
+    let request = PutRequest {
+      id: self.id.unwrap_or_else(new_id),
+      preset,
+      operator: author.operator,
+      reason: author.reason,
+      based_on: Revision(self.revision),
+    };
+    let accepted = client.put_preset(&request).await?;
+    self.node_options.print(&accepted, |accepted| {
+      format!(
+        "preset `{name}` is replaced from revision {}\n",
+        accepted.revision
+      )
+    })
+  }
+}
+
+/// Reads a preset and checks it before anything is sent.
+pub(super) fn read(file: &Path) -> Result<RawPreset, CommandError> {
+  let text =
+    fs::read_to_string(file).map_err(|error| CommandError::File(file.into(), error.to_string()))?;
+  match text.parse::<Preset>() {
+    Ok(preset) => Ok(preset.raw().clone()),
+    Err(error) => Err(CommandError::Preset(file.into(), error)),
+  }
+}
--- a/crates/operators/src/node_error.rs
+++ b/crates/operators/src/node_error.rs
@@ -15,6 +15,8 @@
   pub id: ChangeId,
   /// Revision that it made.
   pub revision: Revision,
+  /// Present revision, on which a repeated change is to be based.
+  pub current: Revision,
   /// Its operator.
   pub operator: String,
   /// When it was made.
@@ -87,7 +89,7 @@
         other.revision,
         other.time,
         other.reason.escape_debug(),
-        other.revision
+        other.current
       ),
       Self::Invalid { message } | Self::Unavailable { message } | Self::Internal { message } => {
         f.write_str(message)
