--- a/crates/cactusyoke/src/command.rs
+++ b/crates/cactusyoke/src/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use {
-  crate::subcommand::{check, node},
+  crate::subcommand::{Operator, check, node, operator},
   bpaf::Bpaf,
   std::{path::PathBuf, process::ExitCode},
 };
@@ -27,6 +27,8 @@
     #[bpaf(argument("FILE"))]
     preset: Vec<PathBuf>,
   },
+  /// Commands that ask a running node
+  Operator(#[bpaf(external(operator))] Operator),
 }
 
 impl Command {
@@ -40,6 +42,7 @@
     match self {
       Self::Node { settings } => node::run(&settings),
       Self::Check { settings, preset } => check::run(settings.as_deref(), &preset),
+      Self::Operator(operator) => operator.run(),
     }
   }
 }
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -30,7 +30,7 @@
 mod spread;
 mod start_error;
 mod status;
-mod subcommand;
+pub mod subcommand;
 mod tracked;
 mod upstream_follower;
 
--- a/crates/cactusyoke/src/operator_node.rs
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -215,10 +215,11 @@
   }
 }
 
-fn conflict(other: &Record, revision: Revision) -> ConflictView {
+fn conflict(other: &Record, current: Revision) -> ConflictView {
   ConflictView {
     id: other.id,
-    revision,
+    revision: other.revision,
+    current,
     operator: other.operator.clone(),
     time: Timestamp(other.time),
     reason: other.reason.clone(),
