Run suspect requests on probation before they are quarantined

A crash hits everything in flight, so counting crashes by fingerprint quarantines popular requests that merely ran beside the cause. Suspects now run one at a time, and the second crash counts only for a request that ran on probation.

--- a/crates/cactusyoke/src/asks.rs
+++ b/crates/cactusyoke/src/asks.rs
@@ -80,6 +80,13 @@
       }
       Ask::Changes(since) => Reply::Changes(self.watcher.delta_since(since).await?),
       Ask::Revision => Reply::Revision(self.config.load().revision),
+      Ask::Suspect(fingerprint) => {
+        self
+          .crashes
+          .quarantine()
+          .suspect(fingerprint, self.clock.now());
+        Reply::Done
+      }
       Ask::Quarantine(notice) => {
         self.adopt_quarantine(notice);
         Reply::Done
@@ -88,27 +95,6 @@
     Some(control::encode(&reply))
   }
 
-  /// Tells the other nodes of the upstream's service about a quarantined request.
-  pub(crate) fn notify_quarantine(self: &Arc<Self>, notice: cactusyoke_decisions::load::Notice) {
-    let view = self.members.view();
-    let service = &view.own().service;
-    let others = view
-      .live()
-      .filter(|member| member.record.service == *service)
-      .map(|member| member.record.node)
-      .filter(|node| *node != self.settings.node);
-    for node in others {
-      let core = Arc::clone(self);
-      tokio::spawn(async move {
-        drop(
-          core
-            .ask(node, &Ask::Quarantine(notice), Duration::from_secs(1))
-            .await,
-        );
-      });
-    }
-  }
-
   /// True while the node takes no new work.
   pub(crate) fn is_draining(&self) -> bool {
     self.draining.load(Ordering::SeqCst)
--- a/crates/cactusyoke/src/control.rs
+++ b/crates/cactusyoke/src/control.rs
@@ -4,7 +4,7 @@
   bytes::Bytes,
   cactusyoke_decisions::{
     keys::{Member, Roster, RunId, WitnessReply, WitnessRequest},
-    load::Notice,
+    load::{Fingerprint, Notice},
   },
   cactusyoke_model::{IdempotencyKey, NodeId, Revision},
   cactusyoke_platform::ConfigUpdate,
@@ -42,6 +42,8 @@
   Changes(Revision),
   /// Revision that the node has adopted.
   Revision,
+  /// Request that was in flight when an upstream crashed.
+  Suspect(Fingerprint),
   /// Quarantine of a request.
   Quarantine(Notice),
 }
--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -2,10 +2,11 @@
 
 use {
   crate::{
-    Settings, admission::Admission, edges::Edges, keyed::Keyed, meters::Meters, spread::Spread,
+    Settings, admission::Admission, crashes::Crashes, edges::Edges, keyed::Keyed, meters::Meters,
+    spread::Spread,
   },
   arc_swap::ArcSwap,
-  cactusyoke_decisions::load::{Candidate, Ledgers, Notice, Quarantine},
+  cactusyoke_decisions::load::{Candidate, Ledgers},
   cactusyoke_model::{
     CallFailure, Clock, Config, DataCentre, Incarnation, NodeId, NotRunReason, ServiceName,
   },
@@ -49,7 +50,7 @@
   pub(crate) next_span: AtomicU64,
   pub(crate) in_flight: InFlight,
   pub(crate) ledgers: Mutex<Ledgers>,
-  pub(crate) quarantine: Mutex<Quarantine>,
+  pub(crate) crashes: Arc<Crashes>,
 }
 
 impl fmt::Debug for Core {
@@ -65,13 +66,6 @@
     self.ledgers.lock().unwrap_or_else(PoisonError::into_inner)
   }
 
-  pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-    self
-      .quarantine
-      .lock()
-      .unwrap_or_else(PoisonError::into_inner)
-  }
-
   /// True when the upstream beside the node takes calls.
   pub(crate) fn upstream_serving(&self) -> bool {
     matches!(
@@ -116,12 +110,6 @@
     }
     Ok(entered)
   }
-
-  /// Adopts a quarantine that another node reported.
-  pub(crate) fn adopt_quarantine(&self, notice: Notice) {
-    tracing::info!(event = "quarantine_adopted", fingerprint = %notice.fingerprint);
-    self.quarantine().adopt(notice, self.clock.now());
-  }
 }
 
 /// Requests and calls in flight through the node.
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -4,6 +4,8 @@
   crate::{
     Core,
     admission::Slot,
+    core::LONGEST_BODY,
+    crashes::Trial,
     replay::Replay,
     tracked::{BodyEnd, Tracked},
   },
@@ -17,45 +19,59 @@
   tokio::time::timeout_at,
 };
 
+/// What an admitted call holds until its answer has ended.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+  slot: Slot,
+  trial: Trial,
+}
+
 impl Core {
   /// Runs a call on the upstream beside this node: quarantine, admission, key, upstream.
   pub(crate) async fn run_here(self: &Arc<Self>, call: Call) -> Result<Answer, CallFailure> {
-    if self.draining.load(Ordering::Acquire) || !self.upstream_serving() {
-      return Err(CallFailure::not_run(NotRunReason::Draining));
-    }
     let Call { head, body } = call;
     let mut body = Replay::read(body)
       .await
       .map_err(|_error| CallFailure::not_run(NotRunReason::Cancelled))?;
     let fingerprint = Fingerprint::head(head.method.as_str(), &head.path);
     let fingerprint = fingerprint.with_body(body.prefix());
-    if self.quarantine().blocks(fingerprint, self.clock.now()) {
-      return Err(CallFailure::not_run(NotRunReason::Quarantined));
-    }
-    let slot = self.admission.admit(head.priority, head.deadline).await?;
+    let admitted = self.admit(&head, fingerprint).await?;
     let body = body
       .body()
       .ok_or(CallFailure::not_run(NotRunReason::Connection))?;
-    if head.key.is_some() {
-      return self.run_keyed(Call { head, body }, fingerprint, slot).await;
+    let call = Call { head, body };
+    if call.head.key.is_some() {
+      return self.run_keyed(call, fingerprint, admitted).await;
     }
-    self
-      .run_admitted(Call { head, body }, fingerprint, slot)
-      .await
+    self.run_admitted(call, admitted).await
+  }
+
+  /// Waits until the call may run.
+  pub(crate) async fn admit(
+    self: &Arc<Self>,
+    head: &CallHead,
+    fingerprint: Fingerprint,
+  ) -> Result<Admitted, CallFailure> {
+    if self.is_draining() || !self.upstream_serving() {
+      return Err(CallFailure::not_run(NotRunReason::Draining));
+    }
+    let trial = self.crashes.admit(fingerprint, head.deadline).await?;
+    let slot = self.admission.admit(head.priority, head.deadline).await?;
+    Ok(Admitted { slot, trial })
   }
 
   /// Runs an admitted call; the slot is free once the answer's body has ended.
   pub(crate) async fn run_admitted(
     self: &Arc<Self>,
     call: Call,
-    fingerprint: Fingerprint,
-    slot: Slot,
+    admitted: Admitted,
   ) -> Result<Answer, CallFailure> {
     let span = OpenSpan::open(self, &call.head);
+    let id = span.id;
     let deadline = call.head.deadline;
     let context = Context {
       root: call.head.root,
-      span: span.id,
+      span: id,
       priority: call.head.priority,
       remaining: deadline.saturating_duration_since(self.clock.now()),
       retries: call.head.retries,
@@ -66,9 +82,14 @@
       .unwrap_or(Err(CallFailure::unknown(UnknownReason::Deadline)));
     let (unused, below) = span.close();
     match result {
-      Ok(answer) => Ok(self.track(answer, fingerprint, slot, unused, below)),
+      Ok(answer) => Ok(self.track(answer, id, admitted, unused, below)),
       Err(failure) => {
-        self.failed_here(&failure, fingerprint, slot);
+        let done = match failure {
+          CallFailure::NotRun { .. } => Completion::Cancelled,
+          CallFailure::Unknown { .. } => Completion::Failed,
+        };
+        admitted.slot.finish(done);
+        self.end_trial(admitted.trial, self.crashes.take(id), false);
         Err(failure)
       }
     }
@@ -77,8 +98,8 @@
   fn track(
     self: &Arc<Self>,
     answer: Answer,
-    fingerprint: Fingerprint,
-    slot: Slot,
+    span: SpanId,
+    admitted: Admitted,
     unused: Retries,
     below: Level,
   ) -> Answer {
@@ -90,48 +111,24 @@
     };
     let core = Arc::clone(self);
     let server_error = answer.status.is_server_error();
-    let on_end = move |end| match end {
-      BodyEnd::Whole if server_error => slot.finish(Completion::Failed),
-      BodyEnd::Whole => slot.finish(Completion::Whole),
-      BodyEnd::Dropped => slot.finish(Completion::Cancelled),
-      BodyEnd::Failed(error) => {
-        slot.finish(Completion::Failed);
-        if error == BodyError::Cut {
-          core.upstream_crashed(fingerprint);
-        }
-      }
+    let on_end = move |end| {
+      let done = match end {
+        BodyEnd::Whole if !server_error => Completion::Whole,
+        BodyEnd::Whole | BodyEnd::Failed(_) => Completion::Failed,
+        BodyEnd::Dropped => Completion::Cancelled,
+      };
+      admitted.slot.finish(done);
+      let crashed = end == BodyEnd::Failed(BodyError::Cut) && core.crashes.take(span);
+      core.end_trial(admitted.trial, crashed, done == Completion::Whole);
     };
     // The entry node enforces the deadline on the body, so that one timer runs for each answer.
-    let far = self.clock.now() + crate::core::LONGEST_BODY;
-    let body = Tracked::new(answer.body, far, on_end).boxed_unsync();
+    let body = Tracked::new(answer.body, self.clock.now() + LONGEST_BODY, on_end).boxed_unsync();
     Answer {
       body,
       report,
       ..answer
     }
   }
-
-  fn failed_here(self: &Arc<Self>, failure: &CallFailure, fingerprint: Fingerprint, slot: Slot) {
-    match failure {
-      CallFailure::NotRun { .. } => slot.finish(Completion::Cancelled),
-      CallFailure::Unknown { reason } => {
-        slot.finish(Completion::Failed);
-        if *reason == UnknownReason::Connection {
-          self.upstream_crashed(fingerprint);
-        }
-      }
-    }
-  }
-
-  /// Counts a crash against the request that ran, and tells the nodes of the service when the
-  /// request is quarantined.
-  fn upstream_crashed(self: &Arc<Self>, fingerprint: Fingerprint) {
-    let notice = self.quarantine().crashed(fingerprint, self.clock.now());
-    if let Some(notice) = notice {
-      tracing::warn!(event = "quarantined", fingerprint = %fingerprint, "a request crashed its upstream twice");
-      self.notify_quarantine(notice);
-    }
-  }
 }
 
 /// Ledger of one call in flight; closed also when the call is cancelled.
--- a/crates/cactusyoke/src/keyed.rs
+++ b/crates/cactusyoke/src/keyed.rs
@@ -3,8 +3,8 @@
 use {
   crate::{
     Core,
-    admission::Slot,
     control::{Ask, Reply},
+    instance::Admitted,
     kept_answer::{Collected, Kept, KeptAnswer, MAX_KEPT},
     rosters::Rosters,
   },
@@ -168,10 +168,10 @@
     self: &Arc<Self>,
     call: Call,
     fingerprint: Fingerprint,
-    slot: Slot,
+    admitted: Admitted,
   ) -> Result<Answer, CallFailure> {
     let Some(key) = call.head.key.clone() else {
-      return self.run_admitted(call, fingerprint, slot).await;
+      return self.run_admitted(call, admitted).await;
     };
     let core = Arc::clone(self);
     let work = tokio::spawn(async move {
@@ -181,7 +181,7 @@
         fingerprint,
         number: 0,
       };
-      attempt.run(call, slot).await
+      attempt.run(call, admitted).await
     });
     work
       .await
@@ -223,10 +223,9 @@
 }
 
 impl Attempt<'_> {
-  async fn run(mut self, call: Call, slot: Slot) -> Result<Answer, CallFailure> {
+  async fn run(mut self, call: Call, admitted: Admitted) -> Result<Answer, CallFailure> {
     let deadline = call.head.deadline;
-    let priority = call.head.priority;
-    let mut slot = Some(slot);
+    let mut held = Some(admitted);
     let mut released = None;
     while self.number < MAX_CLAIMS {
       self.number += 1;
@@ -234,13 +233,13 @@
         Known::Ended(result) => return result,
         Known::Free { released: own } => released = own.or(released),
       }
-      let admitted = match slot.take() {
-        Some(slot) => slot,
-        None => self.core.admission.admit(priority, deadline).await?,
+      let admitted = match held.take() {
+        Some(admitted) => admitted,
+        None => self.core.admit(&call.head, self.fingerprint).await?,
       };
       let run = self.new_run();
       let Ok(()) = self.start(run) else {
-        slot = Some(admitted);
+        held = Some(admitted);
         continue;
       };
       match self.claim(run, released).await {
@@ -257,7 +256,7 @@
         Claimed::NewerRoster => {
           self.withdraw(run);
           self.core.refresh_roster(&self.key).await;
-          slot = Some(admitted);
+          held = Some(admitted);
         }
         Claimed::NotRun(reason) => {
           self.withdraw(run);
@@ -394,9 +393,14 @@
     }
   }
 
-  async fn execute(self, run: RunId, call: Call, slot: Slot) -> Result<Answer, CallFailure> {
+  async fn execute(
+    self,
+    run: RunId,
+    call: Call,
+    admitted: Admitted,
+  ) -> Result<Answer, CallFailure> {
     let core = self.core;
-    let result = core.run_admitted(call, self.fingerprint, slot).await;
+    let result = core.run_admitted(call, admitted).await;
     let collected = match result {
       Ok(answer) => KeptAnswer::collect(answer).await,
       Err(failure) => return Err(self.failed(run, failure)),
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -10,6 +10,7 @@
 mod command;
 mod control;
 mod core;
+mod crashes;
 mod dispatch;
 mod edges;
 mod exit;
--- a/crates/cactusyoke/src/operator_node.rs
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -140,7 +140,7 @@
       let Some(service) = view.own().service.clone() else {
         return Ok(Vec::new());
       };
-      let notices = self.0.quarantine().list(self.0.clock.now());
+      let notices = self.0.crashes.quarantine().list(self.0.clock.now());
       let entries = notices.into_iter().map(|notice| QuarantineView {
         id: notice.fingerprint.to_string(),
         service: service.clone(),
@@ -157,7 +157,7 @@
       let fingerprint = u128::from_str_radix(id, 16)
         .map(Fingerprint)
         .map_err(|_error| unknown())?;
-      if !self.0.quarantine().release(fingerprint) {
+      if !self.0.crashes.quarantine().release(fingerprint) {
         return Err(unknown());
       }
       tracing::info!(event = "quarantine_released", %fingerprint, operator = reason.operator, reason = reason.reason);
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -5,6 +5,7 @@
     Core, Settings, StartError,
     admission::Admission,
     core::InFlight,
+    crashes::Crashes,
     edges::Edges,
     gateway::{Egress, Gateway},
     keyed::Keyed,
@@ -16,10 +17,7 @@
     upstream_follower,
   },
   cactusyoke_callers::Limits,
-  cactusyoke_decisions::{
-    keys::Member,
-    load::{Ledgers, Quarantine},
-  },
+  cactusyoke_decisions::{keys::Member, load::Ledgers},
   cactusyoke_model::{Clock, Incarnation, NodeId},
   cactusyoke_nodes::{
     Hop, Incoming, IncomingCall, Links, LinksConfig, Membership, MembershipConfig, MembershipHandle,
@@ -205,7 +203,10 @@
   let links_config = LinksConfig::new(settings.node, incarnation, settings.centre.clone());
   let links = Links::new(links_config);
   let views = start_announcements(&clock, settings.announce, stop.clone()).await?;
+  let crashes = Arc::new(Crashes::new(Arc::clone(&clock)));
+  let reports = Arc::clone(&crashes);
   let upstream_config = UpstreamConfig {
+    crashed: Arc::new(move |crash| reports.report(&crash)),
     clock: Arc::clone(&clock),
     ..UpstreamConfig::new(views.clone())
   };
@@ -241,7 +242,7 @@
     next_span: AtomicU64::new(rand::random()),
     in_flight: InFlight::default(),
     ledgers: Mutex::new(Ledgers::new()),
-    quarantine: Mutex::new(Quarantine::new()),
+    crashes,
     clock,
     settings,
   }))
--- a/crates/cactusyoke/tests/common/cluster.rs
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -150,14 +150,20 @@
 
   fn settings(&self, cluster: &Cluster, number: u8, centre: usize) -> String {
     let listener = |port| cluster.addresses.listener(number, port);
-    let mut centres = String::new();
-    for (index, name) in self.centres.iter().enumerate() {
-      // The first instances of the first service are spread over the data centres in turn.
+    // The first instances of the first service are spread over the data centres in turn.
+    let centre = |(index, name): (usize, &&str)| {
       let contact = cluster.addresses.listener(index as u8 + 1, 7101);
-      centres += &format!("  {name}: {{distance: 1ms, contacts: ['{contact}']}}\n");
-    }
+      format!("  {name}: {{distance: 1ms, contacts: ['{contact}']}}")
+    };
+    let centres = self
+      .centres
+      .iter()
+      .enumerate()
+      .map(centre)
+      .collect::<Vec<_>>()
+      .join("\n");
     format!(
-      "node: {}\ndata_centre: {}\ndata_centres:\n{centres}callers: {}\negress: {}\nannounce: {}\n\
+      "node: {}\ndata_centre: {}\ndata_centres:\n{centres}\ncallers: {}\negress: {}\nannounce: {}\n\
        operators: {}\ntoken: {TOKEN}\nplatform: {}\nshutdown_limit: {}\n",
       listener(7101),
       self.centres[centre],
--- a/crates/decisions/src/load/quarantine.rs
+++ b/crates/decisions/src/load/quarantine.rs
@@ -97,6 +97,24 @@
     )
   }
 
+  /// True when the request crashed an upstream once and has not completed since.
+  pub fn suspects(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+    matches!(
+      self.current(fingerprint, now),
+      Some(Entry {
+        state: State::Suspect,
+        ..
+      })
+    )
+  }
+
+  /// Adopts another node's report of a first crash.
+  pub fn suspect(&mut self, fingerprint: Fingerprint, now: Instant) {
+    if self.current(fingerprint, now).is_none() {
+      self.insert(fingerprint, State::Suspect, now + CRASH_WINDOW, now);
+    }
+  }
+
   /// True when a request with this head has crashed an upstream, so that the body of a request
   /// with the same head has to be compared too.
   pub fn suspects_head(&self, head: Fingerprint) -> bool {
