Replace the test of the pool's bound by two deterministic ones

Counting on the client's side was ruled out, since it would compare the pool with itself.

One test now waits for each open and close before the next step and compares after each; the other keeps the concurrent cancellations and checks that no call hangs and no connection stays.

--- a/crates/upstreams/tests/pool.rs
+++ b/crates/upstreams/tests/pool.rs
@@ -9,6 +9,7 @@
   http::Method,
   http_body_util::BodyExt,
   std::{
+    collections::{BTreeSet, VecDeque},
     sync::{
       Arc,
       atomic::{AtomicUsize, Ordering},
@@ -44,16 +45,55 @@
   Ok(())
 }
 
-/// Guards against more connections than the upstream announced. One is left for its hints.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+/// Guards against more connections than the upstream announced, also when cancelled calls close
+/// theirs. One connection is left for hints.
+#[tokio::test]
 async fn connections_stay_within_the_announced_bound() {
+  let (report, mut events) = mpsc::unbounded_channel();
+  let address = raw_upstream(move |number, mut stream| {
+    let report = report.clone();
+    async move {
+      report.send((number, true)).expect("the test waits");
+      read_head(&mut stream).await;
+      read_head(&mut stream).await;
+      report.send((number, false)).expect("the test waits");
+    }
+  })
+  .await;
+  let (config, _reports) = client(serving(address, 4));
+  let upstream = Arc::new(Upstream::new(config));
+  let mut hanging = VecDeque::new();
+  let mut open = BTreeSet::new();
+  for _ in 0..20 {
+    while hanging.len() < 3 {
+      let upstream = Arc::clone(&upstream);
+      hanging.push_back(tokio::spawn(async move { run(&upstream, "/").await }));
+      let (number, opened) = events.recv().await.expect("a connection");
+      assert!(opened && open.insert(number));
+    }
+    let limit = Duration::from_millis(10);
+    let (call, context) = call(Method::GET, "/", empty_body(), limit);
+    let failed = upstream.call(call, context).await;
+    let failed = failed.expect_err("no connection is free");
+    assert_eq!(failed, CallFailure::not_run(NotRunReason::Deadline));
+    events.try_recv().expect_err("no further connection");
+    hanging.pop_front().expect("three calls hang").abort();
+    let closing = timeout(HANG, events.recv()).await;
+    let (number, opened) = closing.expect("a closed connection").expect("an event");
+    assert!(!opened && open.remove(&number));
+  }
+}
+
+/// Guards against connections that pile up, and calls that hang, when many calls are cancelled at
+/// any moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cancelled_calls_leave_no_connection_behind() {
   let open = Arc::new(AtomicUsize::new(0));
-  let most = Arc::new(AtomicUsize::new(0));
-  let (opened, highest) = (Arc::clone(&open), Arc::clone(&most));
+  let opened = Arc::clone(&open);
   let address = raw_upstream(move |_number, mut stream| {
-    let (opened, highest) = (Arc::clone(&opened), Arc::clone(&highest));
+    let opened = Arc::clone(&opened);
     async move {
-      highest.fetch_max(opened.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+      opened.fetch_add(1, Ordering::SeqCst);
       answer_all(&mut stream, Duration::from_millis(1)).await;
       opened.fetch_sub(1, Ordering::SeqCst);
     }
@@ -67,13 +107,29 @@
       if number % 5 > 0 {
         return run(upstream, "/").await.expect("an answer");
       }
-      // A cancelled call closes its connection, which makes room for another.
       let (call, context) = get("/");
       drop(timeout(Duration::from_micros(500), upstream.call(call, context)).await);
     }
   });
   timeout(HANG, join_all(calls)).await.expect("no call hangs");
-  assert!(most.load(Ordering::SeqCst) <= 3);
+  // The upstream sees the close of a connection later than the client.
+  let settled = async {
+    while open.load(Ordering::SeqCst) > 3 {
+      sleep(Duration::from_millis(1)).await;
+    }
+  };
+  timeout(HANG, settled)
+    .await
+    .expect("idle connections are bounded");
+  drop(upstream);
+  let closed = async {
+    while open.load(Ordering::SeqCst) > 0 {
+      sleep(Duration::from_millis(1)).await;
+    }
+  };
+  timeout(HANG, closed)
+    .await
+    .expect("every connection is closed");
 }
 
 /// Guards against a connection for each call.
