--- a/crates/cactusyoke/src/raw_settings.rs
+++ b/crates/cactusyoke/src/raw_settings.rs
@@ -1,6 +1,5 @@
 use {
   cactusyoke_model::{ByteSize, DataCentre, NodeId},
-  cactusyoke_operators::Token,
   serde::Deserialize,
   std::{collections::BTreeMap, net::SocketAddr},
 };
@@ -25,7 +24,7 @@
   pub operators: SocketAddr,
   /// Secret for changes.
   #[serde(default)]
-  pub token: Option<Token>,
+  pub token: Option<String>,
   /// Address of the platform's key-value service.
   pub platform: SocketAddr,
   /// Bounds.
--- a/crates/cactusyoke/src/settings.rs
+++ b/crates/cactusyoke/src/settings.rs
@@ -136,7 +136,10 @@
       egress: raw.egress,
       announce: raw.announce,
       operators: raw.operators,
-      token: raw.token,
+      token: raw
+        .token
+        .map(|token| token.parse().map_err(SettingsError::Token))
+        .transpose()?,
       platform: raw.platform,
       connections: raw.limits.connections,
       body: raw.limits.body,
--- a/crates/cactusyoke/src/settings_error.rs
+++ b/crates/cactusyoke/src/settings_error.rs
@@ -1,5 +1,6 @@
 use {
   cactusyoke_model::{DataCentre, NodeId},
+  cactusyoke_operators::TokenError,
   std::{
     fmt::{self, Display, Formatter},
     net::SocketAddr,
@@ -26,6 +27,8 @@
   Range(&'static str, usize, usize),
   /// A time cannot be read.
   Time(String, String),
+  /// The token is not usable.
+  Token(TokenError),
   /// Error in a named file.
   InFile(String, Box<Self>),
 }
@@ -75,6 +78,7 @@
         "`{field}` is `{}`: write a time such as `500us`, `30s` or `2min`",
         text.escape_debug()
       ),
+      Self::Token(error) => write!(f, "`token`: {error}"),
       Self::InFile(path, error) => write!(f, "`{path}`: {error}"),
     }
   }
--- a/crates/cactusyoke/tests/common/cluster.rs
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -151,7 +151,7 @@
   fn settings(&self, cluster: &Cluster, number: u8, centre: usize) -> String {
     let listener = |port| cluster.addresses.listener(number, port);
     // The first instances of the first service are spread over the data centres in turn.
-    let centre = |(index, name): (usize, &&str)| {
+    let entry = |(index, name): (usize, &&str)| {
       let contact = cluster.addresses.listener(index as u8 + 1, 7101);
       format!("  {name}: {{distance: 1ms, contacts: ['{contact}']}}")
     };
@@ -159,7 +159,7 @@
       .centres
       .iter()
       .enumerate()
-      .map(centre)
+      .map(entry)
       .collect::<Vec<_>>()
       .join("\n");
     format!(
