Add the membership state machine and an example that measures links

Nodes of a data centre must agree on who is alive, what each serves and when it drains, without a server and within a bounded number of bytes a second.

SWIM with three additions. Digests of the views travel on every datagram, and buckets of records that differ are pulled: updates alone do not reach a node that was cut off while they travelled. Dead nodes and configured contacts are contacted again, so that the parts of a divided data centre find each other. A suspicion is refuted with a higher record version and only a death with a higher incarnation: the incarnation names a witness of idempotency keys, so a lost datagram must not change it.

--- /dev/null
+++ b/crates/decisions/src/membership/datagram_error.rs
@@ -0,0 +1,38 @@
+use std::fmt::{self, Display, Formatter};
+
+/// Why a datagram cannot be accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DatagramError {
+  /// Longer than [`super::MAX_DATAGRAM`].
+  Oversized {
+    /// Length, bytes.
+    len: usize,
+  },
+  /// Another version of the protocol.
+  Version {
+    /// Version of the sender.
+    theirs: u8,
+  },
+  /// Not a datagram of this protocol.
+  Malformed,
+}
+
+impl Display for DatagramError {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::Oversized { len } => write!(
+        f,
+        "a datagram of {len} bytes exceeds the limit of {}",
+        super::MAX_DATAGRAM
+      ),
+      Self::Version { theirs } => write!(
+        f,
+        "the sender speaks version `{theirs}` of the membership protocol and this node `{}`: run the same release on both",
+        super::VERSION
+      ),
+      Self::Malformed => f.write_str("a datagram cannot be decoded"),
+    }
+  }
+}
+
+impl std::error::Error for DatagramError {}
--- /dev/null
+++ b/crates/decisions/src/membership/gossip_queue.rs
@@ -0,0 +1,32 @@
+use cactusyoke_model::NodeId;
+
+/// Members whose present state is passed on, those sent least often first.
+#[derive(Clone, Debug, Default)]
+pub struct GossipQueue {
+  entries: Vec<(u32, NodeId)>,
+}
+
+impl GossipQueue {
+  /// Passes on the state of a member, from now on.
+  pub fn push(&mut self, node: NodeId) {
+    self.entries.retain(|(_, queued)| *queued != node);
+    self.entries.push((0, node));
+  }
+
+  /// True when nothing is to be passed on.
+  pub fn is_empty(&self) -> bool {
+    self.entries.is_empty()
+  }
+
+  /// Offers members to `add` until it declines; each is offered at most `limit` times in all.
+  pub fn offer(&mut self, limit: u32, mut add: impl FnMut(NodeId) -> bool) {
+    self.entries.sort_unstable();
+    for (count, node) in &mut self.entries {
+      if !add(*node) {
+        break;
+      }
+      *count += 1;
+    }
+    self.entries.retain(|(count, _)| *count < limit);
+  }
+}
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -1,9 +1,44 @@
 //! Membership by probe, indirect probe, suspicion and piggybacked updates (SWIM).
+//!
+//! Each node probes another one every second, in a random order of rounds. A node that answers
+//! neither directly nor by way of three others is suspected; when it does not refute in time, it is
+//! dead. Changes travel on probes and their answers, and on datagrams of their own while there are
+//! any. Digests of the views tell when something was missed; what differs is then pulled. The
+//! figures are in docs/membership.md, the datagrams in docs/protocol.md.
 
+mod budget;
 mod centre_summary;
+mod centres;
+mod datagram_error;
+mod directory;
+mod gossip_queue;
 mod member;
+mod members;
+mod members_config;
+pub mod message;
+mod prober;
+mod receive;
 mod record;
+mod send;
 
-pub use centre_summary::CentreSummary;
-pub use member::{Member, Status};
-pub use record::{LifeState, Own, Record};
+pub use {
+  budget::BURST,
+  centre_summary::CentreSummary,
+  datagram_error::DatagramError,
+  member::{Member, Status},
+  members::Members,
+  members_config::MembersConfig,
+  record::{LifeState, Own, Record},
+};
+use {
+  budget::Budget,
+  centres::Centres,
+  directory::{Applied, BUCKETS, Directory},
+  gossip_queue::GossipQueue,
+  prober::Prober,
+};
+
+/// Version of the membership protocol.
+pub const VERSION: u8 = 1;
+/// Longest datagram, bytes; passes every usual network whole.
+pub const MAX_DATAGRAM: usize = 1_200;
--- /dev/null
+++ b/crates/decisions/src/membership/receive.rs
@@ -0,0 +1,201 @@
+use {
+  super::{
+    Applied, BUCKETS, DatagramError, Member, Members, Status,
+    members::Mismatch,
+    message::{self, Message, Pull, Summary, Update},
+  },
+  cactusyoke_model::{NodeId, Revision, ServiceName},
+  rand::seq::IndexedRandom,
+  std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+  },
+};
+
+/// Pause between two pulls while they bring something new.
+const PULL_NEXT: Duration = Duration::from_millis(100);
+/// Pause between two pulls otherwise.
+const PULL_PAUSE: Duration = Duration::from_secs(2);
+/// Length of the services in one part of a summary, bytes; leaves room for the rest of the
+/// datagram with names of full length.
+const SUMMARY_SIZE: usize = 900;
+/// Length of a count and of the length of a name, bytes.
+const SUMMARY_COUNT: usize = 6;
+/// Nodes named as contacts in a part of a summary.
+const SUMMARY_CONTACTS: usize = 2;
+
+impl Members {
+  /// Takes in a datagram. Returns its sender and the revision that it carries when that is higher
+  /// than this node's.
+  pub fn handle(
+    &mut self,
+    from: NodeId,
+    datagram: &[u8],
+    now: Instant,
+    out: &mut Vec<(NodeId, Vec<u8>)>,
+  ) -> Result<Option<(NodeId, Revision)>, DatagramError> {
+    let datagram = message::decode(datagram)?;
+    if self.left || from == self.own.node {
+      return Ok(None);
+    }
+    self.budget.fill(now);
+    let header = datagram.header;
+    let local = header.data_centre == self.own.data_centre;
+    if local {
+      let news = !matches!(datagram.message, Message::Page(_));
+      let changed = self.apply(datagram.updates, news, now);
+      if let Message::Page(next) = datagram.message {
+        self.page_start = next;
+        self.next_pull = now + if changed { PULL_NEXT } else { PULL_PAUSE };
+      }
+      self.compare(from, header.digest, now);
+    } else {
+      self.centres.hear(&header.data_centre, from, now);
+    }
+    match datagram.message {
+      Message::Ping(seq) => self.send_ack(from, seq, local, out),
+      Message::Ack(seq) => {
+        if let Some((origin, seq)) = self.prober.on_ack(seq) {
+          self.send_ack(origin, seq, true, out);
+        }
+      }
+      Message::PingVia(seq, target) if local => {
+        // Probes are passed on to members only, so that a datagram cannot be aimed elsewhere.
+        if self.directory.get(target).is_some() {
+          let own = self.prober.relay(from, seq, now);
+          self.send_ping(target, own, out);
+        }
+      }
+      Message::Pull(pull) if local => self.send_page(from, &pull, out),
+      Message::Survey(after) => self.send_summary(from, after, out),
+      Message::Summary(summary) if !local => {
+        self.centres.on_summary(&header.data_centre, summary);
+      }
+      Message::Gossip
+      | Message::Page(_)
+      | Message::PingVia(..)
+      | Message::Pull(_)
+      | Message::Summary(_) => {}
+    }
+    let newer = header.revision > self.revision;
+    Ok(newer.then_some((from, header.revision)))
+  }
+
+  /// Merges updates; true when they brought something new. `news` are passed on.
+  fn apply(&mut self, updates: Vec<Update>, news: bool, now: Instant) -> bool {
+    let mut changed = false;
+    for update in updates {
+      let (node, status) = (update.node, update.status);
+      if node == self.own.node {
+        self.refute((update.incarnation, update.version), status, now);
+        continue;
+      }
+      if self.directory.apply(update, now) == Applied::Known {
+        continue;
+      }
+      changed = true;
+      if news {
+        self.queue.push(node);
+      }
+      let suspected = self
+        .directory
+        .get(node)
+        .is_some_and(|member| member.status == Status::Suspect);
+      self.suspects.remove(&node);
+      if suspected {
+        self.watch_suspect(node, now);
+      }
+    }
+    changed
+  }
+
+  fn compare(&mut self, from: NodeId, digest: [u8; 8], now: Instant) {
+    if self.directory.digest() == digest {
+      self.joined = true;
+      self.mismatch = None;
+      return;
+    }
+    let since = self.mismatch.map_or(now, |mismatch| mismatch.since);
+    self.mismatch = Some(Mismatch { with: from, since });
+  }
+
+  fn send_page(&mut self, to: NodeId, pull: &Pull, out: &mut Vec<(NodeId, Vec<u8>)>) {
+    let own = self.directory.digests(pull.salt);
+    let differs = |place: &usize| pull.digests.get(*place) != Some(&own[*place]);
+    let start = usize::from(pull.start) % BUCKETS;
+    let order = (start..BUCKETS).chain(0..start).filter(differs);
+    let mut updates = Vec::new();
+    let mut next = start;
+    for place in order {
+      let members = self.directory.bucket(place).iter();
+      let bucket = members.filter_map(|node| self.directory.get(*node));
+      updates.push((place, bucket.map(Update::from).collect::<Vec<_>>()));
+      // More than a page can hold, whatever the length of the names.
+      if updates
+        .iter()
+        .map(|(_, bucket)| bucket.len())
+        .sum::<usize>()
+        > 60
+      {
+        break;
+      }
+    }
+    let Some(mut draft) = self.draft_page() else {
+      return;
+    };
+    let mut count = 0;
+    for (place, mut bucket) in updates {
+      next = place;
+      if count == 0 {
+        // A bucket that is larger than a page arrives in random parts.
+        rand::seq::SliceRandom::shuffle(bucket.as_mut_slice(), &mut self.rng);
+      }
+      let fitted = bucket.iter().take_while(|update| draft.add(update)).count();
+      count += fitted;
+      if fitted < bucket.len() {
+        break;
+      }
+      next = (place + 1) % BUCKETS;
+    }
+    if count > 0 {
+      self.send(to, self.finish_page(draft, next as u8), out);
+    }
+  }
+
+  fn send_summary(
+    &mut self,
+    to: NodeId,
+    after: Option<ServiceName>,
+    out: &mut Vec<(NodeId, Vec<u8>)>,
+  ) {
+    let mut counts = BTreeMap::<ServiceName, u32>::new();
+    let serving = self.directory.iter().filter_map(Member::serving);
+    for service in serving.filter(|service| after.as_ref().is_none_or(|after| *service > after)) {
+      if let Some(count) = counts.get_mut(service) {
+        *count += 1;
+      } else {
+        counts.insert(service.clone(), 1);
+      }
+    }
+    let count = counts.len();
+    let mut size = 0;
+    let fits = |(service, _): &(ServiceName, u32)| {
+      size += service.as_str().len() + SUMMARY_COUNT;
+      size <= SUMMARY_SIZE
+    };
+    let services = counts.into_iter().take_while(fits).collect::<Vec<_>>();
+    let last = services.len() == count;
+    let live = self.directory.live();
+    let contacts = live
+      .choose_multiple(&mut self.rng, SUMMARY_CONTACTS)
+      .copied()
+      .collect();
+    let summary = Summary {
+      after,
+      last,
+      contacts,
+      services,
+    };
+    self.send_plain(to, &Message::Summary(summary), out);
+  }
+}
--- /dev/null
+++ b/crates/decisions/tests/simulation/mod.rs
@@ -0,0 +1,335 @@
+//! Simulated network of membership state machines, in simulated time.
+
+#![allow(dead_code, reason = "tests and the example use a part of it each")]
+
+use {
+  cactusyoke_decisions::membership::{
+    BURST, LifeState, MAX_DATAGRAM, Member, Members, MembersConfig, Own,
+  },
+  cactusyoke_model::{Connections, Incarnation, NodeId, Slots},
+  rand::{Rng, SeedableRng, rngs::StdRng},
+  std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::{Duration, Instant},
+  },
+};
+
+const TICK: Duration = Duration::from_millis(100);
+const LATENCY: Duration = Duration::from_micros(500);
+
+/// One simulated node.
+pub struct Node {
+  pub config: MembersConfig,
+  pub members: Members,
+  pub up: bool,
+  pub paused: bool,
+  pub left: bool,
+  pub own: Own,
+  pub side: u8,
+  pub sent: u64,
+  pub received: u64,
+  /// Most bytes sent in one second.
+  pub peak: u64,
+  second: (u64, u64),
+  level: f64,
+  filled: Instant,
+  /// Highest incarnation of each node that this one has seen end.
+  ended: BTreeMap<NodeId, Incarnation>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+  Tick(usize),
+  Datagram(usize, usize, Vec<u8>),
+}
+
+/// Nodes, the network between them, and the time.
+pub struct Simulation {
+  pub nodes: Vec<Node>,
+  pub start: Instant,
+  pub now: Instant,
+  pub loss: f64,
+  /// Checks each node's view after each event; slow with many nodes.
+  pub checked: bool,
+  events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
+  count: u64,
+  rng: StdRng,
+  /// Datagrams seen, for repetition.
+  pub seen: Vec<(usize, usize, Vec<u8>)>,
+}
+
+pub fn address(index: usize) -> NodeId {
+  let [.., high, low] = (index as u32).to_be_bytes();
+  NodeId(([10, 0, high, low], 7000).into())
+}
+
+fn index(node: NodeId) -> usize {
+  match node.0.ip() {
+    std::net::IpAddr::V4(ip) => usize::from(u16::from_be_bytes([ip.octets()[2], ip.octets()[3]])),
+    std::net::IpAddr::V6(_) => usize::MAX,
+  }
+}
+
+pub fn own(service: usize, life: LifeState) -> Own {
+  Own {
+    service: Some(format!("service-{service}").parse().unwrap()),
+    life,
+    slots: Slots(120),
+    connections: Connections(800),
+  }
+}
+
+impl Simulation {
+  pub fn new(seed: u64) -> Self {
+    let now = Instant::now();
+    Self {
+      nodes: Vec::new(),
+      start: now,
+      now,
+      loss: 0.0,
+      checked: true,
+      events: BinaryHeap::new(),
+      count: 0,
+      rng: StdRng::seed_from_u64(seed),
+      seen: Vec::new(),
+    }
+  }
+
+  fn incarnation(&self) -> Incarnation {
+    Incarnation(1_000_000 + self.now.duration_since(self.start).as_millis() as u64)
+  }
+
+  /// Adds a node that knows the first `contacts` nodes.
+  pub fn add(&mut self, data_centre: &str, contacts: &[usize]) -> usize {
+    let index = self.nodes.len();
+    let centre = data_centre.parse().unwrap();
+    let mut config = MembersConfig::new(address(index), self.incarnation(), centre);
+    config.contacts = contacts.iter().copied().map(address).collect();
+    config.seed = self.rng.random();
+    self.nodes.push(Node {
+      members: Members::new(config.clone(), self.now),
+      config,
+      up: true,
+      paused: false,
+      left: false,
+      own: Own::default(),
+      side: 0,
+      sent: 0,
+      received: 0,
+      peak: 0,
+      second: (0, 0),
+      level: 0.0,
+      filled: self.now,
+      ended: BTreeMap::new(),
+    });
+    let offset = TICK.mul_f64(self.rng.random());
+    self.push(self.now + offset, Event::Tick(index));
+    index
+  }
+
+  fn push(&mut self, at: Instant, event: Event) {
+    self.count += 1;
+    self.events.push(Reverse((at, self.count, event)));
+  }
+
+  /// Starts a node again at its address, with a clock that is `back` behind.
+  pub fn restart(&mut self, index: usize, back: Duration) {
+    let incarnation = Incarnation(self.incarnation().0 - back.as_millis() as u64);
+    let seed = self.rng.random();
+    let now = self.now;
+    let node = &mut self.nodes[index];
+    node.config.incarnation = incarnation;
+    node.config.seed = seed;
+    node.members = Members::new(node.config.clone(), now);
+    node.members.set_own(node.own.clone(), now);
+    node.up = true;
+    node.paused = false;
+    node.left = false;
+    node.ended.clear();
+    node.level = 0.0;
+  }
+
+  pub fn set_own(&mut self, index: usize, own: Own) {
+    let now = self.now;
+    let node = &mut self.nodes[index];
+    node.own = own.clone();
+    node.members.set_own(own, now);
+  }
+
+  pub fn leave(&mut self, index: usize) {
+    let mut out = Vec::new();
+    let now = self.now;
+    self.nodes[index].members.leave(now, &mut out);
+    self.nodes[index].left = true;
+    self.send(index, out);
+    self.nodes[index].up = false;
+  }
+
+  fn send(&mut self, from: usize, out: Vec<(NodeId, Vec<u8>)>) {
+    for (to, bytes) in out {
+      assert!(
+        bytes.len() <= MAX_DATAGRAM,
+        "a datagram of {} bytes",
+        bytes.len()
+      );
+      let now = self.now;
+      let node = &mut self.nodes[from];
+      let len = bytes.len() as u64;
+      node.sent += len;
+      // Token bucket of the test's own: no window may exceed the rate and one burst.
+      let rate = f64::from(node.config.bytes_per_second);
+      let elapsed = now.duration_since(node.filled).as_secs_f64();
+      node.level = (node.level - elapsed * rate).max(0.0) + len as f64;
+      node.filled = now;
+      assert!(
+        node.level <= f64::from(BURST) + 1.0,
+        "a burst of {} bytes",
+        node.level
+      );
+      let second = now.duration_since(self.start).as_secs();
+      if node.second.0 != second {
+        node.second = (second, 0);
+      }
+      node.second.1 += len;
+      node.peak = node.peak.max(node.second.1);
+      let to = index(to);
+      if to < self.nodes.len() {
+        self.transmit(from, to, bytes);
+      }
+    }
+  }
+
+  /// Puts a datagram on the network.
+  pub fn transmit(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+    let cut = self.nodes[from].side != self.nodes[to].side;
+    if cut || self.rng.random_bool(self.loss) {
+      return;
+    }
+    let at = self.now + LATENCY.mul_f64(self.rng.random_range(1.0..3.0));
+    self.push(at, Event::Datagram(from, to, bytes));
+  }
+
+  /// Runs for a time.
+  pub fn run(&mut self, time: Duration) {
+    let end = self.now + time;
+    while let Some(Reverse((at, ..))) = self.events.peek() {
+      if *at > end {
+        break;
+      }
+      let Some(Reverse((at, _, event))) = self.events.pop() else {
+        break;
+      };
+      self.now = at;
+      self.on_event(event);
+    }
+    self.now = end;
+  }
+
+  fn on_event(&mut self, event: Event) {
+    let mut out = Vec::new();
+    let now = self.now;
+    let index = match event {
+      Event::Tick(index) => {
+        self.push(now + TICK, Event::Tick(index));
+        let node = &mut self.nodes[index];
+        if !node.up || node.paused {
+          return;
+        }
+        node.members.tick(now, &mut out);
+        index
+      }
+      Event::Datagram(from, to, bytes) => {
+        let node = &mut self.nodes[to];
+        if !node.up || node.paused {
+          return;
+        }
+        node.received += bytes.len() as u64;
+        let handled = node.members.handle(address(from), &bytes, now, &mut out);
+        handled.expect("a valid datagram");
+        if self.checked && self.seen.len() < 1_000 {
+          self.seen.push((from, to, bytes));
+        }
+        to
+      }
+    };
+    if self.checked {
+      self.check(index);
+    }
+    self.send(index, out);
+  }
+
+  /// Checks that no ended incarnation has come back and that the own record is the node's.
+  fn check(&mut self, index: usize) {
+    let node = &mut self.nodes[index];
+    let own = node.members.own();
+    assert_eq!(own.node, node.config.node);
+    assert_eq!(
+      (&own.service, own.life, own.slots, own.connections),
+      (
+        &node.own.service,
+        node.own.life,
+        node.own.slots,
+        node.own.connections
+      ),
+      "the own record was overwritten"
+    );
+    for member in node.members.snapshot() {
+      let (id, incarnation) = (member.record.node, member.record.incarnation);
+      if member.is_live() {
+        let ended = node.ended.get(&id);
+        assert!(
+          ended.is_none_or(|ended| incarnation > *ended),
+          "incarnation {incarnation} of {id} came back at node {index}"
+        );
+      } else {
+        let ended = node.ended.entry(id).or_default();
+        *ended = (*ended).max(incarnation);
+      }
+    }
+  }
+
+  /// Running nodes of the data centre of node `index`.
+  fn expected(&self, index: usize) -> Vec<&Node> {
+    let centre = &self.nodes[index].config.data_centre;
+    let running = self.nodes.iter().filter(|node| node.up && !node.paused);
+    running
+      .filter(|node| node.config.data_centre == *centre)
+      .collect()
+  }
+
+  /// True when the view of node `index` is exactly the running nodes and their own records.
+  pub fn agrees(&self, index: usize) -> bool {
+    let snapshot = self.nodes[index].members.snapshot();
+    let live = snapshot
+      .iter()
+      .filter(|member| member.is_live())
+      .collect::<Vec<&Member>>();
+    let expected = self.expected(index);
+    live.len() == expected.len()
+      && live.iter().zip(expected).all(|(member, node)| {
+        member.record == *node.members.own()
+          && member.status == cactusyoke_decisions::membership::Status::Alive
+      })
+  }
+
+  /// Indices of the running nodes.
+  pub fn running(&self) -> Vec<usize> {
+    let up = |index: &usize| self.nodes[*index].up && !self.nodes[*index].paused;
+    (0..self.nodes.len()).filter(up).collect()
+  }
+
+  /// Runs until all running nodes agree; `None` when they do not within `limit`.
+  pub fn converge(&mut self, limit: Duration) -> Option<Duration> {
+    let start = self.now;
+    loop {
+      if self.running().into_iter().all(|index| self.agrees(index)) {
+        return Some(self.now - start);
+      }
+      if self.now - start >= limit {
+        return None;
+      }
+      self.run(TICK);
+    }
+  }
+}
