platform: send replaced presets as patches and pace reads of older values

A delta held the whole preset: more than 100 KB for 300 services, against the 23 KB that a node may spend on a change. Nodes now keep and pass on a patch; a changed service in a preset of 1,500 routes takes less than 1 KB (test bound). The patch names the hash of the content it was made for, and a node with other content asks for the whole configuration. `model` gains `PresetPatch`, `Edit::Patch` and `PresetError::Base`.

A watch on a replica that serves an older value returned at once and was repeated at once: 508 calls in a second against the stand-in, which used up its quota and made the test of older values flaky. Such reads are now paced like failures, and the test bounds them at 10.

--- a/crates/cactusyoke/tests/operator_support/test_node.rs
+++ b/crates/cactusyoke/tests/operator_support/test_node.rs
@@ -1,5 +1,5 @@
 use {
-  cactusyoke_model::{Change, ConfigDelta, Edit, PresetName, Revision, SystemClock},
+  cactusyoke_model::{ConfigDelta, PresetName, Revision, SystemClock},
   cactusyoke_operators::{
     Accepted, AuditQuery, AuditRecord, ConfigView, ConflictView, Node, NodeError, NodeFuture,
     NodeStatus, PlatformView, PresetSummary, PresetView, PutRequest, QuarantineView, Reason,
@@ -50,23 +50,7 @@
     let adopted = self.watcher.config().load().revision;
     let record = self.configuration.change(&request, adopted).await;
     let record = record.map_err(node_error)?;
-    let change = Change {
-      revision: record.revision,
-      id: record.id,
-      operator: record.operator,
-      time: record.time,
-      reason: record.reason,
-      edit: match request.intent {
-        Intent::Use(after) => Edit::Use {
-          before: None,
-          after,
-        },
-        Intent::Put(after) => Edit::Put {
-          before: None,
-          after,
-        },
-      },
-    };
+    let change = request.accepted(&record);
     let changes = vec![change];
     self.watcher.offer(ConfigDelta { changes }).await;
     Ok(Accepted {
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration: presets, the one in force, and the changes that led to it.
 
 use {
-  crate::{Preset, PresetError, PresetName, RawPreset},
+  crate::{Preset, PresetError, PresetName, PresetPatch, RawPreset},
   serde::{Deserialize, Serialize},
   std::{
     collections::BTreeMap,
@@ -75,6 +75,8 @@
     /// Preset after.
     after: Box<RawPreset>,
   },
+  /// Replaces a preset, for a receiver that has the preset before.
+  Patch(Box<PresetPatch>),
 }
 
 /// Accepted change, as kept in the audit trail.
@@ -130,6 +132,13 @@
         let preset = Preset::try_from((**after).clone())?;
         self.presets.insert(preset.name.clone(), Arc::new(preset));
       }
+      Edit::Patch(patch) => {
+        let Some(before) = self.presets.get(patch.preset()) else {
+          return Err(PresetError::Base(patch.preset().clone()));
+        };
+        let preset = Preset::try_from(patch.apply(before.raw())?)?;
+        self.presets.insert(preset.name.clone(), Arc::new(preset));
+      }
     }
     self.revision = change.revision;
     Ok(true)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,6 +18,7 @@
 mod node_id;
 mod preset;
 mod preset_error;
+mod preset_patch;
 mod priority;
 mod raw_preset;
 mod report;
@@ -39,6 +40,7 @@
 pub use node_id::{Incarnation, NodeId};
 pub use preset::Preset;
 pub use preset_error::PresetError;
+pub use preset_patch::PresetPatch;
 pub use priority::Priority;
 pub use raw_preset::{RawPreset, RawRoute};
 pub use report::Report;
--- a/crates/model/src/preset_error.rs
+++ b/crates/model/src/preset_error.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{ClassName, ClassRank, RouteName},
+  crate::{ClassName, ClassRank, PresetName, RouteName},
   std::fmt::{self, Display, Formatter},
 };
 
@@ -28,6 +28,8 @@
   Unreachable(RouteName, RouteName),
   /// The retry ratio is over 100.
   Ratio(u8),
+  /// A patch was made for other content than the preset has.
+  Base(PresetName),
 }
 
 impl Display for PresetError {
@@ -78,6 +80,10 @@
           "`retry_ratio` is {ratio}: write a percentage from 0 to 100"
         )
       }
+      Self::Base(preset) => write!(
+        f,
+        "the patch of preset `{preset}` was made for other content: send the whole configuration"
+      ),
     }
   }
 }
--- a/crates/platform/src/change_request.rs
+++ b/crates/platform/src/change_request.rs
@@ -1,6 +1,6 @@
 use {
-  crate::ConfigurationError,
-  cactusyoke_model::{ChangeId, Preset, PresetName, RawPreset, Revision},
+  crate::{ConfigurationError, Record},
+  cactusyoke_model::{Change, ChangeId, Edit, Preset, PresetName, RawPreset, Revision},
 };
 
 /// Longest operator name, bytes.
@@ -33,6 +33,28 @@
 }
 
 impl ChangeRequest {
+  /// The accepted change, to be offered to the watcher of the node that made it.
+  pub fn accepted(&self, record: &Record) -> Change {
+    let edit = match &self.intent {
+      Intent::Use(after) => Edit::Use {
+        before: None,
+        after: after.clone(),
+      },
+      Intent::Put(after) => Edit::Put {
+        before: None,
+        after: after.clone(),
+      },
+    };
+    Change {
+      revision: record.revision,
+      id: record.id,
+      operator: record.operator.clone(),
+      time: record.time,
+      reason: record.reason.clone(),
+      edit,
+    }
+  }
+
   pub(crate) fn check(&self) -> Result<(), ConfigurationError> {
     if self.operator.is_empty() || self.operator.len() > MAX_OPERATOR {
       return Err(ConfigurationError::Operator(MAX_OPERATOR));
--- /dev/null
+++ b/crates/platform/src/observed_store.rs
@@ -0,0 +1,81 @@
+use {
+  crate::{Expect, Lease, Store, StoreError, StoreFuture, Versioned},
+  bytes::Bytes,
+  std::{
+    fmt::{self, Debug, Formatter},
+    sync::Arc,
+    time::Duration,
+  },
+};
+
+/// Store that reports each call by kind (`get`, `put`, `lease`, `watch`) and result (`ok`,
+/// `conflict`, `unavailable`, `timed-out`, `too-large`, `quota`), for metrics.
+pub struct ObservedStore {
+  store: Arc<dyn Store>,
+  observe: Box<dyn Fn(&'static str, &'static str) + Send + Sync>,
+}
+
+impl ObservedStore {
+  /// Observes the calls to `store`.
+  pub fn new(
+    store: Arc<dyn Store>,
+    observe: impl Fn(&'static str, &'static str) + Send + Sync + 'static,
+  ) -> Self {
+    Self {
+      store,
+      observe: Box::new(observe),
+    }
+  }
+
+  fn report<'a, T: Send + 'a>(
+    &'a self,
+    kind: &'static str,
+    call: StoreFuture<'a, T>,
+  ) -> StoreFuture<'a, T> {
+    Box::pin(async move {
+      let result = call.await;
+      (self.observe)(kind, name(result.as_ref().err()));
+      result
+    })
+  }
+}
+
+impl Debug for ObservedStore {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    f.debug_tuple("ObservedStore").field(&self.store).finish()
+  }
+}
+
+impl Store for ObservedStore {
+  fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Versioned>> {
+    self.report("get", self.store.get(key))
+  }
+
+  fn put<'a>(&'a self, key: &'a str, value: Bytes, expect: Expect) -> StoreFuture<'a, u64> {
+    self.report("put", self.store.put(key, value, expect))
+  }
+
+  fn lease<'a>(&'a self, key: &'a str, holder: &'a str, ttl: Duration) -> StoreFuture<'a, Lease> {
+    self.report("lease", self.store.lease(key, holder, ttl))
+  }
+
+  fn watch<'a>(
+    &'a self,
+    key: &'a str,
+    after: u64,
+    wait: Duration,
+  ) -> StoreFuture<'a, Option<Versioned>> {
+    self.report("watch", self.store.watch(key, after, wait))
+  }
+}
+
+const fn name(error: Option<&StoreError>) -> &'static str {
+  match error {
+    None => "ok",
+    Some(StoreError::Conflict { .. }) => "conflict",
+    Some(StoreError::Unavailable { .. }) => "unavailable",
+    Some(StoreError::TimedOut) => "timed-out",
+    Some(StoreError::TooLarge) => "too-large",
+    Some(StoreError::Quota) => "quota",
+  }
+}
--- a/crates/platform/src/reader.rs
+++ b/crates/platform/src/reader.rs
@@ -65,16 +65,18 @@
       let plain = asked || failures > 0 || reads.is_multiple_of(READ_EVERY);
       reads = reads.wrapping_add(1);
       let result = self.read(plain, version).await;
-      failures = match &result {
-        Ok(_) => 0,
-        Err(_) => failures.saturating_add(1),
-      };
-      match &result {
+      // A watch on a replica that lags returns at once, so it must not be repeated at once either.
+      let paced = match &result {
         Ok(Reading::Ended) => continue,
-        Ok(Reading::Current { version: found, .. } | Reading::Lower { version: found, .. }) => {
-          version = version.max(*found);
-        }
-        Ok(Reading::Unchanged) | Err(_) => {}
+        Ok(Reading::Unchanged) => false,
+        Ok(Reading::Current { version: found, .. }) => !plain && *found <= version,
+        Ok(Reading::Lower { .. }) | Err(_) => true,
+      };
+      failures = if paced { failures.saturating_add(1) } else { 0 };
+      if let Ok(Reading::Current { version: found, .. } | Reading::Lower { version: found, .. }) =
+        &result
+      {
+        version = version.max(*found);
       }
       if self.watcher.cast(WatcherMessage::Read(result)).is_err() {
         return;
--- a/crates/platform/src/replica.rs
+++ b/crates/platform/src/replica.rs
@@ -1,6 +1,6 @@
 use {
   crate::{ConfigUpdate, OfferResult, Snapshot},
-  cactusyoke_model::{Change, Config, ConfigDelta, Revision},
+  cactusyoke_model::{Change, Config, ConfigDelta, Edit, PresetError, PresetPatch, Revision},
   std::{collections::VecDeque, sync::Arc},
 };
 
@@ -31,9 +31,11 @@
       if change.revision <= config.revision {
         continue;
       }
+      let change = compact(&config, change);
       match config.apply(&change) {
         Ok(true) => added.push(change),
-        Ok(false) => return OfferResult::Gap(self.revision()),
+        // The sender has another history, so it must send everything.
+        Ok(false) | Err(PresetError::Base(_)) => return OfferResult::Gap(self.revision()),
         Err(error) => return OfferResult::Invalid(error),
       }
     }
@@ -81,3 +83,19 @@
     })
   }
 }
+
+/// The change as it is kept and passed on: a replaced preset as a patch, since a node may spend only
+/// about 23 KB on a change.
+fn compact(config: &Config, change: Change) -> Change {
+  let Edit::Put { after, .. } = &change.edit else {
+    return change;
+  };
+  let edit = match config.presets.get(&after.name) {
+    Some(before) => Edit::Patch(Box::new(PresetPatch::between(before.raw(), after))),
+    None => Edit::Put {
+      before: None,
+      after: after.clone(),
+    },
+  };
+  Change { edit, ..change }
+}
--- a/crates/platform/src/watcher_actor.rs
+++ b/crates/platform/src/watcher_actor.rs
@@ -162,8 +162,9 @@
       Reading::Current { version, update } => {
         self.version = self.version.max(version);
         self.report(|status| status.lower = None);
-        if let Some(update) = update {
-          self.offer(update, "platform");
+        let offered = update.map(|update| self.offer(update, "platform"));
+        if let Some(OfferResult::Invalid(error)) = offered {
+          self.report(|status| status.error = Some(error.to_string()));
         }
       }
       Reading::Lower { version, revision } => {
--- a/crates/platform/tests/watcher.rs
+++ b/crates/platform/tests/watcher.rs
@@ -108,14 +108,17 @@
   watcher.set_watching(true);
   adopted(&watcher, 2).await;
   platform.faults().serve_older(1);
-  watcher.set_watching(false);
-  watcher.refresh();
-  sleep(Duration::from_millis(200)).await;
+  let before = platform.calls();
+  sleep(Duration::from_secs(1)).await;
   assert_eq!(watcher.platform().lower, Some(Revision(1)));
   assert_eq!(watcher.config().load().revision, Revision(2));
+  // The watches on the older value return at once; ten calls a second are few, and several hundred
+  // were seen when nothing paced them.
+  let after = platform.calls();
+  let calls = after.gets + after.watches - before.gets - before.watches;
+  assert!(calls <= 10, "{calls} calls in a second");
   platform.faults().serve_older(0);
-  watcher.refresh();
-  sleep(Duration::from_millis(200)).await;
+  sleep(Duration::from_millis(1_500)).await;
   assert_eq!(watcher.platform().lower, None);
 }
 
@@ -170,6 +173,61 @@
   }
 }
 
+/// Guards against changes that take more than the 4 KB/s that a node may spend: at full scale a
+/// change may have about 23 KB, and one service of 300 has about 600 bytes.
+#[tokio::test]
+async fn a_change_of_one_service_is_small() {
+  let (_platform, configuration, watcher) = start().await;
+  let mut large = preset("peak", "large");
+  let route = large.routes.pop().unwrap();
+  for number in 0..1_500 {
+    let mut route = route.clone();
+    route.name = format!("route-{number}").parse().unwrap();
+    route.service = format!("service-{}", number / 5).parse().unwrap();
+    route.path = format!("/service-{}/part-{number}", number / 5);
+    large.routes.push(route);
+  }
+  let first = request(1, "ana", 0, Intent::Put(Box::new(large.clone())));
+  configuration.change(&first, NONE).await.unwrap();
+  watcher.refresh();
+  adopted(&watcher, 1).await;
+  for route in &mut large.routes[700..705] {
+    route.deadline = "3s".into();
+  }
+  let second = request(2, "ana", 1, Intent::Put(Box::new(large.clone())));
+  configuration.change(&second, NONE).await.unwrap();
+  watcher.refresh();
+  adopted(&watcher, 2).await;
+  let delta = watcher.delta_since(Revision(1)).await.unwrap();
+  let size = postcard::to_stdvec(&delta).unwrap().len();
+  assert!(size < 1_024, "{size} bytes");
+  let peak = &watcher.config().load().presets["peak"];
+  assert_eq!(peak.raw(), &large);
+}
+
+/// Guards against a patch that is applied to other content than it was made for.
+#[tokio::test]
+async fn a_node_with_another_history_takes_everything() {
+  let (_first, configuration, watcher) = start().await;
+  let (_second, other, stranger) = start().await;
+  change(&configuration, 1).await;
+  change(&configuration, 2).await;
+  let different = request(1, "ben", 0, put("peak", "another"));
+  other.change(&different, NONE).await.unwrap();
+  watcher.refresh();
+  adopted(&watcher, 2).await;
+  stranger.refresh();
+  adopted(&stranger, 1).await;
+  let ConfigUpdate::Delta(delta) = watcher.delta_since(Revision(1)).await.unwrap() else {
+    panic!("the changes are known");
+  };
+  let result = stranger.offer(delta).await;
+  assert_eq!(result, Some(OfferResult::Gap(Revision(1))));
+  let snapshot = Snapshot::from(&**watcher.config().load());
+  stranger.offer_full(snapshot).await;
+  assert_eq!(**stranger.config().load(), **watcher.config().load());
+}
+
 /// Guards against a node that is too far behind for changes and never catches up.
 #[tokio::test]
 async fn a_node_far_behind_takes_everything() {
