--- a/crates/decisions/src/membership/member.rs
+++ b/crates/decisions/src/membership/member.rs
@@ -35,9 +35,10 @@
     matches!(self.status, Status::Alive | Status::Suspect)
   }
 
-  /// The service that the upstream of a live node serves.
+  /// The service that the upstream of a live node serves, at full speed or in its cold start.
   pub fn serving(&self) -> Option<&ServiceName> {
-    let serving = self.is_live() && self.record.life == LifeState::Serving;
+    let serving =
+      self.is_live() && matches!(self.record.life, LifeState::Warming | LifeState::Serving);
     self.record.service.as_ref().filter(|_| serving)
   }
 }
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -1,8 +1,8 @@
 //! Stand-ins and nodes of one run.
 
 use {
-  crate::{Deployment, Service, baseline::Baseline},
-  cactusyoke::{Server, Settings, SettingsError, StartError},
+  crate::{Deployment, Service, baseline::Baseline, measure::Listeners},
+  cactusyoke::{Server, SettingsError, StartError},
   cactusyoke_model::{
     ChangeId, Connections, NameError, Preset, PresetError, Revision, Slots, SystemClock,
   },
@@ -17,9 +17,6 @@
   std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// Port for other nodes; the further listeners follow.
-const NODE_PORT: u16 = 7101;
-
 /// Time for the members to find each other and for the preset to spread.
 const SETTLE: Duration = Duration::from_secs(4);
 
@@ -99,12 +96,14 @@
     for service in &deployment.services {
       for _ in 0..service.servers {
         let number = servers.len() as u8 + 1;
-        let settings = settings(addresses, number, platform.address())?;
+        let listeners = Listeners::new(addresses, number);
+        let contact = Listeners::new(addresses, 1).node;
+        let settings = listeners.settings(contact, platform.address()).parse()?;
         servers.push(Server::start(settings, Arc::new(SystemClock)).await?);
-        targets.push(addresses.listener(number, NODE_PORT + 1));
+        targets.push(listeners.callers);
         let config = Config {
-          node: Some(addresses.listener(number, NODE_PORT + 3)),
-          egress: Some(addresses.listener(number, NODE_PORT + 2)),
+          node: Some(listeners.announce),
+          egress: Some(listeners.egress),
           ..config(service, number, &runs)?
         };
         upstreams.push(Upstream::start(config).await?);
@@ -169,7 +168,7 @@
   }
 }
 
-async fn put_in_force(platform: &Platform, yaml: &str) -> Result<(), FleetError> {
+pub(crate) async fn put_in_force(platform: &Platform, yaml: &str) -> Result<(), FleetError> {
   let preset = yaml.parse::<Preset>()?;
   let store = Arc::new(HttpStore::new(platform.address(), StoreLimits::default()));
   let configuration = Configuration::new(store, Arc::new(SystemClock), RetryLimits::default());
@@ -187,25 +186,6 @@
   Ok(())
 }
 
-fn settings(
-  addresses: Addresses,
-  number: u8,
-  platform: SocketAddr,
-) -> Result<Settings, SettingsError> {
-  let listener = |offset| addresses.listener(number, NODE_PORT + offset);
-  let contact = addresses.listener(1, NODE_PORT);
-  format!(
-    "node: {}\ndata_centre: concord\ndata_centres: {{concord: {{contacts: ['{contact}']}}}}\n\
-     callers: {}\negress: {}\nannounce: {}\noperators: {}\nplatform: {platform}\n",
-    listener(0),
-    listener(1),
-    listener(2),
-    listener(3),
-    listener(4),
-  )
-  .parse()
-}
-
 fn config(service: &Service, seed: u8, runs: &Arc<Runs>) -> Result<Config, NameError> {
   Ok(Config {
     slots: Slots(service.slots),
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -4,6 +4,7 @@
 mod baseline;
 mod deployment;
 mod fleet;
+mod measure;
 mod outcome;
 mod report;
 mod run;
@@ -12,6 +13,7 @@
   args::Args,
   deployment::{Deployment, Service},
   fleet::{Fleet, FleetError},
+  measure::{Latency, measure_latency},
   outcome::{ClassOutcome, Outcome},
   report::print,
   run::run,
--- /dev/null
+++ b/crates/demo/src/measure/listeners.rs
@@ -0,0 +1,44 @@
+use {cactusyoke_standins::Addresses, std::net::SocketAddr};
+
+/// Port for other nodes; the further listeners follow.
+const NODE_PORT: u16 = 7101;
+
+/// Listeners of one node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Listeners {
+  pub(crate) node: SocketAddr,
+  pub(crate) callers: SocketAddr,
+  pub(crate) egress: SocketAddr,
+  pub(crate) announce: SocketAddr,
+  pub(crate) operators: SocketAddr,
+}
+
+impl Listeners {
+  pub(crate) fn new(addresses: Addresses, number: u8) -> Self {
+    let listener = |offset| addresses.listener(number, NODE_PORT + offset);
+    Self {
+      node: listener(0),
+      callers: listener(1),
+      egress: listener(2),
+      announce: listener(3),
+      operators: listener(4),
+    }
+  }
+
+  /// Settings of the node, YAML.
+  pub(crate) fn settings(&self, contact: SocketAddr, platform: SocketAddr) -> String {
+    let Self {
+      node,
+      callers,
+      egress,
+      announce,
+      operators,
+    } = self;
+    format!(
+      "node: {node}\ndata_centre: concord\n\
+       data_centres: {{concord: {{contacts: ['{contact}']}}}}\n\
+       callers: {callers}\negress: {egress}\nannounce: {announce}\noperators: {operators}\n\
+       platform: {platform}\n"
+    )
+  }
+}
--- /dev/null
+++ b/crates/demo/src/measure/node_process.rs
@@ -0,0 +1,90 @@
+use {
+  super::Listeners,
+  std::{
+    env, fs, io,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+  },
+};
+
+/// Clock ticks of `/proc` in a second, the same on every Linux.
+const TICKS: f64 = 100.0;
+
+/// Process of a node, ended when it is dropped.
+#[derive(Debug)]
+pub(crate) struct NodeProcess(Child);
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Usage {
+  /// Processor time.
+  pub(crate) time: Duration,
+  /// Resident memory, KiB.
+  pub(crate) memory: u64,
+}
+
+impl NodeProcess {
+  /// Starts the binary that was built beside this one.
+  pub(crate) fn start(
+    listeners: Listeners,
+    contact: SocketAddr,
+    platform: SocketAddr,
+  ) -> io::Result<Self> {
+    let path = env::temp_dir().join(format!("cactusyoke-measure-{}.yaml", listeners.node.ip()));
+    fs::write(&path, listeners.settings(contact, platform))?;
+    let child = Command::new(binary()?)
+      .args(["node", "--settings"])
+      .arg(&path)
+      .env("CACTUSYOKE_LOG", "error")
+      .stdin(Stdio::null())
+      .spawn()?;
+    Ok(Self(child))
+  }
+
+  /// Processor time and memory so far.
+  pub(crate) fn usage(&self) -> io::Result<Usage> {
+    let id = self.0.id();
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    // The name of the command may hold spaces; it ends with the last parenthesis.
+    let fields = stat
+      .rsplit(')')
+      .next()
+      .unwrap_or_default()
+      .split_whitespace();
+    let ticks = fields
+      .skip(11)
+      .take(2)
+      .filter_map(|field| field.parse::<u64>().ok())
+      .sum::<u64>();
+    let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+    let memory = status
+      .lines()
+      .find_map(|line| line.strip_prefix("VmRSS:"))
+      .and_then(|value| value.split_whitespace().next()?.parse().ok())
+      .unwrap_or_default();
+    Ok(Usage {
+      time: Duration::from_secs_f64(ticks as f64 / TICKS),
+      memory,
+    })
+  }
+}
+
+impl Drop for NodeProcess {
+  fn drop(&mut self) {
+    // The process may have ended already.
+    let _ = self.0.kill();
+    let _ = self.0.wait();
+  }
+}
+
+fn binary() -> io::Result<PathBuf> {
+  let path = env::current_exe()?.with_file_name("cactusyoke");
+  if path.exists() {
+    return Ok(path);
+  }
+  let message =
+    "the binary `cactusyoke` is missing: build it with `cargo build --release --locked`";
+  Err(io::Error::new(io::ErrorKind::NotFound, message))
+}
