--- a/crates/nodes/src/lib.rs
+++ b/crates/nodes/src/lib.rs
@@ -4,13 +4,9 @@
 //! node called. [`Membership`] runs the membership state machine over UDP and publishes
 //! [`MembersView`]. The wire format is described in docs/protocol.md.
 
-#![expect(
-  clippy::unused_async,
-  reason = "the bodies that wait are not written yet"
-)]
-
 mod ask_error;
 mod ask_responder;
+mod datagrams;
 mod hop;
 mod incoming;
 mod link;
--- a/crates/nodes/src/members_view.rs
+++ b/crates/nodes/src/members_view.rs
@@ -1,5 +1,5 @@
 use {
-  cactusyoke_decisions::membership::{CentreSummary, Member, Record, Status},
+  cactusyoke_decisions::membership::{CentreSummary, Member, Members, Record},
   cactusyoke_model::{DataCentre, Incarnation, NodeId, ServiceName},
   std::collections::HashMap,
 };
@@ -13,6 +13,13 @@
   centres: Vec<CentreSummary>,
 }
 
+impl From<&Members> for MembersView {
+  fn from(members: &Members) -> Self {
+    let (own, centres) = (members.own().clone(), members.centres());
+    Self::new(own, members.snapshot(), centres)
+  }
+}
+
 impl MembersView {
   /// View over a snapshot.
   pub fn new(own: Record, members: Vec<Member>, centres: Vec<CentreSummary>) -> Self {
@@ -67,10 +74,7 @@
 
   /// Members of this data centre that are alive or suspected.
   pub fn live(&self) -> impl Iterator<Item = &Member> {
-    self
-      .members
-      .iter()
-      .filter(|member| matches!(member.status, Status::Alive | Status::Suspect))
+    self.members.iter().filter(|member| member.is_live())
   }
 
   /// The other data centres.
--- /dev/null
+++ b/crates/nodes/tests/membership.rs
@@ -0,0 +1,171 @@
+//! Membership over UDP on the loopback address.
+
+use {
+  cactusyoke_decisions::membership::{LifeState, Own, Status},
+  cactusyoke_model::{
+    Connections, DataCentre, Incarnation, NodeId, Revision, ServiceName, Slots, SystemClock,
+  },
+  cactusyoke_nodes::{
+    MembersView, Membership, MembershipConfig, MembershipError, MembershipHandle,
+  },
+  std::{
+    net::UdpSocket,
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+  tokio::time::{sleep, timeout},
+};
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn service() -> ServiceName {
+  "pledges".parse().unwrap()
+}
+
+fn own(life: LifeState) -> Own {
+  Own {
+    service: Some(service()),
+    life,
+    slots: Slots(120),
+    connections: Connections(800),
+  }
+}
+
+fn config(node: NodeId, centre: &str, contacts: &[NodeId]) -> MembershipConfig {
+  MembershipConfig {
+    node,
+    bind: node.0,
+    incarnation: Incarnation(1),
+    data_centre: centre.parse().unwrap(),
+    contacts: contacts.to_vec(),
+    clock: Arc::new(SystemClock),
+    seed: u64::from(node.0.port()),
+    bytes_per_second: 20_000,
+  }
+}
+
+/// Starts a node on a free port.
+async fn start(centre: &str, contacts: &[NodeId]) -> (NodeId, MembershipHandle) {
+  loop {
+    let free = UdpSocket::bind("127.0.0.1:0")
+      .unwrap()
+      .local_addr()
+      .unwrap();
+    let node = NodeId(free);
+    match Membership::start(config(node, centre, contacts)).await {
+      Ok(handle) => return (node, handle),
+      // Another test took the port in the meantime.
+      Err(MembershipError::Bind { .. }) => {}
+      Err(error) => panic!("{error}"),
+    }
+  }
+}
+
+async fn until(handle: &MembershipHandle, what: &str, reached: impl Fn(&MembersView) -> bool) {
+  let waiting = async {
+    while !reached(&handle.view()) {
+      sleep(Duration::from_millis(20)).await;
+    }
+  };
+  let waited = timeout(LIMIT, waiting).await;
+  assert!(waited.is_ok(), "{what}: {:?}", handle.view());
+}
+
+/// Guards against views that miss a node, its service, its drain or its leaving.
+#[tokio::test]
+async fn nodes_see_each_other_serve_drain_and_leave() {
+  let (first, one) = start("east", &[]).await;
+  let (second, two) = start("east", &[first]).await;
+  let (_, three) = start("east", &[first]).await;
+  let started = Instant::now();
+  for handle in [&one, &two, &three] {
+    handle.set_own(own(LifeState::Serving));
+  }
+  for handle in [&one, &two, &three] {
+    until(handle, "serving", |view| {
+      view.serving(&service()).len() == 3
+    })
+    .await;
+  }
+  let view = one.view();
+  assert_eq!(view.live().count(), 3);
+  assert_eq!(view.services().collect::<Vec<_>>(), [&service()]);
+  let member = view
+    .serving(&service())
+    .iter()
+    .find(|member| member.record.node == second);
+  let member = member.unwrap();
+  assert_eq!(
+    (member.record.slots, member.record.connections),
+    (Slots(120), Connections(800))
+  );
+  assert!(member.since >= started);
+  assert_eq!(view.member(second).unwrap().status, Status::Alive);
+  assert!(view.serving(&"maps".parse().unwrap()).is_empty());
+
+  two.set_own(own(LifeState::Draining));
+  until(&one, "draining", |view| view.serving(&service()).len() == 2).await;
+  two.leave().await;
+  until(&three, "left", |view| {
+    view.member(second).unwrap().status == Status::Left
+  })
+  .await;
+  two.leave().await;
+}
+
+/// Guards against a newer configuration that a node does not hear of.
+#[tokio::test]
+async fn a_newer_revision_is_reported() {
+  let (first, one) = start("east", &[]).await;
+  let (second, two) = start("east", &[first]).await;
+  let mut reports = one.newer_revisions();
+  two.set_revision(Revision(3));
+  let report = timeout(LIMIT, reports.recv()).await.unwrap();
+  assert_eq!(report, Some((second, Revision(3))));
+}
+
+/// Guards against a service of another data centre that is not found, or is taken for local.
+#[tokio::test]
+async fn another_data_centre_is_a_summary() {
+  let (first, one) = start("east", &[]).await;
+  let (second, two) = start("west", &[first]).await;
+  two.set_own(own(LifeState::Serving));
+  let west = "west".parse::<DataCentre>().unwrap();
+  until(&one, "summary", |view| {
+    view.served_elsewhere(&service()).eq([(&west, 1)])
+  })
+  .await;
+  let view = one.view();
+  assert_eq!(view.contacts(&west), [second]);
+  assert_eq!(view.members().len(), 1);
+  assert!(view.serving(&service()).is_empty());
+}
+
+/// Guards against datagrams of others that stop the membership.
+#[tokio::test]
+async fn bad_datagrams_are_ignored() {
+  let (first, one) = start("east", &[]).await;
+  let other = UdpSocket::bind("127.0.0.1:0").unwrap();
+  for bytes in [[1; 1_500].as_slice(), &[], &[7; 20], &[1; 20]] {
+    other.send_to(bytes, first.0).unwrap();
+  }
+  let (_, _two) = start("east", &[first]).await;
+  until(&one, "join", |view| view.live().count() == 2).await;
+}
+
+/// Guards against a start that fails without saying which setting is wrong.
+#[tokio::test]
+async fn a_taken_address_is_named() {
+  let taken = UdpSocket::bind("127.0.0.1:0").unwrap();
+  let node = NodeId(taken.local_addr().unwrap());
+  let error = Membership::start(config(node, "east", &[]))
+    .await
+    .unwrap_err();
+  let text = error.to_string();
+  let begin = format!("the UDP address `{node}` cannot be bound: ");
+  assert!(text.starts_with(&begin), "{text}");
+  assert!(
+    text.ends_with(": choose a free address of this machine"),
+    "{text}"
+  );
+}
