--- a/crates/operators/src/handler.rs
+++ b/crates/operators/src/handler.rs
@@ -1,7 +1,7 @@
 use {
   crate::{
     AuditQuery, Metrics, Node, NodeError, PutRequest, Reason, Reply, Token, UseRequest, failure,
-    json, text,
+    json, metrics_text, text,
   },
   cactusyoke_model::PresetName,
   http::{Method, Request, StatusCode, header::AUTHORIZATION, request::Parts},
@@ -80,7 +80,7 @@
       "/audit" => Ok(json(&self.node.audit(query(head)?).await?)),
       "/quarantine" => Ok(json(&self.node.quarantine().await?)),
       "/metrics" => match self.metrics.encode() {
-        Ok(metrics) => Ok(text(StatusCode::OK, metrics)),
+        Ok(text) => Ok(metrics_text(text)),
         Err(error) => Err(NodeError::Internal {
           message: format!("the metrics cannot be written: {error}"),
         }),
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -35,6 +35,6 @@
   call_metrics::WAIT_BOUNDS,
   handler::Handler,
   metrics::{MEMBER_STATUSES, PLATFORM_CALLS, PLATFORM_RESULTS, Pairs},
-  reply::{Failure, Reply, failure, json, text},
+  reply::{Failure, Reply, failure, json, metrics_text, text},
   scrape::Scrape,
 };
--- a/crates/operators/src/reply.rs
+++ b/crates/operators/src/reply.rs
@@ -42,11 +42,13 @@
 }
 
 pub(crate) fn text(status: StatusCode, body: String) -> Reply {
-  reply(
-    status,
-    "text/plain; version=0.0.4; charset=utf-8",
-    body.into(),
-  )
+  reply(status, "text/plain; charset=utf-8", body.into())
+}
+
+/// Metrics in the text format of `prometheus-client`, which is that of `OpenMetrics`.
+pub(crate) fn metrics_text(body: String) -> Reply {
+  let content = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+  reply(StatusCode::OK, content, body.into())
 }
 
 fn with_status<T: Serialize>(status: StatusCode, body: &T) -> Reply {
--- a/crates/operators/src/scrape.rs
+++ b/crates/operators/src/scrape.rs
@@ -92,8 +92,15 @@
     for ((service, class), calls) in &self.pairs {
       let counts = calls.waits.iter().map(|count| count.load(Relaxed));
       let bounds = WAIT_BOUNDS.iter().map(|bound| *bound as f64 / MICROS);
-      let buckets = bounds.chain([f64::MAX]).zip(counts).collect::<Vec<_>>();
+      let buckets = bounds
+        .chain([f64::INFINITY])
+        .zip(counts)
+        .collect::<Vec<_>>();
       let count = buckets.iter().map(|(_, count)| count).sum();
+      // A node of 300 services waits for few of them, and each histogram has 17 lines.
+      if count == 0 {
+        continue;
+      }
       let sum = calls.wait_sum.load(Relaxed) as f64 / MICROS;
       family
         .encode_family(&[("service", service.as_str()), ("class", class.as_str())])?
