--- a/crates/cactusyoke/src/subcommand.rs
+++ b/crates/cactusyoke/src/subcommand.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod quarantine_list;
 mod quarantine_release;
+mod report_failure;
 mod status;
 mod table;
 mod undrain;
@@ -36,6 +37,7 @@
 pub use quarantine::Quarantine;
 pub use quarantine_list::QuarantineList;
 pub use quarantine_release::QuarantineRelease;
+pub use report_failure::report_failure;
 pub use status::Status;
 pub use undrain::Undrain;
 
--- a/crates/cactusyoke/src/subcommand/audit.rs
+++ b/crates/cactusyoke/src/subcommand/audit.rs
@@ -27,8 +27,8 @@
   /// Changes by this operator only
   #[bpaf(argument("NAME"), optional)]
   by: Option<String>,
-  /// Most changes to show
-  #[bpaf(argument("COUNT"), fallback(100))]
+  /// Most changes to show; by default 100
+  #[bpaf(argument::<String>("COUNT"), parse(|text| count(&text)), fallback(100))]
   limit: usize,
 }
 
@@ -86,3 +86,7 @@
     None => Err(CommandError::Time(text.into())),
   }
 }
+
+fn count(text: &str) -> Result<usize, String> {
+  text.parse().map_err(|_error| "use a whole number".into())
+}
--- a/crates/cactusyoke/src/subcommand/change_options.rs
+++ b/crates/cactusyoke/src/subcommand/change_options.rs
@@ -10,10 +10,10 @@
 #[derive(Bpaf, Clone, Debug)]
 pub struct ChangeOptions {
   /// Revision that you looked at; by default that of the node
-  #[bpaf(argument("REVISION"), optional)]
+  #[bpaf(argument::<String>("REVISION"), parse(|text| parse_revision(&text)), optional)]
   pub revision: Option<u64>,
   /// Id of a change that was not confirmed, to repeat it; needs --revision
-  #[bpaf(argument("ID"), optional)]
+  #[bpaf(argument::<String>("ID"), parse(|text| parse_id(&text)), optional)]
   pub id: Option<ChangeId>,
 }
 
@@ -31,3 +31,15 @@
 pub(super) fn new_id() -> ChangeId {
   ChangeId(rand::rng().random())
 }
+
+pub(super) fn parse_revision(text: &str) -> Result<u64, String> {
+  text
+    .parse()
+    .map_err(|_error| "use the number that `preset show` or `preset list` prints".into())
+}
+
+pub(super) fn parse_id(text: &str) -> Result<ChangeId, String> {
+  text
+    .parse()
+    .map_err(|_error| "use the id as the failed command printed it".into())
+}
--- a/crates/cactusyoke/src/subcommand/preset_edit.rs
+++ b/crates/cactusyoke/src/subcommand/preset_edit.rs
@@ -1,5 +1,9 @@
 use {
-  super::{Author, CommandError, NodeOptions, author, change_options::new_id, node_options},
+  super::{
+    Author, CommandError, NodeOptions, author,
+    change_options::{new_id, parse_id, parse_revision},
+    node_options,
+  },
   bpaf::Bpaf,
   cactusyoke_model::{ChangeId, Preset, RawPreset, Revision},
   cactusyoke_operators::PutRequest,
@@ -18,10 +22,10 @@
   #[bpaf(external)]
   author: Author,
   /// Revision that the file is based on, as preset show printed it
-  #[bpaf(argument("REVISION"))]
+  #[bpaf(argument::<String>("REVISION"), parse(|text| parse_revision(&text)))]
   revision: u64,
   /// Id of a change that was not confirmed, to repeat it
-  #[bpaf(argument("ID"), optional)]
+  #[bpaf(argument::<String>("ID"), parse(|text| parse_id(&text)), optional)]
   id: Option<ChangeId>,
   /// YAML file with the whole preset
   #[bpaf(positional("FILE"))]
