--- a/crates/cactusyoke/tests/chain.rs
+++ b/crates/cactusyoke/tests/chain.rs
@@ -97,16 +97,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_that_is_sent_again_gets_the_first_answer() {
   let cluster = chain().await;
+  cluster.wait_keyed("/orders").await;
   let mut bodies = Vec::new();
   for entry in [0, 4, 8] {
-    let mut request = tagged("POST", "/orders", "order");
-    request
-      .headers_mut()
-      .insert("idempotency-key", "order-1".parse().expect("a value"));
     let received = cluster
-      .send(entry, request)
-      .await
-      .expect("the request is answered");
+      .send_keyed(entry, "/orders", "order-1", "order")
+      .await;
+    let received = received.expect("the request is answered");
     assert_eq!(received.status, 200, "{}", received.text());
     bodies.push(received.body);
   }
--- a/crates/cactusyoke/tests/common/cluster.rs
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -191,7 +191,9 @@
 
   /// Sends a request without a body through a node.
   pub async fn get(&self, node: usize, path: &str) -> Result<Received, ClientError> {
-    let request = Request::get(path).body(cactusyoke_model::empty_body());
+    let request = Request::get(path)
+      .header("te", "trailers")
+      .body(cactusyoke_model::empty_body());
     self
       .send(node, request.expect("the request is correct"))
       .await
@@ -232,6 +234,42 @@
     }
   }
 
+  /// Sends a keyed request without retries.
+  pub async fn send_keyed(
+    &self,
+    node: usize,
+    path: &str,
+    key: &str,
+    tag: &str,
+  ) -> Result<Received, ClientError> {
+    let request = Request::post(path)
+      .header("idempotency-key", key)
+      .header("x-request-tag", tag);
+    let request = request.body(cactusyoke_model::full_body("body"));
+    self
+      .send(node, request.expect("the request is correct"))
+      .await
+  }
+
+  /// Waits until keyed requests of `path` run, which needs the roster of the witnesses.
+  pub async fn wait_keyed(&self, path: &str) {
+    for node in 0..self.nodes.len() {
+      for attempt in 0.. {
+        let key = format!("wait-{node}-{attempt}");
+        let received = self.send_keyed(node, path, &key, "wait").await;
+        if received.is_ok_and(|received| received.status == 200) {
+          break;
+        }
+        assert!(
+          attempt < 300,
+          "keyed requests do not run; log:\n{}",
+          self.nodes[node].log()
+        );
+        tokio::time::sleep(Duration::from_millis(100)).await;
+      }
+    }
+  }
+
   fn expected_members(&self, centre: &str) -> usize {
     self.centres.iter().filter(|name| **name == centre).count()
   }
--- a/crates/standins/tests/load.rs
+++ b/crates/standins/tests/load.rs
@@ -6,7 +6,7 @@
     upstream::{Config, Upstream},
   },
   http::Method,
-  std::{net::SocketAddr, time::Duration},
+  std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 fn config(target: SocketAddr, classes: Vec<ClassLoad>) -> LoadConfig {
@@ -25,6 +25,7 @@
     ],
     seed: 7,
     max_requests: 150,
+    progress: Arc::default(),
   }
 }
 
