Base the admission level on smoothed rates and the highest sub-level seen

The first version took the rate of a partly admitted class from the share that the gate itself admits.

Ruled out: a lower queue target (a quarter of the longest wait), which emptied the queue by chance, and holding calls on their way to a level that has just fallen, which wasted the work done above.

--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -17,6 +17,7 @@
 mod peer;
 mod quarantine;
 mod queue;
+mod rate;
 mod retry_ratio;
 mod router;
 mod threshold;
@@ -40,6 +41,7 @@
   limit::Limit,
   peer::Peer,
   queue::{Entry, Queue},
+  rate::Rate,
   std::{
     collections::HashMap,
     hash::{BuildHasherDefault, DefaultHasher},
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -10,8 +10,12 @@
 /// Interval at which limit and level are adapted. It is of the order of the time that a report
 /// takes to reach the senders; shorter intervals adapt again before the last step shows.
 const TICK: Duration = Duration::from_millis(50);
+/// Completions that the capacity allows in one interval of the level, up to `MAX_INTERVAL`. With
+/// fewer, the level moves on before its last move shows.
+const COMPLETIONS: f64 = 4.0;
+const MAX_INTERVAL: Duration = Duration::from_millis(250);
 /// Share of the longest wait that is tolerated before the level falls.
-const TARGET_SHARE: f64 = 0.25;
+const TARGET_SHARE: f64 = 0.5;
 /// Time without any event after which earlier load says nothing.
 const STALE: Duration = Duration::from_secs(1);
 
@@ -32,6 +36,8 @@
   limit: Limit,
   threshold: Threshold,
   ticked: Instant,
+  /// Start of the level's interval.
+  levelled: Instant,
   /// Earliest time at which a waiting call can expire; may be too early, never too late.
   expiry: Option<Instant>,
   /// Calls started since the last tick and the sum of their waits.
@@ -57,6 +63,7 @@
       limit: Limit::new(config.slots, config.cold_start, now),
       threshold: Threshold::new(),
       ticked: now,
+      levelled: now,
       expiry: None,
       started: 0,
       waited: Duration::ZERO,
@@ -232,8 +239,9 @@
 
   fn expire(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
     let latest = now + self.limit.fastest();
+    let waits = self.waits();
     let tickets = &mut self.tickets;
-    self.queue.expire(now, self.queue_wait, latest, |entry| {
+    self.queue.expire(now, waits, latest, |entry| {
       tickets.remove(&entry.ticket);
       // A call that waited too long was shed, whether or not its deadline has come.
       let reason = if entry.deadline <= latest {
@@ -246,10 +254,19 @@
     self.expiry = self.next_expiry();
   }
 
+  /// Longest waits of the most important class and of the others. The most important one waits on
+  /// while the level sheds the others only: it is about to get their slots, and is shed last.
+  fn waits(&self) -> [Duration; 2] {
+    let first = if self.threshold.sheds_lower_classes() {
+      Duration::MAX
+    } else {
+      self.queue_wait
+    };
+    [first, self.queue_wait]
+  }
+
   fn next_expiry(&self) -> Option<Instant> {
-    self
-      .queue
-      .next_expiry(self.queue_wait, self.limit.fastest())
+    self.queue.next_expiry(self.waits(), self.limit.fastest())
   }
 
   fn tick(&mut self, now: Instant) {
@@ -262,15 +279,23 @@
     self.limit.tick(now);
     if elapsed >= STALE && self.queue.len() == 0 {
       self.threshold.reset();
-    } else if let Some(capacity) = self.limit.capacity() {
-      self.threshold.tick(&Pressure {
-        elapsed: elapsed.as_secs_f64(),
-        capacity,
-        wait: self.waited.as_secs_f64() / f64::from(self.started.max(1)),
-        target: self.queue_wait.as_secs_f64() * TARGET_SHARE,
-        queue: &self.queue,
-      });
     }
+    let Some(capacity) = self.limit.capacity() else {
+      return;
+    };
+    let elapsed = now.saturating_duration_since(self.levelled);
+    if elapsed < MAX_INTERVAL && elapsed.as_secs_f64() * capacity < COMPLETIONS {
+      return;
+    }
+    self.levelled = now;
+    self.threshold.tick(&Pressure {
+      elapsed: elapsed.as_secs_f64(),
+      utilisation: self.limit.utilisation(),
+      capacity,
+      wait: self.waited.as_secs_f64() / f64::from(self.started.max(1)),
+      target: self.queue_wait.as_secs_f64() * TARGET_SHARE,
+      queue: &self.queue,
+    });
     self.started = 0;
     self.waited = Duration::ZERO;
   }
--- a/crates/decisions/src/load/levels.rs
+++ b/crates/decisions/src/load/levels.rs
@@ -11,11 +11,11 @@
 /// between two reports; longer ones delay recovery.
 const WINDOW: Duration = Duration::from_millis(50);
 /// Silence after which a level begins to rise.
-const HOLD: Duration = Duration::from_millis(250);
+const HOLD: Duration = Duration::from_millis(500);
 /// Silence after which everything is admitted.
 const EXPIRY: Duration = Duration::from_secs(1);
 /// While no report arrives, one shed call is let through in each such interval.
-const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// First value above every class rank.
 const TOP: f64 = 0x2000 as f64;
 /// Bound on routes, above the number of routes of any preset in use.
--- a/crates/decisions/src/load/limit.rs
+++ b/crates/decisions/src/load/limit.rs
@@ -1,20 +1,24 @@
 use {
-  super::Completion,
+  super::{Completion, Rate},
   cactusyoke_model::Slots,
   std::time::{Duration, Instant},
 };
 
 /// Share of the slots at the beginning of a cold start.
 const COLD_SHARE: f64 = 0.1;
+/// Least capacity, calls per second, so that expected waits stay finite.
+const MIN_CAPACITY: f64 = 0.1;
+/// Least latency that a first measurement counts as, seconds.
+const MIN_LATENCY: f64 = 1e-6;
 /// Utilisation of the limit above which throughput shows the capacity.
 const SATURATED: f64 = 0.95;
 /// Inflation of latency over its base at which a lower limit is tried.
 const INFLATED: f64 = 2.0;
-/// Factor by which the limit is lowered for a trial. A trial costs up to a quarter of the
+/// Factor by which the limit is lowered for a trial. A trial costs up to a fifth of the
 /// throughput while it lasts.
-const TRIAL_SHARE: f64 = 0.75;
+const TRIAL_SHARE: f64 = 0.8;
 /// Latency during a trial, relative to before, at which the lower limit is kept.
-const IMPROVED: f64 = 0.85;
+const IMPROVED: f64 = 0.9;
 /// Growth of the limit in one measurement.
 const GROWTH: f64 = 0.05;
 /// Completions of one measurement. Fewer give a mean too noisy to compare.
@@ -51,17 +55,14 @@
   area: f64,
   observed: Instant,
   ticked: Instant,
-  /// Completions and their latency since the last tick.
+  /// Completions since the last tick.
   completed: u32,
-  seconds: f64,
   /// Completions and their latency since the last measurement.
   samples: u32,
   sampled: f64,
-  saturated: bool,
-  /// Smoothed latency, seconds.
-  latency: Option<f64>,
-  /// Completions per second while saturated.
-  throughput: Option<f64>,
+  utilisation: f64,
+  /// Completions per second of a call in flight, once measured.
+  rate: Option<Rate>,
   base: Option<f64>,
   trial: Option<Trial>,
   tried: Instant,
@@ -82,12 +83,10 @@
       observed: now,
       ticked: now,
       completed: 0,
-      seconds: 0.0,
       samples: 0,
       sampled: 0.0,
-      saturated: false,
-      latency: None,
-      throughput: None,
+      utilisation: 0.0,
+      rate: None,
       base: None,
       trial: None,
       tried: now,
@@ -117,13 +116,13 @@
 
   /// Calls per second that the upstream completes at the limit, once measured.
   pub(super) fn capacity(&self) -> Option<f64> {
-    let latency = self.latency?;
-    Some(
-      self
-        .throughput
-        .unwrap_or(self.current.floor() / latency)
-        .max(0.1),
-    )
+    let rate = self.rate.as_ref()?;
+    Some((self.current.floor() * rate.value()).max(MIN_CAPACITY))
+  }
+
+  /// Calls in flight relative to the limit, over the last interval.
+  pub(super) const fn utilisation(&self) -> f64 {
+    self.utilisation
   }
 
   /// Shortest recent time from start to whole response; zero when none is known, so that calls
@@ -154,13 +153,18 @@
         true
       }
       // A fast failure says nothing about capacity; a slow one held its slot.
-      Completion::Failed | Completion::Cancelled => self.latency.is_some_and(|mean| seconds > mean),
+      Completion::Failed | Completion::Cancelled => self
+        .rate
+        .as_ref()
+        .is_some_and(|rate| seconds * rate.value() > 1.0),
     };
     if !counts {
       return;
     }
     self.completed += 1;
-    self.seconds += seconds;
+    self
+      .rate
+      .get_or_insert(Rate::new(1.0 / seconds.max(MIN_LATENCY)));
     if self.trial.is_none_or(|trial| started >= trial.since) {
       self.samples += 1;
       self.sampled += seconds;
@@ -174,10 +178,12 @@
       return;
     }
     self.ticked = now;
-    let utilisation = self.area / (elapsed * self.current.floor().max(1.0));
+    self.utilisation = self.area / (elapsed * self.current.floor().max(1.0));
+    if let Some(rate) = &mut self.rate {
+      rate.add(f64::from(self.completed), self.area, elapsed);
+    }
     self.area = 0.0;
-    self.saturated = utilisation >= SATURATED;
-    self.smooth(elapsed);
+    self.completed = 0;
     self.rotate_fastest(now);
     if self.samples >= SAMPLES {
       self.adapt(self.sampled / f64::from(self.samples), now);
@@ -187,26 +193,6 @@
     self.current = self.learned.min(self.ceiling(now));
   }
 
-  fn smooth(&mut self, elapsed: f64) {
-    let completed = f64::from(self.completed);
-    let mean = self.seconds / completed;
-    self.completed = 0;
-    self.seconds = 0.0;
-    if completed > 0.0 {
-      let weight = (completed / f64::from(SAMPLES)).clamp(0.05, 0.5);
-      self.latency = Some(self.latency.map_or(mean, |old| old + (mean - old) * weight));
-    }
-    if !self.saturated {
-      self.throughput = None;
-      return;
-    }
-    let Some(expected) = self.capacity() else {
-      return;
-    };
-    let weight = (expected * elapsed / f64::from(SAMPLES)).clamp(0.05, 0.5);
-    self.throughput = Some(expected + (completed / elapsed - expected) * weight);
-  }
-
   fn rotate_fastest(&mut self, now: Instant) {
     let age = now.saturating_duration_since(self.fastest_since);
     if age < FASTEST_WINDOW {
@@ -224,7 +210,7 @@
       return;
     }
     self.base = Some(base.min(mean));
-    if mean <= base * INFLATED || !self.saturated {
+    if mean <= base * INFLATED || self.utilisation < SATURATED {
       self.learned = (self.learned * (1.0 + GROWTH))
         .max(self.learned + 1.0)
         .min(self.slots);
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -113,11 +113,11 @@
     true
   }
 
-  /// Removes each call that has waited for `wait`, or whose deadline comes before `latest`.
+  /// Removes each call that has waited for the longest wait of its class, or whose deadline comes before `latest`.
   pub(super) fn expire(
     &mut self,
     now: Instant,
-    wait: Duration,
+    waits: [Duration; 2],
     latest: Instant,
     mut expired: impl FnMut(&Entry),
   ) {
@@ -125,6 +125,7 @@
     while rest != 0 {
       let class = rest.trailing_zeros() as usize;
       rest &= rest - 1;
+      let wait = waits[class.min(1)];
       let before = self.lines[class].len();
       self.lines[class].retain(|entry| {
         let keep = now.saturating_duration_since(entry.queued) < wait && entry.deadline > latest;
@@ -138,15 +139,17 @@
   }
 
   /// Earliest time at which a waiting call expires.
-  pub(super) fn next_expiry(&self, wait: Duration, margin: Duration) -> Option<Instant> {
+  pub(super) fn next_expiry(&self, waits: [Duration; 2], margin: Duration) -> Option<Instant> {
+    let expiry = |class: usize, entry: &Entry| {
+      let latest = entry.deadline.checked_sub(margin).unwrap_or(entry.queued);
+      let waited = entry.queued.checked_add(waits[class.min(1)]);
+      waited.map_or(latest, |waited| waited.min(latest))
+    };
     self
       .lines
       .iter()
-      .flatten()
-      .map(|entry| {
-        let deadline = entry.deadline.checked_sub(margin).unwrap_or(entry.queued);
-        deadline.min(entry.queued + wait)
-      })
+      .enumerate()
+      .flat_map(|(class, line)| line.iter().map(move |entry| expiry(class, entry)))
       .min()
   }
 
--- a/crates/decisions/src/load/threshold.rs
+++ b/crates/decisions/src/load/threshold.rs
@@ -1,27 +1,27 @@
 use {
-  super::Queue,
+  super::{Queue, Rate},
   cactusyoke_model::{ClassRank, Level, Priority},
 };
 
 const CLASSES: usize = ClassRank::MAX.0 as usize + 1;
 /// Sub-levels of a class.
 const STEPS: f64 = 256.0;
-/// Share of a class that has to be admitted for its arrivals to be extrapolated to the whole.
-const MEASURABLE: f64 = 1.0 / 16.0;
-/// Fading, per interval, of what is known of a class that other nodes keep away.
-const FADING: f64 = 0.8;
-/// Completions over which arrivals are averaged. Fewer let chance move the level.
-const SAMPLES: f64 = 30.0;
-/// Time in which an excess of waiting calls is to be worked off, seconds.
-const DRAIN_TIME: f64 = 0.5;
-/// Largest share of the capacity spent on working off waiting calls.
-const MAX_DRAIN: f64 = 0.9;
+/// Use of the limit below which there is room whatever the estimates say.
+const IDLE: f64 = 0.8;
+/// Time in which the queue is brought to the tolerated wait, seconds.
+const DRAIN_TIME: f64 = 1.0;
+/// Least share of the capacity that a class is taken to have when higher ones use it up.
+const MIN_LEFT: f64 = 0.05;
+/// Intervals by which the enforced level follows the reported one.
+const GRACE: usize = 3;
 
 /// State of the gate at the end of an interval.
 #[derive(Debug)]
 pub(super) struct Pressure<'a> {
   /// Length of the interval, seconds.
   pub(super) elapsed: f64,
+  /// Calls in flight relative to the limit.
+  pub(super) utilisation: f64,
   /// Calls per second.
   pub(super) capacity: f64,
   /// Mean wait of the calls that started, seconds.
@@ -31,37 +31,48 @@
   pub(super) queue: &'a Queue,
 }
 
+/// Arrivals of one class.
+#[derive(Clone, Copy, Debug)]
+struct Arrivals {
+  /// Arrivals of the interval.
+  count: u32,
+  /// Highest sub-level since the last estimate, and the arrivals it is taken from.
+  highest: u8,
+  seen: u32,
+  /// Estimated arrivals, including those that senders keep away.
+  offered: Rate,
+}
+
 /// Admission level of a gate.
 ///
-/// Arrivals are counted by class. Sub-levels are hashes and so uniform within a class, which
-/// locates the threshold inside a class by interpolation, and extends the arrivals of a class that
-/// senders admit in part to the whole class.
+/// Sub-levels are hashes and so uniform within a class. The threshold is therefore found by
+/// interpolation inside a class, and the rate of a class that senders admit in part follows from
+/// the arrivals and the highest sub-level among them.
 #[derive(Debug)]
 pub(super) struct Threshold {
-  /// Sub-levels admitted, counted from the most important; `None` admits everything.
-  position: Option<f64>,
-  /// Position one interval ago.
-  previous: Option<f64>,
-  /// Arrivals of the interval by class.
-  arrived: [u32; CLASSES],
-  /// Those of them below the position.
-  below: [u32; CLASSES],
-  /// Estimated arrivals per second by class, including those kept away by senders.
-  offered: [f64; CLASSES],
+  /// Sub-levels admitted, counted from the most important; infinite to admit everything.
+  position: f64,
+  /// Earlier positions, newest first.
+  history: [f64; GRACE],
+  arrivals: [Arrivals; CLASSES],
   /// Classes seen.
   classes: usize,
-  /// Next rise into a class of unknown arrivals, sub-levels.
+  /// Next rise, sub-levels.
   step: f64,
 }
 
 impl Threshold {
   pub(super) const fn new() -> Self {
+    let none = Arrivals {
+      count: 0,
+      highest: 0,
+      seen: 0,
+      offered: Rate::new(0.0),
+    };
     Self {
-      position: None,
-      previous: None,
-      arrived: [0; CLASSES],
-      below: [0; CLASSES],
-      offered: [0.0; CLASSES],
+      position: f64::INFINITY,
+      history: [f64::INFINITY; GRACE],
+      arrivals: [none; CLASSES],
       classes: 0,
       step: 1.0,
     }
@@ -69,23 +80,26 @@
 
   /// Level that senders are told.
   pub(super) fn level(&self) -> Level {
-    self.position.map_or(Level::ALL, to_level)
+    Level(self.position as u16)
   }
 
-  /// Level that arriving calls are held to. It follows the reported level one interval later, so
-  /// that calls on their way, which have used upstream time above, are not shed by a small move.
+  /// Level that arriving calls are held to. It follows the reported level after a few intervals,
+  /// so that calls on their way, which have used upstream time above, are not shed by a small move.
   pub(super) fn enforced(&self) -> Level {
-    match (self.position, self.previous) {
-      (Some(position), Some(previous)) => to_level(position.max(previous)),
-      _ => Level::ALL,
-    }
+    Level(self.history.into_iter().fold(self.position, f64::max) as u16)
+  }
+
+  /// True when the most important class is admitted whole and others are not.
+  pub(super) const fn sheds_lower_classes(&self) -> bool {
+    self.position >= STEPS && self.position.is_finite()
   }
 
   pub(super) fn arrived(&mut self, priority: Priority) {
     let class = Queue::class(priority);
     self.classes = self.classes.max(class + 1);
-    self.arrived[class] += 1;
-    self.below[class] += u32::from(self.level().admits(priority));
+    let arrivals = &mut self.arrivals[class];
+    arrivals.count += 1;
+    arrivals.highest = arrivals.highest.max(priority.0 as u8);
   }
 
   /// Admits everything, after a time without traffic.
@@ -94,82 +108,79 @@
   }
 
   pub(super) fn tick(&mut self, pressure: &Pressure<'_>) {
-    self.estimate(pressure);
-    self.previous = self.position;
-    let drain = pressure.queue.len() as f64 / pressure.capacity;
-    let wait = pressure.wait.max(drain);
-    let goal = self.goal(pressure);
+    for arrivals in &mut self.arrivals[..self.classes] {
+      arrivals.estimate(pressure.elapsed);
+    }
+    self.history.rotate_right(1);
+    self.history[0] = self.position;
+    let (goal, wait) = self.goal(pressure);
+    let wait = wait.max(pressure.wait);
     let end = STEPS * self.classes as f64;
-    let position = self.position.unwrap_or(end);
-    if wait > pressure.target && goal < position {
-      self.position = Some(goal);
+    if wait > pressure.target && goal < self.position {
+      self.position = goal;
       self.step = 1.0;
-    } else if wait < pressure.target / 2.0 && goal > position {
-      let position = self.raise(position, goal);
-      self.position = (position < end).then_some(position);
-    } else {
+      return;
+    }
+    let idle = pressure.utilisation < IDLE;
+    let ceiling = if idle { end } else { goal };
+    if wait > pressure.target || ceiling <= self.position {
       self.step = 1.0;
+      return;
     }
-  }
-
-  fn estimate(&mut self, pressure: &Pressure<'_>) {
-    let weight = (pressure.elapsed * pressure.capacity / SAMPLES).clamp(0.05, 0.5);
-    for class in 0..self.classes {
-      let share = self.share(class);
-      let seen = f64::from(self.arrived[class]) / pressure.elapsed;
-      let old = &mut self.offered[class];
-      if share >= MEASURABLE {
-        let whole = f64::from(self.below[class]) / (share * pressure.elapsed);
-        *old += (seen.max(whole) - *old) * weight;
-      } else {
-        *old = seen.max(*old * FADING);
-      }
-      self.arrived[class] = 0;
-      self.below[class] = 0;
+    self.position = (self.position + self.step).min(ceiling);
+    // Doubling reaches the end of four classes in ten intervals.
+    self.step *= 2.0;
+    if self.position >= end {
+      self.position = f64::INFINITY;
     }
   }
 
-  /// Position up to which arrivals fit the capacity. Waiting calls count against their own and
-  /// lower classes only, so that a backlog of low classes does not shed a high one.
-  fn goal(&self, pressure: &Pressure<'_>) -> f64 {
+  /// Position up to which arrivals fit the capacity, and the longest expected wait, seconds. A
+  /// class waits for the higher ones only, so that a backlog of low classes does not shed a high
+  /// one.
+  fn goal(&self, pressure: &Pressure<'_>) -> (f64, f64) {
     let mut admitted = 0.0;
     let mut waiting = 0;
+    let mut longest = 0.0_f64;
+    let mut goal = None;
     for class in 0..self.classes {
       waiting += pressure.queue.class_len(class);
-      let excess = waiting as f64 / pressure.capacity - pressure.target;
-      let drain = (excess / DRAIN_TIME).clamp(0.0, MAX_DRAIN);
-      let room = (pressure.capacity * (1.0 - drain) - admitted).max(0.0);
-      if self.offered[class] > room {
-        return STEPS * (class as f64 + room / self.offered[class]);
+      let left = (pressure.capacity - admitted).max(pressure.capacity * MIN_LEFT);
+      let wait = waiting as f64 / left;
+      if pressure.queue.class_len(class) > 0 {
+        longest = longest.max(wait);
       }
-      admitted += self.offered[class];
+      // A queue below the tolerated wait is filled up to it.
+      let drain = ((wait - pressure.target) / DRAIN_TIME).min(1.0);
+      let room = left * (1.0 - drain);
+      let offered = self.arrivals[class].offered.value();
+      if offered > room && goal.is_none() {
+        goal = Some(STEPS * (class as f64 + room / offered));
+      }
+      admitted += offered;
     }
-    STEPS * self.classes as f64
+    (goal.unwrap_or(STEPS * self.classes as f64), longest)
   }
+}
 
-  /// Rises half the way to the goal within a class whose arrivals are known, and by doubling steps
-  /// into one whose arrivals are not.
-  fn raise(&mut self, position: f64, goal: f64) -> f64 {
-    let class = (position / STEPS) as usize;
-    let known = if self.share(class) >= MEASURABLE {
-      STEPS * (class as f64 + 1.0)
+impl Arrivals {
+  fn estimate(&mut self, elapsed: f64) {
+    self.seen += self.count;
+    let seen = f64::from(self.seen);
+    // The highest of some uniform values lies below the edge of their range by one part.
+    let edge = (f64::from(self.highest) + 1.0) * (seen + 1.0) / seen.max(1.0);
+    let share = if self.seen == 0 {
+      1.0
     } else {
-      position
+      (edge / STEPS).min(1.0)
     };
-    let half = position + (goal - position) / 2.0;
-    let raised = half.min(known).max(position + self.step).min(goal);
-    self.step *= 2.0;
-    raised
-  }
-
-  /// Share of a class that is admitted.
-  fn share(&self, class: usize) -> f64 {
-    self.position.map_or(1.0, |position| {
-      (position / STEPS - class as f64).clamp(0.0, 1.0)
-    })
+    let ended = self
+      .offered
+      .add(f64::from(self.count), elapsed * share, elapsed);
+    self.count = 0;
+    if ended {
+      self.seen = 0;
+      self.highest = 0;
+    }
   }
 }
-
-fn to_level(position: f64) -> Level {
-  Level(position.clamp(0.0, f64::from(u16::MAX)) as u16)
-}
