Fuzz the idempotency key machines against a run-counting oracle

Six nodes, up to 150 events a history: late, lost and duplicated messages, paused nodes, two views of the roster, restarts, roster races and lost replies of the store. The oracle counts runs of a key within the key memory; at the end of each history the group is healed and a fresh key must run.

Each rule was broken in turn outside the product code, and the oracle found a second run.

--- a/crates/decisions/src/keys/run.rs
+++ b/crates/decisions/src/keys/run.rs
@@ -104,6 +104,11 @@
     self.fingerprint
   }
 
+  /// Epoch of the roster that it uses.
+  pub const fn epoch(&self) -> u64 {
+    self.epoch
+  }
+
   /// State.
   pub const fn state(&self) -> RunState {
     self.state
--- /dev/null
+++ b/crates/decisions/tests/keys_cluster/network.rs
@@ -0,0 +1,204 @@
+//! Messages on their way.
+
+use {
+  super::{Cluster, Fault, node::FINGERPRINT},
+  cactusyoke_decisions::keys::{
+    Claim, Handover, HandoverPage, Lookup, Member, RunId, WitnessReply, WitnessRequest,
+  },
+  cactusyoke_model::IdempotencyKey,
+};
+
+#[derive(Clone, Debug)]
+enum Message {
+  Request(WitnessRequest),
+  Reply(WitnessReply),
+  Ask(IdempotencyKey, RunId),
+  Certified(IdempotencyKey, RunId),
+}
+
+#[derive(Clone, Debug)]
+pub struct Envelope {
+  from: usize,
+  to: usize,
+  message: Message,
+}
+
+impl Cluster {
+  pub(super) fn send(&mut self, from: usize, (member, request): (Member, WitnessRequest)) {
+    if let WitnessRequest::Handover(Handover {
+      after: None, pass, ..
+    }) = &request
+    {
+      self.passes.insert((from, member), *pass);
+    }
+    let to = self
+      .nodes
+      .iter()
+      .position(|node| node.member.node == member.node);
+    if let Some(to) = to {
+      self.push(from, to, Message::Request(request));
+    }
+  }
+
+  pub(super) fn ask(&mut self, from: usize, key: &IdempotencyKey, holder: RunId) {
+    if let Some(to) = self.index(holder.member) {
+      self.push(from, to, Message::Ask(key.clone(), holder));
+    }
+  }
+
+  /// Delivers everything, also what is sent on the way, in the order in which it was sent.
+  pub fn deliver_all(&mut self) {
+    // Runs that deny each other ask and try again; the bound ends a rare long exchange.
+    for _ in 0..2000 {
+      let next = self
+        .network
+        .iter()
+        .position(|envelope| !self.paused.contains(&envelope.to));
+      let Some(index) = next else {
+        return;
+      };
+      let envelope = self.network.remove(index);
+      self.deliver(envelope);
+    }
+  }
+
+  /// Delivers what is on its way to `node`.
+  pub fn deliver_to(&mut self, node: usize) {
+    if self.paused.contains(&node) {
+      return;
+    }
+    let (mine, rest) = self
+      .network
+      .drain(..)
+      .partition::<Vec<_>, _>(|envelope| envelope.to == node);
+    self.network = rest;
+    for envelope in mine {
+      self.deliver(envelope);
+    }
+  }
+
+  /// Takes out what is on its way from one node to another, to be released late or never.
+  pub fn hold(&mut self, from: usize, to: usize) -> Vec<Envelope> {
+    let (held, rest) = self
+      .network
+      .drain(..)
+      .partition(|envelope| envelope.from == from && envelope.to == to);
+    self.network = rest;
+    held
+  }
+
+  /// Puts back what was taken out.
+  pub fn release(&mut self, held: Vec<Envelope>) {
+    self.network.extend(held);
+  }
+
+  /// Loses what is on its way from and to `node`.
+  pub fn cut(&mut self, node: usize) {
+    self
+      .network
+      .retain(|envelope| envelope.from != node && envelope.to != node);
+  }
+
+  pub(super) fn lose_one(&mut self, index: usize) {
+    if !self.network.is_empty() {
+      self.network.swap_remove(index % self.network.len());
+    }
+  }
+
+  pub(super) fn take(&mut self, index: usize, keep: bool) {
+    if self.network.is_empty() {
+      return;
+    }
+    let index = index % self.network.len();
+    if self.paused.contains(&self.network[index].to) {
+      return;
+    }
+    let envelope = if keep {
+      self.network[index].clone()
+    } else {
+      self.network.swap_remove(index)
+    };
+    self.deliver(envelope);
+  }
+
+  fn deliver(&mut self, envelope: Envelope) {
+    let Envelope { from, to, message } = envelope;
+    match message {
+      Message::Request(request) => self.on_request(from, to, request),
+      Message::Reply(WitnessReply::Handover(page)) => self.on_page(to, page),
+      Message::Reply(reply) => self.on_vote(to, &reply),
+      Message::Ask(key, run) => {
+        let now = self.now;
+        let lookup = self.nodes[to].answers.ask(&key, FINGERPRINT, run, 0, now);
+        if let Lookup::NotRun(run) = lookup {
+          self.oracle.not_run(run);
+          self.push(to, from, Message::Certified(key, run));
+        }
+      }
+      Message::Certified(key, run) => {
+        self.certify(to, &key, run);
+        self.start(to, &key, Some(run));
+      }
+    }
+  }
+
+  fn certify(&mut self, from: usize, key: &IdempotencyKey, run: RunId) {
+    let view = self.nodes[from].view.clone();
+    for witness in view.witnesses(key) {
+      let request = WitnessRequest::Key {
+        epoch: view.epoch,
+        key: key.clone(),
+        run,
+        claim: Claim::Certify,
+      };
+      self.send(from, (witness, request));
+    }
+  }
+
+  fn on_request(&mut self, from: usize, to: usize, mut request: WitnessRequest) {
+    let id = self.nodes[from].member.node;
+    let before = self.nodes[to].witness.clone();
+    let epoch = self.alter_request(to, &mut request);
+    let mut reply = self.nodes[to].witness.handle(id, request, self.now);
+    match &mut reply {
+      WitnessReply::Key { epoch: replied, .. } => *replied = epoch.unwrap_or(*replied),
+      WitnessReply::Handover(_) => {
+        if self.fault == Some(Fault::NoFreeze) {
+          self.nodes[to].witness = before;
+        }
+      }
+    }
+    self.push(to, from, Message::Reply(reply));
+  }
+
+  fn on_page(&mut self, to: usize, page: HandoverPage) {
+    for page in self.alter_page(to, page) {
+      if let Some(next) = self.nodes[to].witness.on_page(&page, self.now) {
+        self.send(to, next);
+      }
+    }
+  }
+
+  fn on_vote(&mut self, to: usize, reply: &WitnessReply) {
+    let WitnessReply::Key { witness, run, .. } = reply else {
+      return;
+    };
+    let node = &mut self.nodes[to];
+    if node.member != run.member {
+      return;
+    }
+    let Some((active, started)) = node.runs.get_mut(&run.number) else {
+      return;
+    };
+    let now = match self.fault {
+      Some(Fault::NoClaimLimit) => *started,
+      _ => self.now,
+    };
+    let actions = active.on_reply(*witness, reply, now);
+    self.act(to, *run, actions);
+  }
+
+  fn push(&mut self, from: usize, to: usize, message: Message) {
+    self.network.push(Envelope { from, to, message });
+  }
+}
--- /dev/null
+++ b/crates/decisions/tests/keys_cluster/oracle.rs
@@ -0,0 +1,69 @@
+use {
+  cactusyoke_decisions::keys::{KEY_MEMORY, RunId},
+  cactusyoke_model::IdempotencyKey,
+  std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+  },
+};
+
+/// Counts runs of each key.
+#[derive(Debug, Default)]
+pub struct Oracle {
+  runs: BTreeMap<IdempotencyKey, Vec<(RunId, Instant)>>,
+  not_run: BTreeSet<RunId>,
+  violation: Option<String>,
+  last_epoch: u64,
+  held: usize,
+}
+
+impl Oracle {
+  pub fn ran(&mut self, key: &IdempotencyKey, run: RunId, epoch: u64, now: Instant) {
+    self.last_epoch = self.last_epoch.max(epoch);
+    if self.not_run.contains(&run) {
+      self.violate(format!("{run} ran after it was reported as not run"));
+    }
+    let runs = self.runs.entry(key.clone()).or_default();
+    let earlier = runs
+      .iter()
+      .find(|(_, at)| now.saturating_duration_since(*at) < KEY_MEMORY)
+      .map(|(earlier, _)| *earlier);
+    runs.push((run, now));
+    if let Some(earlier) = earlier {
+      self.violate(format!("`{key}` ran as {earlier} and as {run}"));
+    }
+  }
+
+  pub fn not_run(&mut self, run: RunId) {
+    if self.runs.values().flatten().any(|(ran, _)| *ran == run) {
+      self.violate(format!("{run} was reported as not run after it ran"));
+    }
+    self.not_run.insert(run);
+  }
+
+  pub fn runs(&self, key: &IdempotencyKey) -> usize {
+    self.runs.get(key).map_or(0, Vec::len)
+  }
+
+  /// Highest epoch under which a run happened.
+  pub fn last_epoch(&self) -> u64 {
+    self.last_epoch
+  }
+
+  /// Runs that another run of the key kept from running.
+  pub fn held(&self) -> usize {
+    self.held
+  }
+
+  pub fn count_held(&mut self) {
+    self.held += 1;
+  }
+
+  pub fn violation(&self) -> Option<&str> {
+    self.violation.as_deref()
+  }
+
+  pub fn violate(&mut self, violation: String) {
+    self.violation.get_or_insert(violation);
+  }
+}
