Bound the size of handed-over coverage, and show whether a refused run knew its key's history

Coverage nests once for each roster change within a key memory; twelve members with twelve values each would exceed a frame at the third level. Equal values are merged with the longer time, and detail beyond 48 values is dropped, which only refuses more keys. `Run::knows_history` tells a refused run of a fresh key from one whose earlier request may have run.

--- a/crates/decisions/src/keys/coverage.rs
+++ b/crates/decisions/src/keys/coverage.rs
@@ -4,10 +4,13 @@
   std::time::Duration,
 };
 
-/// Nesting beyond which the detail of a handover is dropped. The keys in question are then
-/// refused until their time is over.
+/// Nesting up to which the detail of handovers is passed on.
 const MAX_DEPTH: usize = 4;
 
+/// Values in one coverage that is passed on. With twelve IPv6 members each they take about 17 KB,
+/// which leaves room in a frame of 64 KiB for a page of grants.
+const MAX_VALUES: usize = 48;
+
 /// Keys whose history a witness knows, as far as it depends on its takeover from an old roster.
 ///
 /// Times are counted from the moment at which the value was made or received.
@@ -15,8 +18,8 @@
 pub struct Coverage {
   /// Members of the old roster; empty when every key is known.
   pub members: Vec<Member>,
-  /// Old members whose grants were handed over whole, with the keys that they knew.
-  pub known: Vec<(Member, Coverage)>,
+  /// Old members whose grants were handed over whole, by the keys that they knew.
+  pub known: Vec<(Vec<Member>, Coverage)>,
   /// Time after which no grant of the old roster is remembered anywhere. `None` while enough of
   /// its members may still be granting.
   pub remaining: Option<Duration>,
@@ -34,7 +37,7 @@
         self
           .known
           .iter()
-          .any(|(member, coverage)| member == keeper && coverage.covers(key, elapsed))
+          .any(|(members, coverage)| members.contains(keeper) && coverage.covers(key, elapsed))
       })
       .count();
     known >= quorum(self.members.len())
@@ -48,28 +51,54 @@
         .known
         .iter()
         .filter(|(_, coverage)| coverage.is_total(elapsed))
-        .count()
+        .map(|(members, _)| members.len())
+        .sum::<usize>()
     };
     over || total() + spare(self.members.len()) >= self.members.len()
   }
 
-  /// The value as it stands `elapsed` later, without detail that is no longer needed.
+  /// The value as it stands `elapsed` later, bounded in size. Where detail is dropped, keys count
+  /// as unknown until their time is over.
   pub(crate) fn aged(&self, elapsed: Duration) -> Self {
-    self.aged_to(elapsed, MAX_DEPTH)
+    (1..=MAX_DEPTH)
+      .rev()
+      .map(|depth| self.aged_to(elapsed, depth))
+      .find(|aged| aged.values() <= MAX_VALUES)
+      .unwrap_or_else(|| self.aged_to(elapsed, 0))
+  }
+
+  /// Bounds the wait for unknown keys, once the old rosters are known to have stopped granting.
+  pub(crate) fn settle(mut self, retention: Duration) -> Self {
+    self.remaining.get_or_insert(retention);
+    self.known = self
+      .known
+      .into_iter()
+      .map(|(members, coverage)| (members, coverage.settle(retention)))
+      .collect();
+    self
   }
 
   fn aged_to(&self, elapsed: Duration, depth: usize) -> Self {
     if self.is_total(elapsed) {
       return Self::default();
     }
-    let known = match depth.checked_sub(1) {
-      Some(depth) => self
-        .known
-        .iter()
-        .map(|(member, coverage)| (*member, coverage.aged_to(elapsed, depth)))
-        .collect(),
-      None => Vec::new(),
-    };
+    let mut known = Vec::<(Vec<Member>, Self)>::new();
+    if let Some(depth) = depth.checked_sub(1) {
+      for (members, coverage) in &self.known {
+        let coverage = coverage.aged_to(elapsed, depth);
+        match known.iter_mut().find(|(_, other)| other.is_like(&coverage)) {
+          Some((others, other)) => {
+            others.extend(members);
+            other.absorb(&coverage);
+          }
+          None => known.push((members.clone(), coverage)),
+        }
+      }
+    }
+    for (members, _) in &mut known {
+      members.sort_unstable();
+    }
+    known.sort_by(|(a, _), (b, _)| a.cmp(b));
     Self {
       members: self.members.clone(),
       known,
@@ -79,15 +108,31 @@
     }
   }
 
-  /// Bounds the wait for unknown keys once the old rosters are known to have stopped granting.
-  pub(crate) fn settle(mut self, retention: Duration) -> Self {
-    self.remaining.get_or_insert(retention);
-    self.known = self
-      .known
-      .into_iter()
-      .map(|(member, coverage)| (member, coverage.settle(retention)))
-      .collect();
-    self
+  /// Whether it is equal to `other` but for the times.
+  fn is_like(&self, other: &Self) -> bool {
+    self.members == other.members
+      && self.known.len() == other.known.len()
+      && self
+        .known
+        .iter()
+        .zip(&other.known)
+        .all(|((members, a), (others, b))| members == others && a.is_like(b))
+  }
+
+  /// Takes the longer of the times of two like values.
+  fn absorb(&mut self, other: &Self) {
+    self.remaining = match (self.remaining, other.remaining) {
+      (Some(a), Some(b)) => Some(a.max(b)),
+      (None, _) | (_, None) => None,
+    };
+    for ((_, coverage), (_, other)) in self.known.iter_mut().zip(&other.known) {
+      coverage.absorb(other);
+    }
+  }
+
+  fn values(&self) -> usize {
+    let nested = self.known.iter().map(|(_, coverage)| coverage.values());
+    1 + nested.sum::<usize>()
   }
 }
 
--- a/crates/decisions/src/keys/grants.rs
+++ b/crates/decisions/src/keys/grants.rs
@@ -1,7 +1,7 @@
 use {
   crate::keys::{Grant, KeyHash, RunId, member::Member},
   std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     ops::Bound,
     time::{Duration, Instant},
   },
@@ -15,6 +15,7 @@
 pub(crate) struct Grants {
   base: Option<Instant>,
   members: Vec<Member>,
+  indices: HashMap<Member, u32>,
   slots: BTreeMap<KeyHash, Slot>,
   /// Further holders of keys for which handovers named different runs.
   conflicts: BTreeMap<KeyHash, Vec<Slot>>,
@@ -155,15 +156,13 @@
   }
 
   fn index(&mut self, member: Member) -> u32 {
-    let index = self
-      .members
-      .iter()
-      .position(|known| *known == member)
-      .unwrap_or_else(|| {
-        self.members.push(member);
-        self.members.len() - 1
-      });
-    index as u32
+    if let Some(index) = self.indices.get(&member) {
+      return *index;
+    }
+    let index = self.members.len() as u32;
+    self.members.push(member);
+    self.indices.insert(member, index);
+    index
   }
 
   fn seconds(&self, now: Instant) -> u32 {
--- a/crates/decisions/src/keys/run.rs
+++ b/crates/decisions/src/keys/run.rs
@@ -114,6 +114,17 @@
     self.state
   }
 
+  /// Whether a majority of the witnesses has shown that no other run held the key. Without it, an
+  /// earlier request of the key may have run even though this run did not.
+  pub fn knows_history(&self) -> bool {
+    let free = self
+      .votes
+      .iter()
+      .filter(|(_, vote)| matches!(vote, Some(Vote::Granted | Vote::Full)))
+      .count();
+    self.quorum > 0 && free >= self.quorum
+  }
+
   /// Handles the reply of a witness. Replies to other runs, of other incarnations and under other
   /// epochs are ignored.
   pub fn on_reply(&mut self, from: Member, reply: &WitnessReply, now: Instant) -> Vec<RunAction> {
--- a/crates/decisions/src/keys/takeover.rs
+++ b/crates/decisions/src/keys/takeover.rs
@@ -1,5 +1,7 @@
 use {
-  crate::keys::{Coverage, Handover, HandoverPage, KeyHash, Member, Roster, WitnessRequest},
+  crate::keys::{
+    Coverage, Handover, HandoverPage, KeyHash, Member, Roster, WitnessRequest, roster::quorum,
+  },
   std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
@@ -69,7 +71,15 @@
   /// Whether the history of `key` is known.
   pub(crate) fn is_ready(&mut self, key: KeyHash, now: Instant) -> bool {
     self.complete = self.complete || self.is_complete(now);
-    self.complete || self.coverage(now).covers(key, Duration::ZERO)
+    if self.complete {
+      return true;
+    }
+    let known = Roster::keepers(&self.roster.previous, key)
+      .into_iter()
+      .filter_map(|keeper| self.known.get(&keeper))
+      .filter(|(at, coverage)| coverage.covers(key, since(*at, now)))
+      .count();
+    known >= quorum(self.roster.previous.len())
   }
 
   /// Keys whose history is known at `now`.
@@ -79,7 +89,7 @@
       known: self
         .known
         .iter()
-        .map(|(member, (at, coverage))| (*member, coverage.aged(since(*at, now))))
+        .map(|(member, (at, coverage))| (vec![*member], coverage.aged(since(*at, now))))
         .collect(),
       remaining: self
         .settled_at
--- a/crates/decisions/src/keys/witness.rs
+++ b/crates/decisions/src/keys/witness.rs
@@ -242,10 +242,10 @@
     self.floor = self.floor.max(roster.epoch);
     let coverage = self.coverage_before(roster, now);
     let (grants, more) = match &coverage {
-      Some(_) => self.grants.page(*after, PAGE, now, |key| {
+      Some(_) if roster.contains(*to) => self.grants.page(*after, PAGE, now, |key| {
         Roster::keepers(&roster.members, key).contains(to)
       }),
-      None => (Vec::new(), false),
+      Some(_) | None => (Vec::new(), false),
     };
     HandoverPage {
       from: self.member,
