Test witnesses, answers and takeovers message by message

A late claim after its withdrawal blocks the key when withdrawals are not remembered (fixed history: 0 runs instead of 1).

--- a/crates/decisions/src/keys/roster.rs
+++ b/crates/decisions/src/keys/roster.rs
@@ -130,6 +130,22 @@
   }
 }
 
+/// Epoch, members and members before.
+impl TryFrom<(u64, Vec<Member>, Vec<Member>)> for Roster {
+  type Error = RosterError;
+
+  fn try_from(
+    (epoch, members, previous): (u64, Vec<Member>, Vec<Member>),
+  ) -> Result<Self, Self::Error> {
+    RawRoster {
+      epoch,
+      members,
+      previous,
+    }
+    .try_into()
+  }
+}
+
 impl From<Roster> for RawRoster {
   fn from(roster: Roster) -> Self {
     Self {
--- /dev/null
+++ b/crates/decisions/tests/keys_answers.rs
@@ -0,0 +1,148 @@
+//! Answers that a node keeps for later senders of a key.
+
+use {
+  cactusyoke_decisions::keys::{
+    AnswerLimits, Answers, CLAIM_LIMIT, KEY_MEMORY, Lookup, Member, RunId,
+  },
+  cactusyoke_model::{ByteSize, IdempotencyKey, Incarnation, NodeId, NotRunReason, UnknownReason},
+  std::time::{Duration, Instant},
+};
+
+const PRINT: u64 = 7;
+
+fn key(index: usize) -> IdempotencyKey {
+  format!("order-{index}").parse().expect("a valid key")
+}
+
+fn run(number: u64) -> RunId {
+  RunId {
+    member: Member {
+      node: NodeId(([127, 0, 0, 1], 7000).into()),
+      incarnation: Incarnation(1),
+    },
+    number,
+  }
+}
+
+fn answers() -> Answers<&'static str> {
+  Answers::new(AnswerLimits {
+    total: ByteSize(100),
+    single: ByteSize(60),
+    keys: 3,
+    ..AnswerLimits::default()
+  })
+}
+
+/// Guards against a retry that runs anew or gets another answer than the first request.
+#[test]
+fn later_senders_get_the_first_answer() {
+  let now = Instant::now();
+  let mut answers = answers();
+  assert_eq!(answers.lookup(&key(0), PRINT, 1, now), Lookup::Absent);
+  assert_eq!(answers.start(&key(0), PRINT, run(1), now), Ok(()));
+  assert_eq!(answers.lookup(&key(0), PRINT, 1, now), Lookup::Wait);
+  assert_eq!(answers.ask(&key(0), PRINT, run(1), 2, now), Lookup::Wait);
+  assert_eq!(answers.ask(&key(0), PRINT, run(1), 3, now), Lookup::Wait);
+  answers.leave(&key(0), 3);
+  let waiters = answers.finish(&key(0), run(1), "placed", ByteSize(10), now);
+  assert_eq!(waiters, [1, 2]);
+  assert_eq!(
+    answers.lookup(&key(0), PRINT, 4, now),
+    Lookup::Done("placed")
+  );
+  let again = answers.start(&key(0), PRINT, run(2), now);
+  assert_eq!(again, Err(NotRunReason::Withdrawn));
+}
+
+/// Guards against the answer of one request going to another that reuses its key.
+#[test]
+fn other_request_with_the_key_is_refused() {
+  let now = Instant::now();
+  let mut answers = answers();
+  let refused = Lookup::Refused(NotRunReason::KeyMismatch);
+  assert_eq!(answers.start(&key(0), PRINT, run(1), now), Ok(()));
+  assert_eq!(answers.lookup(&key(0), 8, 1, now), refused);
+  answers.finish(&key(0), run(1), "placed", ByteSize(10), now);
+  assert_eq!(answers.ask(&key(0), 8, run(1), 1, now), refused);
+}
+
+/// Guards against a key that is free again because its answer is no longer kept.
+#[test]
+fn key_outlives_its_answer() {
+  let start = Instant::now();
+  let mut answers = answers();
+  assert_eq!(answers.start(&key(0), PRINT, run(1), start), Ok(()));
+  answers.finish(&key(0), run(1), "placed", ByteSize(10), start);
+  let expired = Lookup::Unknown(UnknownReason::AnswerExpired);
+  let later = start + Duration::from_mins(10);
+  assert_eq!(answers.lookup(&key(0), PRINT, 1, later), expired);
+  assert_eq!(answers.bytes(), ByteSize(0));
+  let last = start + KEY_MEMORY + CLAIM_LIMIT.saturating_sub(Duration::from_secs(1));
+  assert_eq!(answers.lookup(&key(0), PRINT, 1, last), expired);
+  let over = start + KEY_MEMORY + CLAIM_LIMIT;
+  assert_eq!(answers.lookup(&key(0), PRINT, 1, over), Lookup::Absent);
+}
+
+/// Guards against answers beyond the bounds on bytes, and against losing the newest one.
+#[test]
+fn oldest_answer_makes_room() {
+  let now = Instant::now();
+  let mut answers = answers();
+  for index in 0..3_u64 {
+    let key = key(index as usize);
+    assert_eq!(answers.start(&key, PRINT, run(index), now), Ok(()));
+    let size = ByteSize(if index == 2 { 61 } else { 60 });
+    answers.finish(&key, run(index), "placed", size, now);
+  }
+  let expired = Lookup::Unknown(UnknownReason::AnswerExpired);
+  assert_eq!(answers.lookup(&key(0), PRINT, 1, now), expired);
+  assert_eq!(
+    answers.lookup(&key(1), PRINT, 1, now),
+    Lookup::Done("placed")
+  );
+  assert_eq!(answers.lookup(&key(2), PRINT, 1, now), expired);
+  assert_eq!(answers.bytes(), ByteSize(60));
+  let full = answers.start(&key(3), PRINT, run(9), now);
+  assert_eq!(full, Err(NotRunReason::Limit));
+}
+
+/// Guards against a certificate for a run that may have happened.
+#[test]
+fn only_a_withdrawn_run_is_certified() {
+  let now = Instant::now();
+  let mut answers = answers();
+  let first = Lookup::Unknown(UnknownReason::FirstRun);
+  assert_eq!(answers.ask(&key(0), PRINT, run(1), 1, now), first);
+  assert_eq!(answers.start(&key(0), PRINT, run(2), now), Ok(()));
+  assert_eq!(answers.ask(&key(0), PRINT, run(1), 1, now), first);
+  answers.withdraw(&key(0), run(2), now);
+  assert_eq!(
+    answers.ask(&key(0), PRINT, run(2), 1, now),
+    Lookup::NotRun(run(2))
+  );
+  assert_eq!(answers.start(&key(0), 8, run(3), now), Ok(()));
+  assert_eq!(
+    answers.ask(&key(0), PRINT, run(2), 1, now),
+    Lookup::NotRun(run(2))
+  );
+  answers.fail(&key(0), run(3), UnknownReason::Connection, now);
+  answers.withdraw(&key(0), run(3), now);
+  let lost = Lookup::Unknown(UnknownReason::Connection);
+  assert_eq!(answers.lookup(&key(0), 8, 1, now), lost);
+}
+
+/// Guards against refused requests that take the places of keys that ran.
+#[test]
+fn withdrawn_runs_are_forgotten_early() {
+  let start = Instant::now();
+  let mut answers = answers();
+  for index in 0..3_u64 {
+    let key = key(index as usize);
+    assert_eq!(answers.start(&key, PRINT, run(index), start), Ok(()));
+    answers.withdraw(&key, run(index), start);
+  }
+  let later = start + Duration::from_mins(10);
+  assert_eq!(answers.start(&key(3), PRINT, run(9), later), Ok(()));
+  let unknown = Lookup::Unknown(UnknownReason::FirstRun);
+  assert_eq!(answers.ask(&key(0), PRINT, run(0), 1, later), unknown);
+}
--- a/crates/decisions/tests/keys_cluster/fault.rs
+++ b/crates/decisions/tests/keys_cluster/fault.rs
@@ -29,6 +29,8 @@
   UnsettledChange,
   /// A witness that does not know a key's history hands it over as if it did.
   NoCoverage,
+  /// A withdrawal before its claim is not remembered.
+  ForgetWithdrawn,
 }
 
 impl Fault {
@@ -47,6 +49,18 @@
 }
 
 impl Cluster {
+  /// Whether the witness takes no note of the request.
+  pub(super) fn ignores(&self, request: &WitnessRequest) -> bool {
+    let withdrawal = matches!(
+      request,
+      WitnessRequest::Key {
+        claim: Claim::Withdraw,
+        ..
+      }
+    );
+    withdrawal && self.fault == Some(Fault::ForgetWithdrawn)
+  }
+
   /// Returns the epoch that the reply must show where the request was altered.
   pub(super) fn alter_request(&self, to: usize, request: &mut WitnessRequest) -> Option<u64> {
     if self.fault != Some(Fault::MixedEpochs) {
--- a/crates/decisions/tests/keys_cluster/network.rs
+++ b/crates/decisions/tests/keys_cluster/network.rs
@@ -156,6 +156,9 @@
   }
 
   fn on_request(&mut self, from: usize, to: usize, mut request: WitnessRequest) {
+    if self.ignores(&request) {
+      return;
+    }
     let id = self.nodes[from].member.node;
     let before = self.nodes[to].witness.clone();
     let epoch = self.alter_request(to, &mut request);
--- a/crates/decisions/tests/keys_faults.rs
+++ b/crates/decisions/tests/keys_faults.rs
@@ -133,3 +133,28 @@
   let violation = broken.oracle.violation().expect("a second run");
   println!("{fault:?}: {violation}");
 }
+
+/// A run withdraws while its claims are held up, and its node restarts before they arrive.
+fn claims_after_their_withdrawal(fault: Option<Fault>) -> usize {
+  let mut cluster = Cluster::new(NODES, 3, fault);
+  cluster.apply(&Op::Start { node: 5, key: 0 });
+  let late = [0, 1, 2].map(|witness| cluster.hold(5, witness)).concat();
+  cluster.apply(&Op::Timeout(5));
+  cluster.deliver_all();
+  cluster.apply(&Op::Restart(5));
+  cluster.release(late);
+  cluster.deliver_all();
+  cluster.apply(&Op::Start { node: 4, key: 0 });
+  cluster.deliver_all();
+  cluster.oracle.runs(&Cluster::key(0))
+}
+
+/// Guards against a key that is refused for its whole time because of a run that never happened.
+#[test]
+fn remembered_withdrawal_keeps_the_key_free() {
+  assert_eq!(claims_after_their_withdrawal(None), 1);
+  assert_eq!(
+    claims_after_their_withdrawal(Some(Fault::ForgetWithdrawn)),
+    0
+  );
+}
--- /dev/null
+++ b/crates/decisions/tests/keys_takeover.rs
@@ -0,0 +1,228 @@
+//! Changes of the roster: handovers, and the platform's store.
+
+use {
+  cactusyoke_decisions::keys::{
+    CLAIM_LIMIT, ChangeError, ChangeStep, Claim, Coverage, HandoverPage, KEY_MEMORY, Member,
+    Roster, RosterChange, RunId, StoreReply, Vote, Witness, WitnessReply, WitnessRequest,
+  },
+  cactusyoke_model::{IdempotencyKey, Incarnation, NodeId},
+  std::time::{Duration, Instant},
+};
+
+fn member(index: u16) -> Member {
+  Member {
+    node: NodeId(
+      (
+        [0x2001, 0xdb8, 0xffff, 0xffff, 0xffff, 0xffff, 0xffff, index],
+        65000,
+      )
+        .into(),
+    ),
+    incarnation: Incarnation(1_790_000_000_000),
+  }
+}
+
+fn members(range: std::ops::Range<u16>) -> Vec<Member> {
+  range.map(member).collect()
+}
+
+fn key(index: u64) -> IdempotencyKey {
+  format!("order-{index}").parse().expect("a valid key")
+}
+
+fn claim(witness: &mut Witness, epoch: u64, index: u64, run: RunId, now: Instant) -> Vote {
+  let request = WitnessRequest::Key {
+    epoch,
+    key: key(index),
+    run,
+    claim: Claim::Claim { released: None },
+  };
+  match witness.handle(run.member.node, request, now) {
+    WitnessReply::Key { vote, .. } => vote,
+    WitnessReply::Handover(_) => panic!("a vote"),
+  }
+}
+
+fn run(number: u64) -> RunId {
+  RunId {
+    member: member(99),
+    number,
+  }
+}
+
+fn page(
+  witness: &mut Witness,
+  from: Member,
+  request: WitnessRequest,
+  now: Instant,
+) -> HandoverPage {
+  match witness.handle(from.node, request, now) {
+    WitnessReply::Handover(page) => page,
+    WitnessReply::Key { .. } => panic!("a page"),
+  }
+}
+
+/// Carries a handover through; returns the number of pages.
+fn hand_over(old: &mut Witness, new: &mut Witness, request: WitnessRequest, now: Instant) -> usize {
+  let mut next = Some((old.member(), request));
+  let mut pages = 0;
+  while let Some((_, request)) = next {
+    let page = page(old, new.member(), request, now);
+    next = new.on_page(&page, now);
+    pages += 1;
+  }
+  pages
+}
+
+/// Guards against a handover of more keys than a page that loses some.
+#[test]
+fn handover_of_many_pages_is_whole() {
+  let now = Instant::now();
+  let first = Roster::first(members(0..1)).expect("a valid roster");
+  let second = first.next(members(1..2)).expect("a valid roster");
+  let mut old = Witness::new(member(0), 10_000);
+  let mut new = Witness::new(member(1), 10_000);
+  old.adopt(first, now);
+  for index in 0..1000 {
+    assert_eq!(claim(&mut old, 1, index, run(index), now), Vote::Granted);
+  }
+  let mut requests = new.adopt(second, now);
+  let (_, request) = requests.pop().expect("a request");
+  assert_eq!(claim(&mut new, 2, 1, run(5000), now), Vote::NotReady);
+  assert_eq!(hand_over(&mut old, &mut new, request, now), 4);
+  assert_eq!(new.len(), 1000);
+  assert_eq!(
+    claim(&mut old, 1, 2000, run(5001), now),
+    Vote::WrongEpoch { epoch: 2 }
+  );
+  for index in 0..1000 {
+    let denied = Vote::Denied { holder: run(index) };
+    assert_eq!(claim(&mut new, 2, index, run(5000), now), denied);
+  }
+  assert_eq!(claim(&mut new, 2, 1000, run(5000), now), Vote::Granted);
+}
+
+/// Guards against a page that a node's frames of 64 KiB cannot carry.
+#[test]
+fn page_fits_a_frame() {
+  let now = Instant::now();
+  let first = Roster::first(members(0..1)).expect("a valid roster");
+  let mut old = Witness::new(member(0), 10_000);
+  old.adopt(first.clone(), now);
+  for index in 0..300 {
+    assert_eq!(
+      claim(&mut old, 1, index, run(u64::MAX - index), now),
+      Vote::Granted
+    );
+  }
+  let second = first.next(members(1..2)).expect("a valid roster");
+  let mut requests = Witness::new(member(1), 10).adopt(second, now);
+  let (_, request) = requests.pop().expect("a request");
+  let mut page = page(&mut old, member(1), request, now);
+  assert_eq!(page.grants.len(), 256);
+  // Two holders for each key, and the largest coverage.
+  page.grants = page
+    .grants
+    .iter()
+    .flat_map(|grant| [*grant, *grant])
+    .collect();
+  page.coverage = Some(widest(0));
+  let bytes = postcard::to_allocvec(&page).expect("a frame");
+  assert!(bytes.len() <= 64 * 1024, "{} bytes", bytes.len());
+  let decoded = postcard::from_bytes::<HandoverPage>(&bytes).expect("a page");
+  assert_eq!(decoded, page);
+}
+
+/// Coverage of 48 values, the most that is passed on.
+fn widest(depth: u16) -> Coverage {
+  let nested = |index: u16| match (depth, index) {
+    (0, _) => widest(1),
+    _ => Coverage {
+      known: Vec::new(),
+      ..widest(2)
+    },
+  };
+  let count = match depth {
+    0 => 12,
+    1 => 3,
+    _ => 0,
+  };
+  Coverage {
+    members: members(0..12),
+    known: (0..count)
+      .map(|index| (vec![member(index)], nested(index)))
+      .collect(),
+    remaining: Some(KEY_MEMORY),
+  }
+}
+
+/// Guards against a lone witness that forgets its keys by a restart and runs them again.
+#[test]
+fn restarted_lone_witness_refuses_keys_for_the_key_memory() {
+  let now = Instant::now();
+  let first = Roster::first(members(0..1)).expect("a valid roster");
+  let restarted = Member {
+    incarnation: Incarnation(member(0).incarnation.0 + 1),
+    ..member(0)
+  };
+  let second = first.next(vec![restarted]).expect("a valid roster");
+  let mut witness = Witness::new(restarted, 10);
+  witness.adopt(second, now);
+  witness.on_ended(member(0), now);
+  let over = now + KEY_MEMORY + CLAIM_LIMIT;
+  let almost = now + KEY_MEMORY + CLAIM_LIMIT.saturating_sub(Duration::from_millis(1));
+  assert_eq!(claim(&mut witness, 2, 0, run(1), almost), Vote::NotReady);
+  assert_eq!(claim(&mut witness, 2, 0, run(1), over), Vote::Granted);
+}
+
+/// Guards against a second change before the first one has taken effect, and a message that does
+/// not say how to go on.
+#[test]
+fn change_waits_for_the_one_before() {
+  let now = Instant::now();
+  let first = Roster::first(members(0..3)).expect("a valid roster");
+  let second = first.next(members(1..4)).expect("a valid roster");
+  let mut witness = Witness::new(member(3), 10);
+  witness.adopt(second, now);
+  let error = RosterChange::propose(&witness, members(2..5)).expect_err("not settled");
+  assert_eq!(error, ChangeError::NotSettled(2));
+  assert_eq!(
+    error.to_string(),
+    "roster 2 is not in effect yet: wait until the members of the roster before have handed over"
+  );
+  witness.on_ended(member(0), now);
+  RosterChange::propose(&witness, members(2..5)).expect_err("two may still grant");
+  witness.on_ended(member(1), now);
+  RosterChange::propose(&witness, members(2..5)).expect("one alone cannot grant");
+}
+
+/// Guards against a change that is made twice or given up when the store's reply is lost, and
+/// against adopting a roster that lost the race.
+#[test]
+fn lost_reply_of_the_store_is_looked_up() {
+  let first = Roster::first(members(0..3)).expect("a valid roster");
+  let other = Roster::first(members(1..4)).expect("a valid roster");
+  let later = other.next(members(0..3)).expect("a valid roster");
+  let (change, step) = RosterChange::first(members(0..3)).expect("a change");
+  let write = ChangeStep::Write {
+    expected: 0,
+    roster: first.clone(),
+  };
+  assert_eq!(step, write);
+  assert_eq!(
+    change.on_reply(StoreReply::Written),
+    ChangeStep::Done(first.clone())
+  );
+  assert_eq!(change.on_reply(StoreReply::Lost), ChangeStep::Read);
+  assert_eq!(change.on_reply(StoreReply::Read(None)), write);
+  for reply in [StoreReply::Read, StoreReply::Conflict] {
+    assert_eq!(
+      change.on_reply(reply(Some(first.clone()))),
+      ChangeStep::Done(first.clone())
+    );
+    for stored in [&other, &later] {
+      let superseded = ChangeStep::Superseded(stored.clone());
+      assert_eq!(change.on_reply(reply(Some(stored.clone()))), superseded);
+    }
+  }
+}
--- /dev/null
+++ b/crates/decisions/tests/keys_witness.rs
@@ -0,0 +1,318 @@
+//! Witnesses and runs, message by message.
+
+use {
+  cactusyoke_decisions::keys::{
+    CLAIM_LIMIT, Claim, KEY_MEMORY, Member, Roster, RosterError, Run, RunAction, RunId, RunState,
+    Vote, Witness, WitnessReply, WitnessRequest,
+  },
+  cactusyoke_model::{IdempotencyKey, Incarnation, NodeId, NotRunReason},
+  std::time::{Duration, Instant},
+};
+
+fn member(index: u16) -> Member {
+  Member {
+    node: NodeId(([127, 0, 0, 1], 7000 + index).into()),
+    incarnation: Incarnation(1),
+  }
+}
+
+fn members(count: u16) -> Vec<Member> {
+  (0..count).map(member).collect()
+}
+
+fn roster(count: u16) -> Roster {
+  Roster::first(members(count)).expect("a valid roster")
+}
+
+fn key(index: usize) -> IdempotencyKey {
+  format!("order-{index}").parse().expect("a valid key")
+}
+
+fn run_id(index: u16, number: u64) -> RunId {
+  RunId {
+    member: member(index),
+    number,
+  }
+}
+
+fn request(epoch: u64, key: &IdempotencyKey, run: RunId, claim: Claim) -> WitnessRequest {
+  WitnessRequest::Key {
+    epoch,
+    key: key.clone(),
+    run,
+    claim,
+  }
+}
+
+fn vote(
+  witness: &mut Witness,
+  key: &IdempotencyKey,
+  run: RunId,
+  claim: Claim,
+  at: Instant,
+) -> Vote {
+  match witness.handle(run.member.node, request(1, key, run, claim), at) {
+    WitnessReply::Key { vote, .. } => vote,
+    WitnessReply::Handover(_) => panic!("a vote"),
+  }
+}
+
+const CLAIM: Claim = Claim::Claim { released: None };
+
+/// A witness of a roster of one, which is a witness of every key.
+fn witness(limit: usize, now: Instant) -> Witness {
+  let mut witness = Witness::new(member(0), limit);
+  assert!(witness.adopt(roster(1), now).is_empty());
+  witness
+}
+
+fn reply(from: Member, run: &Run, vote: Vote) -> WitnessReply {
+  WitnessReply::Key {
+    witness: from,
+    epoch: run.epoch(),
+    key: run.key().clone(),
+    run: run.id(),
+    vote,
+  }
+}
+
+/// Guards against a key that stays blocked because its claim overtook nothing but its withdrawal.
+#[test]
+fn late_claim_after_withdrawal_does_not_hold_the_key() {
+  let now = Instant::now();
+  let mut witness = witness(10, now);
+  let (first, second) = (run_id(1, 1), run_id(2, 1));
+  assert_eq!(
+    vote(&mut witness, &key(0), first, Claim::Withdraw, now),
+    Vote::Withdrawn
+  );
+  assert_eq!(
+    vote(&mut witness, &key(0), first, CLAIM, now),
+    Vote::Withdrawn
+  );
+  assert_eq!(
+    vote(&mut witness, &key(0), second, CLAIM, now),
+    Vote::Granted
+  );
+}
+
+/// Guards against a grant whose claim was counted as delivered once but came twice.
+#[test]
+fn repeated_claim_is_granted_again_and_another_denied() {
+  let now = Instant::now();
+  let mut witness = witness(10, now);
+  let (first, second) = (run_id(1, 1), run_id(2, 1));
+  for _ in 0..2 {
+    assert_eq!(
+      vote(&mut witness, &key(0), first, CLAIM, now),
+      Vote::Granted
+    );
+  }
+  let denied = Vote::Denied { holder: first };
+  assert_eq!(vote(&mut witness, &key(0), second, CLAIM, now), denied);
+  let claim = Claim::Claim {
+    released: Some(first),
+  };
+  assert_eq!(
+    vote(&mut witness, &key(0), second, claim, now),
+    Vote::Granted
+  );
+}
+
+/// Guards against eviction at the bound, and against keys that stay after their time.
+#[test]
+fn new_keys_are_refused_at_the_bound_until_old_ones_are_over() {
+  let start = Instant::now();
+  let mut witness = witness(2, start);
+  let run = run_id(1, 1);
+  assert_eq!(
+    vote(&mut witness, &key(0), run, CLAIM, start),
+    Vote::Granted
+  );
+  assert_eq!(
+    vote(&mut witness, &key(1), run_id(1, 2), CLAIM, start),
+    Vote::Granted
+  );
+  let almost = start + KEY_MEMORY + CLAIM_LIMIT;
+  assert_eq!(
+    vote(&mut witness, &key(2), run_id(1, 3), CLAIM, almost),
+    Vote::Full
+  );
+  assert_eq!(
+    vote(&mut witness, &key(0), run, CLAIM, almost),
+    Vote::Granted
+  );
+  let over = almost + Duration::from_secs(2);
+  assert_eq!(
+    vote(&mut witness, &key(2), run_id(1, 3), CLAIM, over),
+    Vote::Granted
+  );
+  assert_eq!(witness.len(), 1);
+}
+
+/// Guards against a shorter key memory that cuts off earlier grants.
+#[test]
+fn shorter_memory_holds_for_later_grants_only() {
+  let start = Instant::now();
+  let mut witness = witness(10, start);
+  assert_eq!(
+    vote(&mut witness, &key(0), run_id(1, 1), CLAIM, start),
+    Vote::Granted
+  );
+  witness.set_memory(Duration::from_mins(1));
+  assert_eq!(
+    vote(&mut witness, &key(1), run_id(1, 2), CLAIM, start),
+    Vote::Granted
+  );
+  let later = start + Duration::from_mins(2);
+  let denied = Vote::Denied {
+    holder: run_id(1, 1),
+  };
+  assert_eq!(
+    vote(&mut witness, &key(0), run_id(2, 1), CLAIM, later),
+    denied
+  );
+  assert_eq!(
+    vote(&mut witness, &key(1), run_id(2, 2), CLAIM, later),
+    Vote::Granted
+  );
+}
+
+/// Guards against grants by a node that no roster names, or names in another incarnation.
+#[test]
+fn witness_outside_the_roster_grants_nothing() {
+  let now = Instant::now();
+  let restarted = Member {
+    incarnation: Incarnation(2),
+    ..member(0)
+  };
+  let mut witness = Witness::new(restarted, 10);
+  let run = run_id(1, 1);
+  let wrong = |epoch| Vote::WrongEpoch { epoch };
+  assert_eq!(vote(&mut witness, &key(0), run, CLAIM, now), wrong(0));
+  witness.adopt(roster(3), now);
+  assert_eq!(vote(&mut witness, &key(0), run, CLAIM, now), wrong(1));
+}
+
+/// Guards against keys that need all three witnesses: one of them may be lost.
+#[yare::parameterized(first = { 0 }, second = { 1 }, third = { 2 })]
+fn one_lost_witness_refuses_nothing(lost: usize) {
+  let now = Instant::now();
+  let roster = roster(5);
+  for index in 0..50 {
+    let (mut run, claims) = Run::start(run_id(4, 1), key(index), 1, &roster, now);
+    assert_eq!(claims.len(), 3);
+    let mut actions = Vec::new();
+    for (place, (to, claim)) in claims.into_iter().enumerate() {
+      if place != lost {
+        let mut witness = Witness::new(to, 10);
+        witness.adopt(roster.clone(), now);
+        let reply = witness.handle(member(4).node, claim, now);
+        actions.extend(run.on_reply(to, &reply, now));
+      }
+    }
+    assert_eq!(actions, [RunAction::MayRun]);
+  }
+}
+
+/// Guards against a refusal that does not say why, or that leaves grants behind.
+#[yare::parameterized(
+  silent = { &[], RunAction::NotRun(NotRunReason::NoWitnesses), false },
+  one_grant = { &[Vote::Granted], RunAction::NotRun(NotRunReason::NoWitnesses), false },
+  full = { &[Vote::Full, Vote::Full], RunAction::NotRun(NotRunReason::Limit), true },
+  newer = { &[Vote::WrongEpoch { epoch: 3 }, Vote::Full], RunAction::WrongEpoch(3), false },
+  older = { &[Vote::WrongEpoch { epoch: 0 }, Vote::NotReady],
+    RunAction::NotRun(NotRunReason::NoWitnesses), false },
+  held = { &[Vote::Granted, Vote::Denied { holder: run_id(2, 7) }],
+    RunAction::Held(run_id(2, 7)), false },
+)]
+fn refused_run_withdraws_from_all(votes: &[Vote], refusal: RunAction, knows: bool) {
+  let now = Instant::now();
+  let (mut run, claims) = Run::start(run_id(4, 1), key(0), 1, &roster(3), now);
+  let mut actions = Vec::new();
+  for ((witness, _), vote) in claims.iter().zip(votes) {
+    actions.extend(run.on_reply(*witness, &reply(*witness, &run, *vote), now));
+  }
+  actions.extend(run.on_timeout(now));
+  let sent = |(to, _): &(Member, WitnessRequest)| {
+    RunAction::Send(*to, request(1, &key(0), run.id(), Claim::Withdraw))
+  };
+  let mut expected = claims.iter().map(sent).collect::<Vec<_>>();
+  expected.push(refusal);
+  assert_eq!(actions, expected);
+  assert_eq!(run.state(), RunState::Withdrawn);
+  assert_eq!(run.knows_history(), knows);
+  let granted = reply(claims[0].0, &run, Vote::Granted);
+  let late = run.on_reply(claims[0].0, &granted, now);
+  assert_eq!(late, [expected.swap_remove(0)]);
+}
+
+/// Guards against a cancelled run that runs, and a running one that is cancelled.
+#[test]
+fn cancelled_run_does_not_run() {
+  let now = Instant::now();
+  let (mut run, _) = Run::start(run_id(4, 1), key(0), 1, &roster(3), now);
+  let actions = run.cancel();
+  assert_eq!(
+    actions.last(),
+    Some(&RunAction::NotRun(NotRunReason::Cancelled))
+  );
+  assert_eq!(run.cancel(), []);
+}
+
+/// Guards against grants by two members, where the loss of one would lose the majority.
+#[test]
+fn two_members_refuse_keys() {
+  let now = Instant::now();
+  let roster = roster(2);
+  let (mut run, claims) = Run::start(run_id(0, 1), key(0), 1, &roster, now);
+  assert_eq!(claims, []);
+  assert_eq!(
+    run.on_timeout(now),
+    [RunAction::NotRun(NotRunReason::NoWitnesses)]
+  );
+  let mut witness = Witness::new(member(0), 10);
+  witness.adopt(roster, now);
+  assert_eq!(
+    vote(&mut witness, &key(0), run_id(0, 1), CLAIM, now),
+    Vote::NotReady
+  );
+}
+
+/// Guards against witnesses that change for keys that a new member does not concern.
+#[test]
+fn new_member_takes_over_its_share_of_keys() {
+  let (old, new) = (roster(11), roster(12));
+  let moved = (0..4000)
+    .filter(|index| old.witnesses(&key(*index)) != new.witnesses(&key(*index)))
+    .count();
+  // Three of twelve witness places in expectation: a quarter of the keys.
+  assert!((800..1200).contains(&moved), "{moved} of 4000 keys moved");
+}
+
+/// Guards against rosters from the store that no group can use, and messages that do not help.
+#[yare::parameterized(
+  empty = { 1, 0, RosterError::Empty, "the roster has no members: name at least one" },
+  many = { 1, 13, RosterError::TooMany(13), "the roster has 13 members: name at most 12" },
+  late = { 2, 3, RosterError::Epoch(2),
+    "the roster has epoch 2: start at 1 and name the members before from epoch 2 on" },
+)]
+fn bad_roster_is_refused(epoch: u64, count: u16, error: RosterError, message: &str) {
+  let result = match epoch {
+    1 => Roster::first(members(count)),
+    _ => Roster::try_from((epoch, members(count), Vec::new())),
+  };
+  assert_eq!(result, Err(error));
+  assert_eq!(error.to_string(), message);
+}
+
+/// Guards against a node with two votes.
+#[test]
+fn node_stands_in_a_roster_once() {
+  let twice = vec![member(1), member(1)];
+  let error = Roster::first(twice).expect_err("a duplicate");
+  assert_eq!(
+    error.to_string(),
+    "the roster names `127.0.0.1:7001` twice: name each node once"
+  );
+}
