platform: move the writing of one change into a type of its own

Behaviour is unchanged; a test now also checks that a platform behind the adopted revision is reported as such and not as an outage.

--- a/crates/platform/src/configuration_error.rs
+++ b/crates/platform/src/configuration_error.rs
@@ -63,6 +63,26 @@
   Collision(ContentHash),
 }
 
+impl ConfigurationError {
+  /// True when another attempt would end the same way.
+  pub(crate) const fn is_final(&self) -> bool {
+    match self {
+      Self::Unavailable(_) | Self::Behind { .. } => false,
+      Self::Conflict { .. }
+      | Self::NoPreset(_)
+      | Self::Preset(_)
+      | Self::Operator(_)
+      | Self::Reason(_)
+      | Self::TooLarge
+      | Self::TooOld { .. }
+      | Self::IdTaken(_)
+      | Self::Unconfirmed { .. }
+      | Self::Corrupt { .. }
+      | Self::Collision(_) => true,
+    }
+  }
+}
+
 impl From<StoreError> for ConfigurationError {
   fn from(error: StoreError) -> Self {
     match error {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod audit;
 mod audit_filter;
 mod change_request;
+mod change_writer;
 mod configuration;
 mod configuration_error;
 mod contacts;
@@ -52,7 +53,8 @@
 
 use {
   audit::Audit,
-  configuration::{HEAD, decode},
+  change_writer::ChangeWriter,
+  configuration::{HEAD, corrupt, decode},
   head::{HEAD_CHANGES, MOVED},
   pool::Pool,
   reader::{Reader, Reading},
--- a/crates/platform/tests/configuration.rs
+++ b/crates/platform/tests/configuration.rs
@@ -169,6 +169,11 @@
     .change(&change, Revision(5))
     .await
     .unwrap_err();
+  let behind = ConfigurationError::Behind {
+    platform: Revision(1),
+    adopted: Revision(5),
+  };
+  assert_eq!(error, behind);
   assert_eq!(
     error.to_string(),
     "the platform serves revision 1, lower than revision 5 in force: changes are refused until it serves revision 5 again"
