Close upstream connections at the deadline, and let refusals reach uploading callers

Two faults found by review:

The deadline of an answer's body was seen only while the body was read, so that a caller that stopped reading held its upstream beyond the deadline. A timer per call was ruled out for its cost; the task of the connection has one timer, which is moved only when a deadline is nearer.

A refusal was followed by closing the connection with unread bytes, which resets it; a caller in the middle of an upload could then lose the refusal and not learn that it was not run.

--- a/crates/callers/tests/bodies.rs
+++ b/crates/callers/tests/bodies.rs
@@ -141,3 +141,64 @@
   let end = timeout(HANG, dropped.recv()).await.expect("a dropped call");
   assert_eq!(end, None);
 }
+
+/// Guards against refusals that a caller in the middle of an upload does not receive: closing the
+/// connection with unread bytes resets it.
+#[parameterized(
+  length = { "content-length: 8000000\r\n\r\n", "" },
+  chunked = { "transfer-encoding: chunked\r\n\r\n7a1200\r\n", "\r\n0\r\n\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn refusals_reach_uploading_callers(head: &str, end: &str) {
+  let listener = Listener::start(Limits::default(), |_request| async {
+    Err(CallFailure::not_run(NotRunReason::Shed))
+  })
+  .await;
+  let mut stream = listener.connect().await;
+  for _ in 0..2 {
+    stream
+      .write_all(format!("POST / HTTP/1.1\r\nhost: x\r\n{head}").as_bytes())
+      .await
+      .expect("the listener reads");
+    for _ in 0..800 {
+      stream
+        .write_all(&[b'a'; 10_000])
+        .await
+        .expect("the listener reads the whole upload");
+    }
+    stream
+      .write_all(end.as_bytes())
+      .await
+      .expect("the listener reads");
+    let response = read_until(&mut stream, "after the time in `retry-after`\n").await;
+    assert!(response.contains("HTTP/1.1 503 "), "{response}");
+  }
+}
+
+/// Guards against a refusal that is held back until the upload has ended.
+#[tokio::test]
+async fn refusals_do_not_wait_for_the_upload() {
+  let listener = Listener::start(Limits::default(), |_request| async {
+    Err(CallFailure::not_run(NotRunReason::Shed))
+  })
+  .await;
+  let mut stream = listener.connect().await;
+  stream
+    .write_all(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n12345")
+    .await
+    .expect("the listener reads");
+  read_until(&mut stream, "after the time in `retry-after`\n").await;
+}
+
+/// Guards against a refusal that makes the caller send the body it holds back.
+#[tokio::test]
+async fn refusals_do_not_ask_for_the_body() {
+  let listener = Listener::start(Limits::default(), |_request| async {
+    Err(CallFailure::not_run(NotRunReason::Shed))
+  })
+  .await;
+  let response = listener
+    .raw("PUT / HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 5\r\n\r\n")
+    .await;
+  assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+}
--- a/crates/http/src/caller_request.rs
+++ b/crates/http/src/caller_request.rs
@@ -1,7 +1,7 @@
 use {
-  crate::{Limits, ReceivedBody, Refusal, hop_headers::remove_hop_headers},
+  crate::{Leftover, Limits, ReceivedBody, Refusal, hop_headers::remove_hop_headers},
   cactusyoke_model::{Body, CONTEXT_HEADER, Context, IdempotencyKey, KEY_HEADER, KeyError},
-  http::{HeaderMap, Method, Request, Version, header},
+  http::{HeaderMap, Method, Request, Version, header, request::Parts},
   http_body_util::BodyExt,
   hyper::body::Incoming,
   std::fmt,
@@ -37,37 +37,21 @@
 }
 
 impl CallerRequest {
-  /// Checks a request against the limits of its listener.
-  pub(crate) fn check(request: Request<Incoming>, limits: &Limits) -> Result<Self, Refusal> {
+  /// Checks a request against the limits of its listener. What is not read of its body goes to
+  /// `leftover`.
+  pub(crate) fn check(
+    request: Request<Incoming>,
+    limits: &Limits,
+    leftover: Option<Leftover>,
+  ) -> Result<Self, Refusal> {
     let (parts, body) = request.into_parts();
+    let body = ReceivedBody::new(body, limits.body, limits.idle).keep_rest(leftover);
+    check_head(&parts, &body, limits)?;
+    let key = read_key(&parts.headers)?;
+    let context = read_context(&parts.headers)?;
+    let path = parts.uri.path_and_query();
+    let path = path.map_or("/", |path| path.as_str()).to_owned();
     let mut headers = parts.headers;
-    // An HTTP/1.0 response without a length ends with the connection, so that a cut one would look
-    // whole.
-    if parts.version != Version::HTTP_11 {
-      return Err(Refusal::Version);
-    }
-    if parts.method == Method::CONNECT {
-      return Err(Refusal::Connect);
-    }
-    let path = parts
-      .uri
-      .path_and_query()
-      .map_or("/", |path| path.as_str())
-      .to_owned();
-    let fields = headers
-      .iter()
-      .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
-    if path.len() + fields.sum::<usize>() > limits.header_bytes {
-      return Err(Refusal::HeaderBytes(limits.header_bytes));
-    }
-    if headers.len() > limits.headers {
-      return Err(Refusal::Headers(limits.headers));
-    }
-    if http_body::Body::size_hint(&body).lower() > limits.body.0 {
-      return Err(Refusal::BodyBytes(limits.body));
-    }
-    let key = read_key(&headers)?;
-    let context = read_context(&headers)?;
     headers.remove(CONTEXT_HEADER);
     headers.remove(header::EXPECT);
     remove_hop_headers(&mut headers);
@@ -75,13 +59,40 @@
       method: parts.method,
       path,
       headers,
-      body: ReceivedBody::new(body, limits.body, limits.idle).boxed_unsync(),
+      body: body.boxed_unsync(),
       key,
       context,
     })
   }
 }
 
+fn check_head(parts: &Parts, body: &ReceivedBody, limits: &Limits) -> Result<(), Refusal> {
+  // An HTTP/1.0 response without a length ends with the connection, so that a cut one would look
+  // whole.
+  if parts.version != Version::HTTP_11 {
+    return Err(Refusal::Version);
+  }
+  if parts.method == Method::CONNECT {
+    return Err(Refusal::Connect);
+  }
+  let path = parts.uri.path_and_query();
+  let fields = parts
+    .headers
+    .iter()
+    .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+  let bytes = path.map_or(0, |path| path.as_str().len()) + fields.sum::<usize>();
+  if bytes > limits.header_bytes {
+    return Err(Refusal::HeaderBytes(limits.header_bytes));
+  }
+  if parts.headers.len() > limits.headers {
+    return Err(Refusal::Headers(limits.headers));
+  }
+  if http_body::Body::size_hint(body).lower() > limits.body.0 {
+    return Err(Refusal::BodyBytes(limits.body));
+  }
+  Ok(())
+}
+
 fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Refusal> {
   let mut values = headers.get_all(KEY_HEADER).iter();
   let Some(value) = values.next() else {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,10 +1,12 @@
 use {
   crate::{
-    CallHandler, CallerRequest, CheckedBody, Limits, Refusal, StallIo, answer_response,
-    failure_response,
+    CallHandler, CallerRequest, CheckedBody, FailureBody, Leftover, Limits, Refusal, StallIo,
+    answer_response, failure_response,
   },
-  cactusyoke_model::Body,
+  bytes::Bytes,
   http::{HeaderValue, Request, Response, header},
+  http_body::Body,
+  http_body_util::BodyExt,
   hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
   hyper_util::rt::{TokioIo, TokioTimer},
   std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
@@ -39,11 +41,16 @@
 
   async fn respond(&self, request: Request<Incoming>) -> Result<Response<CheckedBody>, Infallible> {
     let method = request.method().clone();
-    let mut response = match CallerRequest::check(request, &self.limits) {
-      Err(refusal) => checked(refusal.response()),
+    // A caller that expects `100 Continue` has not sent the body; reading it would ask for it.
+    let sends_body =
+      !request.body().is_end_stream() && !request.headers().contains_key(header::EXPECT);
+    let leftover = sends_body.then(Leftover::default);
+    let rest = || leftover.as_ref().and_then(Leftover::take);
+    let mut response = match CallerRequest::check(request, &self.limits, leftover.clone()) {
+      Err(refusal) => failed(refusal.response(), rest()),
       Ok(request) => match self.handler.handle(request).await {
         Ok(answer) => answer_response(answer, &method),
-        Err(failure) => checked(failure_response(&failure)),
+        Err(failure) => failed(failure_response(&failure), rest()),
       },
     };
     if self.shutdown.is_cancelled() {
@@ -57,7 +64,7 @@
 pub(crate) async fn refuse(stream: TcpStream, mut limits: Limits, shutdown: &CancellationToken) {
   limits.idle = limits.idle.min(Duration::from_secs(1));
   let service = service_fn(|_request: Request<Incoming>| async move {
-    let mut response = checked(Refusal::Connections(limits.connections).response());
+    let mut response = failed(Refusal::Connections(limits.connections).response(), None);
     close(&mut response);
     Ok::<_, Infallible>(response)
   });
@@ -100,8 +107,8 @@
   }
 }
 
-fn checked(response: Response<Body>) -> Response<CheckedBody> {
-  response.map(|body| CheckedBody::new(body, None))
+fn failed(response: Response<Bytes>, rest: Option<Incoming>) -> Response<CheckedBody> {
+  response.map(|text| CheckedBody::new(FailureBody::new(text, rest).boxed_unsync(), None))
 }
 
 fn close(response: &mut Response<CheckedBody>) {
--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -1,7 +1,8 @@
 //! HTTP form of the two ways in which a call ends without an answer.
 
 use {
-  cactusyoke_model::{Body, CallFailure, NotRunReason, UnknownReason, full_body},
+  bytes::Bytes,
+  cactusyoke_model::{CallFailure, NotRunReason, UnknownReason},
   http::{HeaderName, HeaderValue, Response, StatusCode, header},
 };
 
@@ -19,38 +20,32 @@
 const RETRY_LATER: u64 = 5;
 
 /// Response for a call that has no answer.
-pub(crate) fn failure_response(failure: &CallFailure) -> Response<Body> {
+pub(crate) fn failure_response(failure: &CallFailure) -> Response<Bytes> {
   match failure {
     CallFailure::NotRun { reason, .. } => {
       let (status, retry_after, text) = not_run(*reason);
       let text = format!("not run ({reason}): {text}");
-      outcome_response(
-        status,
-        "not-run",
-        reason.as_str(),
-        retry_after,
-        text_body(&text),
-      )
+      outcome_response(status, "not-run", reason.as_str(), retry_after, &text)
     }
     CallFailure::Unknown { reason } => {
       let (status, text) = unknown(*reason);
       let text = format!(
         "unknown ({reason}): {text}; send it again only if it may run twice, or with the same `idempotency-key`"
       );
-      outcome_response(status, "unknown", reason.as_str(), None, text_body(&text))
+      outcome_response(status, "unknown", reason.as_str(), None, &text)
     }
   }
 }
 
-/// Response that the node itself writes.
+/// Response that the node itself writes, with one line of text.
 pub(crate) fn outcome_response(
   status: StatusCode,
   outcome: &'static str,
   reason: &'static str,
   retry_after: Option<u64>,
-  body: Body,
-) -> Response<Body> {
-  let mut response = Response::new(body);
+  line: &str,
+) -> Response<Bytes> {
+  let mut response = Response::new(Bytes::from(format!("{line}\n")));
   *response.status_mut() = status;
   let headers = response.headers_mut();
   headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
@@ -65,11 +60,6 @@
   response
 }
 
-/// One line of text.
-pub(crate) fn text_body(line: &str) -> Body {
-  full_body(format!("{line}\n"))
-}
-
 fn not_run(reason: NotRunReason) -> (StatusCode, Option<u64>, &'static str) {
   let unavailable = StatusCode::SERVICE_UNAVAILABLE;
   let soon = Some(RETRY_SOON);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,8 +9,10 @@
 mod caller_request;
 mod checked_body;
 mod connection;
+mod failure_body;
 mod failure_response;
 mod hop_headers;
+mod leftover;
 mod limits;
 mod received_body;
 mod refusal;
@@ -29,6 +31,6 @@
 pub use serve::serve;
 
 use {
-  answer_response::answer_response, connection::Connection, failure_response::failure_response,
-  stall::Stall, stall_io::StallIo,
+  answer_response::answer_response, connection::Connection, failure_body::FailureBody,
+  failure_response::failure_response, leftover::Leftover, stall::Stall, stall_io::StallIo,
 };
--- a/crates/http/src/refusal.rs
+++ b/crates/http/src/refusal.rs
@@ -1,6 +1,7 @@
 use {
-  crate::failure_response::{outcome_response, text_body},
-  cactusyoke_model::{Body, ByteSize, ContextError, KeyError, NotRunReason},
+  crate::failure_response::outcome_response,
+  bytes::Bytes,
+  cactusyoke_model::{ByteSize, ContextError, KeyError, NotRunReason},
   http::{Response, StatusCode},
   std::fmt::{self, Display, Formatter},
 };
@@ -86,7 +87,7 @@
   }
 
   /// Response to the caller.
-  pub(crate) fn response(&self) -> Response<Body> {
+  pub(crate) fn response(&self) -> Response<Bytes> {
     let reason = self.reason();
     let retry_after = match self {
       Self::Connections(_) => Some(1),
@@ -99,7 +100,13 @@
       | Self::RepeatedKey
       | Self::Context => None,
     };
-    let text = text_body(&format!("not run ({reason}): {self}"));
-    outcome_response(self.status(), "not-run", reason.as_str(), retry_after, text)
+    let text = format!("not run ({reason}): {self}");
+    outcome_response(
+      self.status(),
+      "not-run",
+      reason.as_str(),
+      retry_after,
+      &text,
+    )
   }
 }
--- a/crates/upstreams/src/answer_body.rs
+++ b/crates/upstreams/src/answer_body.rs
@@ -53,6 +53,9 @@
     let Some(lease) = self.lease.take() else {
       return BodyError::Cut;
     };
+    if lease.state().is_expired() {
+      return BodyError::Deadline;
+    }
     if let Some(error) = lease.state().body_error() {
       return error;
     }
--- a/crates/upstreams/src/call_run.rs
+++ b/crates/upstreams/src/call_run.rs
@@ -75,10 +75,13 @@
   fn answer(mut self, response: Response<Incoming>) -> Result<Answer, CallFailure> {
     self.watch.progress();
     if !has_end(&self.head.method, &response) {
-      tracing::warn!(
+      if self.lease.pool().report_once() {
+        tracing::warn!(
         service = %self.head.service,
-        "answer refused: it has neither `content-length` nor `transfer-encoding`, so that a cut one would look whole"
-      );
+        route = %self.head.route,
+        "answers refused: they have neither `content-length` nor `transfer-encoding`, so that a cut one would look whole"
+        );
+      }
       return Err(CallFailure::unknown(UnknownReason::BadAnswer));
     }
     let (parts, body) = response.into_parts();
@@ -107,6 +110,9 @@
   }
 
   fn lost(&self, error: &hyper::Error, touched: bool) -> CallFailure {
+    if self.lease.state().is_expired() {
+      return self.expired(Expiry::Deadline);
+    }
     let cut = self.lease.state().body_error();
     if !touched {
       let reason = if cut.is_some() {
--- a/crates/upstreams/src/connection_state.rs
+++ b/crates/upstreams/src/connection_state.rs
@@ -7,6 +7,7 @@
     },
     time::{Duration, Instant},
   },
+  tokio::time,
 };
 
 /// A write is being attempted.
@@ -15,6 +16,11 @@
 const WRITTEN: u8 = 1 << 1;
 /// No further byte may be written.
 const SEALED: u8 = 1 << 2;
+/// The connection was closed at the deadline of its call.
+const EXPIRED: u8 = 1 << 3;
+
+/// No call uses the connection.
+const NO_DEADLINE: u64 = u64::MAX;
 
 const BODY_ACTIVE: u8 = 0;
 const BODY_WAITING: u8 = 1;
@@ -36,6 +42,9 @@
   body: AtomicU8,
   /// Time of the last transferred byte, microseconds since `opened`.
   moved: AtomicU64,
+  started: time::Instant,
+  /// Deadline of the call, microseconds since `started`.
+  deadline: AtomicU64,
 }
 
 impl ConnectionState {
@@ -47,15 +56,44 @@
       gate: AtomicU8::new(0),
       body: AtomicU8::new(BODY_ACTIVE),
       moved: AtomicU64::new(0),
+      started: time::Instant::now(),
+      deadline: AtomicU64::new(NO_DEADLINE),
     }
   }
 
   /// Forgets the previous call. Only between two calls.
-  pub(crate) fn begin_call(&self) {
+  pub(crate) fn begin_call(&self, deadline: time::Instant) {
+    let left = deadline.saturating_duration_since(self.started);
+    self
+      .deadline
+      .store(left.as_micros() as u64, Ordering::SeqCst);
     self.gate.fetch_and(!WRITTEN, Ordering::SeqCst);
     self.body.store(BODY_ACTIVE, Ordering::SeqCst);
   }
 
+  /// The call was answered whole.
+  pub(crate) fn end_call(&self) {
+    self.deadline.store(NO_DEADLINE, Ordering::SeqCst);
+  }
+
+  /// Deadline of the call that uses the connection.
+  pub(crate) fn deadline(&self) -> Option<time::Instant> {
+    match self.deadline.load(Ordering::SeqCst) {
+      NO_DEADLINE => None,
+      micros => Some(self.started + Duration::from_micros(micros)),
+    }
+  }
+
+  /// The connection is closed because the deadline passed.
+  pub(crate) fn expire(&self) {
+    self.gate.fetch_or(EXPIRED | SEALED, Ordering::SeqCst);
+  }
+
+  /// The connection was closed because the deadline passed.
+  pub(crate) fn is_expired(&self) -> bool {
+    self.gate.load(Ordering::SeqCst) & EXPIRED != 0
+  }
+
   /// False when the connection is sealed and nothing may be written.
   pub(crate) fn begin_write(&self) -> bool {
     self.gate.fetch_or(WRITING, Ordering::SeqCst) & SEALED == 0
--- a/crates/upstreams/src/lease.rs
+++ b/crates/upstreams/src/lease.rs
@@ -4,7 +4,7 @@
   http::{Request, Response},
   hyper::{body::Incoming, client::conn::TrySendError},
   std::{mem, sync::Arc},
-  tokio::sync::OwnedSemaphorePermit,
+  tokio::{sync::OwnedSemaphorePermit, time::Instant},
 };
 
 /// Connection in use by one call; closed when dropped, unless released.
@@ -16,6 +16,7 @@
   pool: Arc<Pool>,
   permit: OwnedSemaphorePermit,
   reused: bool,
+  deadline: Instant,
 }
 
 impl Lease {
@@ -24,13 +25,15 @@
     pool: Arc<Pool>,
     permit: OwnedSemaphorePermit,
     reused: bool,
+    deadline: Instant,
   ) -> Self {
-    connection.state.begin_call();
+    connection.state.begin_call(deadline);
     Self {
       connection,
       pool,
       permit,
       reused,
+      deadline,
     }
   }
 
@@ -61,9 +64,10 @@
       pool,
       permit,
       reused: _,
+      deadline,
     } = self;
     drop(connection);
-    pool.connect(permit).await
+    pool.connect(permit, deadline).await
   }
 
   /// Returns the connection for the next call, if both bodies have ended.
@@ -73,7 +77,9 @@
       pool,
       permit,
       reused: _,
+      deadline: _,
     } = self;
+    connection.state.end_call();
     if connection.state.is_body_sent() && !connection.sender.is_closed() {
       pool.put_back(connection, pool.config().clock.now());
     } else {
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -9,6 +9,7 @@
 mod call_watch;
 mod connection_state;
 mod crash;
+mod driver;
 pub mod egress;
 mod hint;
 mod idle;
@@ -41,6 +42,7 @@
   call_run::CallRun,
   call_watch::{CallWatch, Expiry},
   connection_state::ConnectionState,
+  driver::Driver,
   lease::Lease,
   pool::Pool,
   sent_body::SentBody,
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -1,6 +1,7 @@
 use {
   crate::{
-    ConnectionState, Lease, Silence, TrackedIo, UpstreamConfig, announce::Announcement, idle::Idle,
+    ConnectionState, Driver, Lease, Silence, TrackedIo, UpstreamConfig, announce::Announcement,
+    idle::Idle,
   },
   cactusyoke_model::NotRunReason,
   hyper::client::conn::http1::Builder,
@@ -8,13 +9,16 @@
   std::{
     collections::VecDeque,
     io,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+      Arc, Mutex, MutexGuard,
+      atomic::{AtomicBool, Ordering},
+    },
     time::Instant,
   },
   tokio::{
     net::TcpStream,
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::timeout,
+    time::{self, timeout},
   },
 };
 
@@ -32,6 +36,8 @@
   open: Arc<Semaphore>,
   idle: Mutex<VecDeque<Idle>>,
   silence: Mutex<Silence>,
+  /// An answer without an end was reported; one line for each announced upstream is enough.
+  reported: AtomicBool,
 }
 
 impl Pool {
@@ -46,6 +52,7 @@
       open: Arc::new(Semaphore::new(bound)),
       idle: Mutex::new(VecDeque::new()),
       silence,
+      reported: AtomicBool::new(false),
     }
   }
 
@@ -71,6 +78,11 @@
       .expect("no thread panics while it holds the lock")
   }
 
+  /// True for the first answer without an end.
+  pub(crate) fn report_once(&self) -> bool {
+    !self.reported.swap(true, Ordering::Relaxed)
+  }
+
   fn idle(&self) -> MutexGuard<'_, VecDeque<Idle>> {
     self
       .idle
@@ -85,7 +97,10 @@
   }
 
   /// An idle connection, or a new one.
-  pub(crate) async fn lease(self: &Arc<Self>) -> Result<Lease, NotRunReason> {
+  pub(crate) async fn lease(
+    self: &Arc<Self>,
+    deadline: time::Instant,
+  ) -> Result<Lease, NotRunReason> {
     let permit = Arc::clone(&self.busy)
       .acquire_owned()
       .await
@@ -96,17 +111,20 @@
       let Some(mut idle) = idle else {
         break;
       };
-      if idle.sender.ready().await.is_ok() {
-        return Ok(Lease::new(idle, Arc::clone(self), permit, true));
+      // An upstream that answered without reading the whole request may never read the rest.
+      let ready = timeout(self.config.connect, idle.sender.ready()).await;
+      if matches!(ready, Ok(Ok(()))) {
+        return Ok(Lease::new(idle, Arc::clone(self), permit, true, deadline));
       }
     }
-    self.connect(permit).await
+    self.connect(permit, deadline).await
   }
 
   /// A new connection.
   pub(crate) async fn connect(
     self: &Arc<Self>,
     permit: OwnedSemaphorePermit,
+    deadline: time::Instant,
   ) -> Result<Lease, NotRunReason> {
     let open = Arc::clone(&self.open)
       .acquire_owned()
@@ -136,14 +154,13 @@
       stream,
       state: Arc::clone(&state),
     });
-    let (sender, driver) = Builder::new()
+    let (sender, connection) = Builder::new()
       .max_buf_size(BUFFER)
       .handshake(io)
       .await
       .map_err(|_error| NotRunReason::Connection)?;
+    let driver = Driver::new(connection, Arc::clone(&state), open);
     let driver = tokio::spawn(async move {
-      // Declared first, hence dropped after the socket.
-      let _open = open;
       if let Err(error) = driver.await {
         tracing::debug!(%address, %error, "upstream connection ended");
       }
@@ -154,7 +171,7 @@
       driver: driver.abort_handle(),
       since: self.config.clock.now(),
     };
-    Ok(Lease::new(idle, Arc::clone(self), permit, false))
+    Ok(Lease::new(idle, Arc::clone(self), permit, false, deadline))
   }
 
   /// Keeps a connection for the next call.
--- a/crates/upstreams/src/upstream.rs
+++ b/crates/upstreams/src/upstream.rs
@@ -42,7 +42,7 @@
       return Err(late());
     }
     let deadline = Instant::now() + left;
-    let lease = timeout_at(deadline, pool.lease())
+    let lease = timeout_at(deadline, pool.lease(deadline))
       .await
       .map_err(|_elapsed| late())?
       .map_err(CallFailure::not_run)?;
--- a/crates/upstreams/tests/outcomes.rs
+++ b/crates/upstreams/tests/outcomes.rs
@@ -192,6 +192,36 @@
   assert!(reports.lock().expect("not poisoned").is_empty());
 }
 
+/// Guards against callers that hold the upstream beyond the deadline by not reading the answer.
+#[tokio::test]
+async fn deadline_frees_the_upstream_of_an_unread_answer() {
+  let (report, mut events) = mpsc::unbounded_channel();
+  let address = raw_upstream(move |_number, mut stream| {
+    let report = report.clone();
+    async move {
+      read_head(&mut stream).await;
+      let head = b"HTTP/1.1 200 OK\r\ncontent-length: 100000000000\r\n\r\n";
+      stream.write_all(head).await.expect("the client reads");
+      while stream.write_all(&[0; 10_000]).await.is_ok() {}
+      report.send(()).expect("the test waits");
+    }
+  })
+  .await;
+  let (config, reports) = client(serving(address, 10));
+  let limit = Duration::from_millis(300);
+  let (call, context) = call(Method::GET, "/", empty_body(), limit);
+  let answer = Upstream::new(config)
+    .call(call, context)
+    .await
+    .expect("a head");
+  timeout(HANG, events.recv())
+    .await
+    .expect("a closed connection");
+  let error = answer.body.collect().await.expect_err("a cut body");
+  assert_eq!(error, BodyError::Deadline);
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
+
 /// Guards against upstreams that work for cancelled calls.
 #[parameterized(head = { "" }, body = { "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n12345" })]
 #[test_macro(tokio::test)]
--- a/crates/upstreams/tests/streaming.rs
+++ b/crates/upstreams/tests/streaming.rs
@@ -12,8 +12,12 @@
   http_body::Frame,
   http_body_util::{BodyExt, StreamBody},
   std::time::Duration,
-  support::{Node, client, service, serving},
-  tokio::time::{sleep, timeout},
+  support::{Node, client, raw_upstream, read_head, service, serving},
+  tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{sleep, timeout},
+  },
 };
 
 async fn start() -> (Upstream, Node) {
@@ -41,6 +45,31 @@
   assert!(received.is_intact());
 }
 
+/// Guards against trailers of requests that are lost.
+#[tokio::test]
+async fn request_trailers_reach_the_upstream() {
+  let (report, mut requests) = tokio::sync::mpsc::unbounded_channel();
+  let address = raw_upstream(move |_number, mut stream| {
+    let report = report.clone();
+    async move {
+      read_head(&mut stream).await;
+      let body = read_head(&mut stream).await;
+      report.send(body).expect("the test waits");
+    }
+  })
+  .await;
+  let (config, _crashes) = client(serving(address, 10));
+  let node = Node::forward(config).await;
+  let mut stream = TcpStream::connect(node.address).await.expect("the node");
+  let request =
+    b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\ntrailer: x-note\r\n\r\n\
+    5\r\n12345\r\n0\r\nx-note: 1\r\n\r\n";
+  stream.write_all(request).await.expect("the node reads");
+  let body = requests.recv().await.expect("a request");
+  assert!(body.contains("12345"), "{body}");
+  assert!(body.ends_with("\r\nx-note: 1\r\n\r\n"), "{body}");
+}
+
 /// Guards against large bodies that hold up small requests, and against bodies read into memory
 /// before they are forwarded: the echo ends only after the small requests were answered.
 #[tokio::test]
