--- a/crates/cactusyoke/src/operator_node.rs
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -209,6 +209,7 @@
     | ConfigurationError::Reason(_)
     | ConfigurationError::TooOld { .. }
     | ConfigurationError::IdTaken(_)
+    | ConfigurationError::NoRevision { .. }
     | ConfigurationError::TooLarge => NodeError::Invalid {
       message: error.to_string(),
     },
--- a/crates/standins/src/upstream/request_work.rs
+++ b/crates/standins/src/upstream/request_work.rs
@@ -1,6 +1,6 @@
 use {
   crate::upstream::{
-    Child, Client, Config, Faults, Received, TAG_HEADER,
+    Child, Client, Config, Faults, Received, Runs, TAG_HEADER,
     bodies::{HASH_HEADER, HashedBody, cut_body, hash_value, pattern_body},
   },
   cactusyoke_model::{Body, CONTEXT_HEADER, Context, empty_body, full_body},
@@ -113,7 +113,11 @@
     let Ok(_slot) = self.slots.acquire().await else {
       return answer(StatusCode::SERVICE_UNAVAILABLE, full_body("closed\n"));
     };
-    let begun = Instant::now();
+    let _work = WorkTimer {
+      runs: &self.config.runs,
+      tag,
+      begun: Instant::now(),
+    };
     let mut time = self.faults.stretch(self.config.time.draw());
     if started.elapsed() < self.config.cold_start {
       time = time.mul_f64(self.config.cold_factor);
@@ -133,9 +137,6 @@
         return response;
       }
     }
-    if !tag.is_empty() {
-      self.config.runs.work(tag, begun.elapsed());
-    }
     respond(&path, request).await
   }
 
@@ -170,6 +171,21 @@
   }
 }
 
+/// Time for which a request holds its slot; counted also when the request fails or is cancelled.
+struct WorkTimer<'a> {
+  runs: &'a Runs,
+  tag: &'a str,
+  begun: Instant,
+}
+
+impl Drop for WorkTimer<'_> {
+  fn drop(&mut self) {
+    if !self.tag.is_empty() {
+      self.runs.work(self.tag, self.begun.elapsed());
+    }
+  }
+}
+
 async fn respond(path: &str, request: Request<Incoming>) -> Response<Body> {
   let body = request.into_body();
   if path == "/echo" {
