--- a/crates/decisions/src/keys/answer_limits.rs
+++ b/crates/decisions/src/keys/answer_limits.rs
@@ -1,4 +1,4 @@
-use {crate::keys::KEY_MEMORY, cactusyoke_model::ByteSize, std::time::Duration};
+use {cactusyoke_model::ByteSize, std::time::Duration};
 
 /// Bounds on what a node keeps of the keys that it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -7,11 +7,9 @@
   pub total: ByteSize,
   /// Size of one kept answer.
   pub single: ByteSize,
-  /// Time for which an answer is kept.
+  /// Time for which an ended run and its answer are kept.
   pub keep: Duration,
-  /// Time for which it is known that a key ran; that of the preset in force.
-  pub memory: Duration,
-  /// Keys known at once.
+  /// Keys known at once; the run that ended first makes room.
   pub keys: usize,
 }
 
@@ -21,8 +19,7 @@
       total: ByteSize(16 << 20),
       single: ByteSize(1 << 20),
       keep: Duration::from_mins(10),
-      memory: KEY_MEMORY,
-      keys: 100_000,
+      keys: 50_000,
     }
   }
 }
--- a/crates/decisions/src/keys/answers.rs
+++ b/crates/decisions/src/keys/answers.rs
@@ -1,32 +1,32 @@
 use {
-  crate::keys::{AnswerLimits, CLAIM_LIMIT, Lookup, RunId},
+  crate::keys::{AnswerLimits, Lookup, Member, RunId},
   cactusyoke_model::{ByteSize, IdempotencyKey, NotRunReason, UnknownReason},
   std::{
     collections::{HashMap, VecDeque},
     mem,
-    time::{Duration, Instant},
+    time::Instant,
   },
 };
 
 /// Runs of a key remembered as withdrawn. An older one, when asked about, may have run.
 const MAX_WITHDRAWN: usize = 8;
 
-type Ended = (Instant, IdempotencyKey, RunId);
-
-/// Keys that a node runs or ran, with the answers that it keeps.
+/// Keys that a node runs or ran lately, with the answers that it keeps.
+///
+/// It may forget an ended run at any time: the witnesses remember that the key ran, and a question
+/// about a run that is not known here is answered as unknown.
 ///
 /// Waiters are numbers that the node gives to those who wait for the answer of a key.
 #[derive(Clone, Debug)]
 pub struct Answers<T> {
+  member: Member,
   limits: AnswerLimits,
   entries: HashMap<IdempotencyKey, Entry<T>>,
   bytes: u64,
-  /// Kept answers, oldest first.
-  kept: VecDeque<Ended>,
-  /// Withdrawn runs, oldest first.
-  withdrawn: VecDeque<Ended>,
-  /// Other ended runs, oldest first.
-  ended: VecDeque<Ended>,
+  /// Runs whose answers were kept, oldest first.
+  kept: VecDeque<(IdempotencyKey, RunId)>,
+  /// Ended runs, oldest first.
+  ended: VecDeque<(Instant, IdempotencyKey, RunId)>,
 }
 
 #[derive(Clone, Debug)]
@@ -48,22 +48,17 @@
 
 impl<T: Clone> Answers<T> {
   /// Nothing known yet.
-  pub fn new(limits: AnswerLimits) -> Self {
+  pub fn new(member: Member, limits: AnswerLimits) -> Self {
     Self {
+      member,
       limits,
       entries: HashMap::new(),
       bytes: 0,
       kept: VecDeque::new(),
-      withdrawn: VecDeque::new(),
       ended: VecDeque::new(),
     }
   }
 
-  /// Sets the time for which it is known that a key ran, from now on.
-  pub fn set_memory(&mut self, memory: Duration) {
-    self.limits.memory = memory;
-  }
-
   /// Size of the kept answers.
   pub const fn bytes(&self) -> ByteSize {
     ByteSize(self.bytes)
@@ -79,8 +74,8 @@
     self.entries.is_empty()
   }
 
-  /// Enters a run that is about to claim its key. At the bound on keys, and while an earlier run
-  /// of the key may have run, it is refused.
+  /// Enters a run that is about to claim its key. It is refused when as many runs are under way as
+  /// keys may be known, and where an earlier run of the key is under way or may have run.
   pub fn start(
     &mut self,
     key: &IdempotencyKey,
@@ -90,6 +85,8 @@
   ) -> Result<(), NotRunReason> {
     self.expire(now);
     let mut withdrawn = VecDeque::new();
+    let known = self.entries.contains_key(key);
+    while !known && self.entries.len() >= self.limits.keys && self.forget_oldest() {}
     let full = self.entries.len() >= self.limits.keys;
     match self.entries.get_mut(key) {
       None if full => return Err(NotRunReason::Limit),
@@ -147,8 +144,8 @@
 
   /// What another node gets that asks about `run`, which a witness named as the holder of `key`.
   ///
-  /// A run that is not known here may have run: it belongs to an earlier incarnation, or the
-  /// memory of it is over.
+  /// A run that is not known here may have run: it belongs to an earlier incarnation, or it was
+  /// forgotten with its answer.
   pub fn ask(
     &mut self,
     key: &IdempotencyKey,
@@ -161,6 +158,7 @@
     match self.entries.get(key) {
       Some(entry) if entry.run == run => self.lookup(key, fingerprint, waiter, now),
       Some(entry) if entry.withdrawn.contains(&run) => Lookup::NotRun(run),
+      Some(_) | None if run.member == self.member => Lookup::Unknown(UnknownReason::AnswerExpired),
       Some(_) | None => Lookup::Unknown(UnknownReason::FirstRun),
     }
   }
@@ -195,7 +193,7 @@
       return Vec::new();
     };
     self.bytes += bytes;
-    self.kept.push_back((now, key.clone(), run));
+    self.kept.push_back((key.clone(), run));
     while self.bytes > self.limits.total.0 {
       self.drop_oldest();
     }
@@ -218,42 +216,33 @@
     self.end(key, run, State::NotRun, now)
   }
 
-  /// Drops answers and keys whose time is over.
+  /// Drops the answers of runs that ended longer ago than they are kept, and the runs with them.
   pub fn expire(&mut self, now: Instant) {
     while self
-      .kept
+      .ended
       .front()
       .is_some_and(|(at, ..)| now.saturating_duration_since(*at) >= self.limits.keep)
     {
-      self.drop_oldest();
+      self.forget_oldest();
     }
-    // As long as witnesses remember the grant, so that its holder can be asked.
-    let memory = self.limits.memory + CLAIM_LIMIT;
-    Self::forget(&mut self.entries, &mut self.ended, memory, now);
-    Self::forget(
-      &mut self.entries,
-      &mut self.withdrawn,
-      self.limits.keep,
-      now,
-    );
   }
 
-  fn forget(
-    entries: &mut HashMap<IdempotencyKey, Entry<T>>,
-    queue: &mut VecDeque<Ended>,
-    time: Duration,
-    now: Instant,
-  ) {
-    while queue
-      .front()
-      .is_some_and(|(at, ..)| now.saturating_duration_since(*at) >= time)
+  /// Forgets the run that ended first. Returns false when none is left in the queue.
+  fn forget_oldest(&mut self) -> bool {
+    let Some((_, key, run)) = self.ended.pop_front() else {
+      return false;
+    };
+    // Answers are kept in the order in which their runs ended.
+    if self.kept.front().is_some_and(|(_, kept)| *kept == run) {
+      self.kept.pop_front();
+    }
+    if self.entries.get(&key).is_some_and(|entry| entry.run == run)
+      && let Some(entry) = self.entries.remove(&key)
+      && let State::Done { bytes, .. } = entry.state
     {
-      if let Some((_, key, run)) = queue.pop_front()
-        && entries.get(&key).is_some_and(|entry| entry.run == run)
-      {
-        entries.remove(&key);
-      }
+      self.bytes -= bytes;
     }
+    true
   }
 
   fn end(&mut self, key: &IdempotencyKey, run: RunId, state: State<T>, now: Instant) -> Vec<u64> {
@@ -273,19 +262,19 @@
     if !matches!(entry.state, State::Running(_)) {
       return None;
     }
-    let queue = match state {
-      State::NotRun => &mut self.withdrawn,
-      _ => &mut self.ended,
-    };
     let State::Running(waiters) = mem::replace(&mut entry.state, state) else {
       return None;
     };
-    queue.push_back((now, key.clone(), run));
+    self.ended.push_back((now, key.clone(), run));
+    // Withdrawn runs whose key was claimed anew are in the queue, but no longer among the keys.
+    if self.ended.len() > self.limits.keys {
+      self.forget_oldest();
+    }
     Some(waiters)
   }
 
   fn drop_oldest(&mut self) {
-    let Some((_, key, run)) = self.kept.pop_front() else {
+    let Some((key, run)) = self.kept.pop_front() else {
       return;
     };
     if let Some(entry) = self.entries.get_mut(&key)
--- a/crates/decisions/src/keys/grants.rs
+++ b/crates/decisions/src/keys/grants.rs
@@ -80,21 +80,22 @@
   pub fn sweep(&mut self, steps: usize, now: Instant) {
     let seconds = self.seconds(now);
     let start = self.cursor.map_or(Bound::Unbounded, Bound::Excluded);
-    let seen = self
-      .slots
-      .range((start, Bound::Unbounded))
-      .take(steps)
-      .map(|(key, _)| *key)
-      .collect::<Vec<_>>();
-    self.cursor = match seen.len() {
-      len if len < steps => None,
-      _ => seen.last().copied(),
-    };
-    for key in seen {
-      if self.all(key).all(|slot| slot.expires <= seconds) {
-        self.replace(key, &[]);
+    let mut seen = 0;
+    let mut last = None;
+    let mut over = Vec::new();
+    for (key, slot) in self.slots.range((start, Bound::Unbounded)).take(steps) {
+      seen += 1;
+      last = Some(*key);
+      if slot.expires <= seconds {
+        over.push(*key);
       }
     }
+    self.cursor = last.filter(|_| seen == steps);
+    for key in over {
+      let mut all = self.all(key).copied().collect::<Vec<_>>();
+      all.retain(|slot| slot.expires > seconds);
+      self.replace(key, &all);
+    }
   }
 
   /// Grants of the first `limit` keys after `after` for which `wanted` is true, and whether more
