--- a/crates/decisions/examples/key_memory.rs
+++ b/crates/decisions/examples/key_memory.rs
@@ -28,7 +28,7 @@
   let before = resident();
   let mut witness = Witness::new(member(0), keys as usize);
   let roster = Roster::first(vec![member(0)]).expect("a roster of one is valid");
-  witness.adopt(roster, now);
+  witness.adopt(roster.clone(), now);
   let started = Instant::now();
   for index in 0..keys {
     let run = run(index);
@@ -45,14 +45,40 @@
     );
   }
   let elapsed = started.elapsed();
-  report("witness", keys, before);
   println!(
     "witness ns_per_claim={}",
     elapsed.as_nanos() / u128::from(keys)
   );
+  report("witness", keys, before);
+  handover(&mut witness, &roster, now);
   assert_eq!(witness.len() as u64, keys);
 }
 
+/// Shows the size and time of a first page for the only member of the next roster.
+fn handover(witness: &mut Witness, roster: &Roster, now: Instant) {
+  let next = roster
+    .next(vec![member(1)])
+    .expect("a roster of one is valid");
+  let mut new = Witness::new(member(1), 1);
+  let (_, request) = new
+    .adopt(next, now)
+    .pop()
+    .expect("a request for a handover");
+  let started = Instant::now();
+  let WitnessReply::Handover(page) = witness.handle(member(1).node, request, now) else {
+    panic!("a handover gets a page");
+  };
+  let elapsed = started.elapsed();
+  let bytes = postcard::to_allocvec(&page)
+    .expect("a page can be encoded")
+    .len();
+  let grants = page.grants.len();
+  println!(
+    "handover page_grants={grants} page_bytes={bytes} us={}",
+    elapsed.as_micros()
+  );
+}
+
 fn answers(keys: u64) {
   let now = Instant::now();
   let before = resident();
--- a/crates/decisions/src/keys/message.rs
+++ b/crates/decisions/src/keys/message.rs
@@ -100,6 +100,8 @@
 pub struct HandoverPage {
   /// Witness that replies, with its incarnation.
   pub from: Member,
+  /// New witness that asked: pass numbers begin anew with each of its incarnations.
+  pub to: Member,
   /// Epoch of the new roster.
   pub epoch: u64,
   /// Pass of the request.
--- a/crates/decisions/src/keys/takeover.rs
+++ b/crates/decisions/src/keys/takeover.rs
@@ -171,7 +171,7 @@
     page: &HandoverPage,
     now: Instant,
   ) -> Option<(Member, WitnessRequest)> {
-    if page.epoch != self.roster.epoch {
+    if page.epoch != self.roster.epoch || page.to != to {
       return None;
     }
     let ended = self
--- a/crates/decisions/src/keys/witness.rs
+++ b/crates/decisions/src/keys/witness.rs
@@ -249,6 +249,7 @@
     };
     HandoverPage {
       from: self.member,
+      to: *to,
       epoch: roster.epoch,
       pass: *pass,
       after: *after,
