tests: wait for states instead of fixed times, test concurrent writers

Fixed sleeps left margins of 200 ms, and the commands' test of a change in doubt raced with its own retries. The stand-in can now start an outage with the last lost answer, and the tests poll for the state that they expect.

Twelve concurrent writers of different presets are all accepted with the default bounds on attempts.

--- a/crates/cactusyoke/tests/operator_commands.rs
+++ b/crates/cactusyoke/tests/operator_commands.rs
@@ -4,9 +4,9 @@
 
 use {
   cactusyoke::subcommand::CommandError,
+  cactusyoke_model::Preset,
   cactusyoke_standins::platform::Outage,
-  operator_support::{Fixture, TOKEN, parse},
-  std::{thread, time::Duration},
+  operator_support::{Fixture, TOKEN, parse, preset},
 };
 
 fn message(result: Result<String, CommandError>) -> (u8, String) {
@@ -49,10 +49,9 @@
     "preset `quiet` is in force from revision 4\n"
   );
   let shown = node.run("preset show peak").unwrap();
-  assert!(
-    shown.starts_with("# revision 4\nname: peak\npurpose: for spring\n"),
-    "{shown}"
-  );
+  assert!(shown.starts_with("# revision 4\n"), "{shown}");
+  let shown = shown.parse::<Preset>().unwrap();
+  assert_eq!(shown.raw(), &preset("peak", "for spring"));
   let audit = node.run("audit --preset=quiet --since=1h").unwrap();
   let changes = audit.lines().skip(1).map(|line| {
     let cells = line.split("  ").filter(|cell| !cell.is_empty());
@@ -177,17 +176,8 @@
     "{error}"
   );
   node.platform.faults().set_outage(Outage::None);
-  node.platform.faults().lose_answers(1);
-  let puts = node.platform.calls().puts;
-  let error = thread::scope(|scope| {
-    scope.spawn(|| {
-      while node.platform.calls().puts == puts {
-        thread::yield_now();
-      }
-      node.platform.faults().set_outage(Outage::Refuse);
-    });
-    node.run("preset use peak").unwrap_err()
-  });
+  node.platform.faults().lose_answers_then(1, Outage::Refuse);
+  let error = node.run("preset use peak").unwrap_err();
   assert_eq!(error.code(), 3);
   let error = error.to_string();
   let repeat = error
@@ -199,7 +189,6 @@
     .unwrap()
     .to_string();
   node.platform.faults().set_outage(Outage::None);
-  thread::sleep(Duration::from_millis(300));
   let repeat = repeat
     .replace("--id ", "--id=")
     .replace("--revision ", "--revision=");
--- a/crates/operators/tests/listener.rs
+++ b/crates/operators/tests/listener.rs
@@ -128,7 +128,7 @@
 async fn connections_are_bounded_in_number_and_time() {
   let limits = ListenerLimits {
     connections: 2,
-    header_time: Duration::from_millis(300),
+    header_time: Duration::from_secs(1),
     ..ListenerLimits::default()
   };
   let server = Server::start(limits).await;
@@ -136,8 +136,12 @@
   sleep(Duration::from_millis(50)).await;
   let health = request("GET", "/healthz", "", "");
   assert_eq!(server.send(&health).await, "");
-  sleep(Duration::from_millis(500)).await;
-  assert_eq!(status(&server.send(&health).await), 200);
+  let freed = async {
+    while server.send(&health).await.is_empty() {
+      sleep(Duration::from_millis(50)).await;
+    }
+  };
+  timeout(Duration::from_secs(5), freed).await.unwrap();
   drop(silent);
 }
 
--- a/crates/platform/tests/configuration.rs
+++ b/crates/platform/tests/configuration.rs
@@ -3,9 +3,12 @@
 mod support;
 
 use {
-  cactusyoke_model::{PresetError, Revision},
-  cactusyoke_platform::{AuditFilter, ChangeRequest, Configuration, ConfigurationError, Intent},
+  cactusyoke_model::{PresetError, Revision, SystemClock},
+  cactusyoke_platform::{
+    AuditFilter, ChangeRequest, Configuration, ConfigurationError, Intent, RetryLimits,
+  },
   cactusyoke_standins::platform::{Outage, Platform, Quotas},
+  std::sync::Arc,
   support::{configuration, http_store, name, preset, put, request},
 };
 
@@ -213,14 +216,8 @@
   // The preset is there, so the first write is that of the head; its answer and all reads after it
   // are lost.
   let change = request(8, "ana", 1, Intent::Use(name("peak")));
-  platform.faults().lose_answers(1);
-  let cut = async {
-    while platform.calls().puts < 3 {
-      tokio::task::yield_now().await;
-    }
-    platform.faults().set_outage(Outage::Refuse);
-  };
-  let (result, ()) = tokio::join!(configuration.change(&change, NONE), cut);
+  platform.faults().lose_answers_then(1, Outage::Refuse);
+  let result = configuration.change(&change, NONE).await;
   assert_eq!(
     result.unwrap_err().to_string(),
     "the platform did not confirm change `00000000000000000000000000000008`, which may be in force: repeat it with the same id and revision 1, which never applies it twice"
@@ -268,3 +265,24 @@
   }
   assert_eq!(configuration.head().await.unwrap().0.revision, NONE);
 }
+
+/// Guards against writers of different presets that starve each other on the head.
+#[tokio::test]
+async fn concurrent_changes_of_different_presets_are_all_accepted() {
+  let (platform, _) = start().await;
+  let clock = Arc::new(SystemClock);
+  let writers = (1..=12_u128).map(|number| {
+    let limits = RetryLimits::default();
+    let configuration = Configuration::new(http_store(&platform), clock.clone(), limits);
+    tokio::spawn(async move {
+      let change = request(number, "ana", 0, put(&format!("p{number}"), "a"));
+      configuration.change(&change, NONE).await
+    })
+  });
+  let mut revisions = Vec::new();
+  for writer in writers.collect::<Vec<_>>() {
+    revisions.push(writer.await.unwrap().unwrap().revision.0);
+  }
+  revisions.sort_unstable();
+  assert!(revisions.into_iter().eq(1..=12));
+}
--- a/crates/platform/tests/watcher.rs
+++ b/crates/platform/tests/watcher.rs
@@ -48,6 +48,16 @@
     .unwrap();
 }
 
+/// Waits until a state is reached, at most as long as a change may take.
+async fn until(reached: impl Fn() -> bool) {
+  let wait = async {
+    while !reached() {
+      sleep(Duration::from_millis(5)).await;
+    }
+  };
+  timeout(IN_FORCE, wait).await.expect("reached in time");
+}
+
 /// Guards against a change that is not in force within 4 s of its acceptance.
 #[tokio::test]
 async fn a_watching_node_adopts_a_change_in_time() {
@@ -71,14 +81,12 @@
     watcher.set_watching(true);
     adopted(&watcher, 1).await;
     platform.faults().set_outage(outage);
-    // Both kinds fail a waiting watch: one at once, the other after the time limit of a call.
-    sleep(Duration::from_millis(2_500)).await;
-    assert!(watcher.platform().error.is_some());
+    until(|| watcher.platform().error.is_some()).await;
     assert_eq!(watcher.config().load().revision, Revision(1));
     platform.faults().set_outage(Outage::None);
     change(&configuration, 2).await;
     adopted(&watcher, 2).await;
-    assert_eq!(watcher.platform().error, None);
+    until(|| watcher.platform().error.is_none()).await;
   }
 }
 
@@ -108,16 +116,16 @@
   sleep(Duration::from_millis(100)).await;
   assert_eq!(platform.calls().gets + platform.calls().watches, 0);
   watcher.set_watching(true);
-  sleep(Duration::from_millis(300)).await;
+  until(|| platform.calls().gets + platform.calls().watches > 0).await;
   watcher.set_watching(false);
-  sleep(Duration::from_millis(100)).await;
+  sleep(Duration::from_millis(500)).await;
   let before = platform.calls();
   assert!(before.watches <= 2, "{before:?}");
+  // Longer than one watch.
   sleep(Duration::from_millis(2_500)).await;
   assert_eq!(platform.calls(), before);
   watcher.refresh();
-  sleep(Duration::from_millis(100)).await;
-  assert_eq!(platform.calls().gets, before.gets + 1);
+  until(|| platform.calls().gets == before.gets + 1).await;
 }
 
 /// Guards against a revert by an older value that the platform serves.
@@ -139,8 +147,7 @@
   let calls = after.gets + after.watches - before.gets - before.watches;
   assert!(calls <= 10, "{calls} calls in a second");
   platform.faults().serve_older(0);
-  sleep(Duration::from_millis(1_500)).await;
-  assert_eq!(watcher.platform().lower, None);
+  until(|| watcher.platform().lower.is_none()).await;
 }
 
 /// Guards against a node that cannot start while the platform is down.
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -27,6 +27,7 @@
   outage: Outage,
   delay: Duration,
   lost: u32,
+  after_lost: Outage,
   behind: usize,
   generation: u64,
 }
@@ -48,7 +49,16 @@
 
   /// Closes the connection instead of answering each of the next `count` writes that take effect.
   pub fn lose_answers(&self, count: u32) {
-    self.with(|state| state.lost = count);
+    self.lose_answers_then(count, Outage::None);
+  }
+
+  /// Loses the answers of the next `count` writes that take effect, and starts an outage with the
+  /// last of them, so that the writer cannot find out.
+  pub fn lose_answers_then(&self, count: u32, outage: Outage) {
+    self.with(|state| {
+      state.lost = count;
+      state.after_lost = outage;
+    });
   }
 
   /// Serves reads from `versions` writes ago; zero serves the present value.
@@ -84,6 +94,9 @@
         return Answered::Sent;
       }
       state.lost -= 1;
+      if state.lost == 0 && state.after_lost != Outage::None {
+        state.outage = state.after_lost;
+      }
       Answered::Lost
     })
   }
