platform: refuse control characters in names and reasons of changes

JSON writes a control character with six bytes, so 256 long reasons of them could make an audit segment larger than the 1 MB that the platform accepts, after which no change could leave the head. A test fills a segment with the longest records that are accepted.

--- a/crates/platform/src/change_request.rs
+++ b/crates/platform/src/change_request.rs
@@ -5,7 +5,9 @@
 
 /// Longest operator name, bytes.
 const MAX_OPERATOR: usize = 64;
-/// Longest reason, bytes. With it a full audit segment stays under half of the largest value.
+/// Longest reason, bytes. A full audit segment of such reasons has about 350 KB; with control
+/// characters, which JSON writes with six bytes, it could pass the 1 MB that the platform accepts,
+/// and no change could leave the head any more.
 const MAX_REASON: usize = 1_000;
 
 /// Change that an operator asks for.
@@ -56,10 +58,11 @@
   }
 
   pub(crate) fn check(&self) -> Result<(), ConfigurationError> {
-    if self.operator.is_empty() || self.operator.len() > MAX_OPERATOR {
+    if self.operator.is_empty() || self.operator.len() > MAX_OPERATOR || unprintable(&self.operator)
+    {
       return Err(ConfigurationError::Operator(MAX_OPERATOR));
     }
-    if self.reason.len() > MAX_REASON {
+    if self.reason.len() > MAX_REASON || unprintable(&self.reason) {
       return Err(ConfigurationError::Reason(MAX_REASON));
     }
     match &self.intent {
@@ -71,3 +74,7 @@
     }
   }
 }
+
+fn unprintable(text: &str) -> bool {
+  text.chars().any(char::is_control)
+}
--- a/crates/platform/src/configuration_error.rs
+++ b/crates/platform/src/configuration_error.rs
@@ -21,9 +21,9 @@
   NoPreset(PresetName),
   /// The preset is not valid.
   Preset(PresetError),
-  /// The operator's name is empty or too long, bytes.
+  /// The operator's name is empty, longer than so many bytes, or not printable.
   Operator(usize),
-  /// The reason is too long, bytes.
+  /// The reason is longer than so many bytes, or not printable.
   Reason(usize),
   /// The change is based on a revision that is too far back.
   TooOld {
@@ -117,8 +117,8 @@
         "there is no preset `{name}`: import it before putting it in force"
       ),
       Self::Preset(error) => error.fmt(f),
-      Self::Operator(max) => write!(f, "the operator's name must have 1 to {max} bytes"),
-      Self::Reason(max) => write!(f, "the reason is too long: use at most {max} bytes"),
+      Self::Operator(max) => write!(f, "the operator's name must have 1 to {max} bytes and no control characters"),
+      Self::Reason(max) => write!(f, "the reason cannot be kept: use at most {max} bytes and no control characters"),
       Self::TooOld { based_on, revision } => write!(
         f,
         "revision {based_on} is too far behind the present revision {revision}: look at the configuration again and repeat the change with revision {revision}"
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -71,7 +71,8 @@
     let _ = self.actor.cast(WatcherMessage::Watch(watching));
   }
 
-  /// Reads the platform once.
+  /// Reads the platform once. A failure is reported in [`Watcher::platform`] and not repeated,
+  /// unless a watch is held.
   pub fn refresh(&self) {
     self.shared.refresh.notify_one();
   }
--- a/crates/platform/tests/configuration.rs
+++ b/crates/platform/tests/configuration.rs
@@ -259,6 +259,13 @@
       },
       ConfigurationError::Reason(1_000),
     ),
+    (
+      ChangeRequest {
+        reason: "\u{7}".into(),
+        ..request(6, "ana", 0, put("peak", "a"))
+      },
+      ConfigurationError::Reason(1_000),
+    ),
   ];
   for (request, expected) in cases {
     assert_eq!(configuration.change(&request, NONE).await, Err(expected));
@@ -286,3 +293,24 @@
   revisions.sort_unstable();
   assert!(revisions.into_iter().eq(1..=12));
 }
+
+/// Guards against an audit segment that grows past what the platform accepts, after which no change
+/// could be made: the longest reasons and names fit, with every character escaped.
+#[tokio::test]
+async fn a_segment_of_the_longest_records_fits() {
+  let (platform, configuration) = start().await;
+  for number in 1..=280_u64 {
+    let change = ChangeRequest {
+      reason: "\"".repeat(1_000),
+      ..request(
+        number.into(),
+        &"\\".repeat(64),
+        number - 1,
+        put("peak", &number.to_string()),
+      )
+    };
+    configuration.change(&change, NONE).await.unwrap();
+  }
+  let size = platform.value("audit/0000").unwrap().len();
+  assert!(size < 1 << 20, "{size} bytes");
+}
