--- a/crates/cactusyoke/src/command.rs
+++ b/crates/cactusyoke/src/command.rs
@@ -1,8 +1,8 @@
 //! The command line.
 
 use {
-  crate::subcommand::{Operator, check, node, operator},
-  bpaf::Bpaf,
+  crate::subcommand::{Operator, check, node, operator, report_failure},
+  bpaf::{Args, Bpaf},
   std::{path::PathBuf, process::ExitCode},
 };
 
@@ -32,9 +32,11 @@
 }
 
 impl Command {
-  /// Reads the command line; prints help or an error and ends the process where there is one.
-  pub fn parse() -> Self {
-    command_line().run()
+  /// Reads the command line. Help and errors are printed; the exit code says which it was.
+  pub fn parse() -> Result<Self, ExitCode> {
+    command_line()
+      .run_inner(Args::current_args())
+      .map_err(report_failure)
   }
 
   /// Runs the command.
--- a/crates/cactusyoke/src/keyed.rs
+++ b/crates/cactusyoke/src/keyed.rs
@@ -30,7 +30,7 @@
   },
   tokio::{
     sync::oneshot,
-    time::{timeout, timeout_at},
+    time::{sleep, timeout, timeout_at},
   },
 };
 
@@ -40,6 +40,9 @@
 /// Times that one request claims its key, after rosters changed or earlier runs were withdrawn.
 const MAX_CLAIMS: usize = 4;
 
+/// Longest pause before a second claim of a key; a claim takes one round trip, under 2 ms.
+const CLAIM_PAUSE: Duration = Duration::from_millis(10);
+
 /// Size of all kept answers of a node.
 const KEPT_BYTES: ByteSize = ByteSize(16 << 20);
 
@@ -81,8 +84,8 @@
       ..AnswerLimits::default()
     };
     Self {
+      answers: Mutex::new(Answers::new(rosters.member(), limits)),
       rosters,
-      answers: Mutex::new(Answers::new(limits)),
       waiting: Mutex::default(),
       next_run: AtomicU64::new(1),
       next_waiter: AtomicU64::new(1),
@@ -91,7 +94,6 @@
 
   /// Sets the time for which keys are remembered.
   pub(crate) fn set_memory(&self, memory: Duration) {
-    self.answers().set_memory(memory);
     self.rosters.witness().set_memory(memory);
   }
 
@@ -252,6 +254,7 @@
             Known::Ended(result) => return result,
             Known::Free { released: other } => released = other,
           }
+          self.pause().await;
         }
         Claimed::NewerRoster => {
           self.withdraw(run);
@@ -286,6 +289,12 @@
     }
   }
 
+  /// Keeps two requests with one key from denying each other again.
+  async fn pause(&self) {
+    let longest = CLAIM_PAUSE * self.number as u32;
+    sleep(rand::random_range(Duration::ZERO..longest)).await;
+  }
+
   fn new_run(&self) -> RunId {
     let number = self.core.keyed.next_run.fetch_add(1, Ordering::Relaxed);
     RunId {
--- a/crates/cactusyoke/src/main.rs
+++ b/crates/cactusyoke/src/main.rs
@@ -6,5 +6,8 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
-  Command::parse().run()
+  match Command::parse() {
+    Ok(command) => command.run(),
+    Err(code) => code,
+  }
 }
--- a/crates/cactusyoke/src/meters.rs
+++ b/crates/cactusyoke/src/meters.rs
@@ -2,7 +2,7 @@
 
 use {
   arc_swap::ArcSwap,
-  cactusyoke_model::{Answer, CallFailure, Clock, Preset, RouteName},
+  cactusyoke_model::{Answer, CallFailure, Preset, RouteName},
   cactusyoke_operators::{CallMetrics, Metrics},
   std::{collections::HashMap, sync::Arc},
 };
@@ -15,9 +15,9 @@
 }
 
 impl Meters {
-  pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+  pub(crate) fn new(metrics: Arc<Metrics>) -> Self {
     Self {
-      metrics: Arc::new(Metrics::new(clock)),
+      metrics,
       routes: ArcSwap::default(),
     }
   }
--- a/crates/cactusyoke/src/operator_node.rs
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -3,14 +3,14 @@
 use {
   crate::{Core, status},
   cactusyoke_decisions::load::Fingerprint,
-  cactusyoke_model::{PresetName, Revision},
+  cactusyoke_model::{ConfigDelta, PresetName, Revision},
   cactusyoke_operators::{
     Accepted, AuditQuery, AuditRecord, ConfigView, ConflictView, Node, NodeError, NodeFuture,
     PresetSummary, PresetView, PutRequest, QuarantineView, Reason, StatusView, Timestamp,
     UseRequest,
   },
   cactusyoke_platform::{
-    AuditFilter, ChangeRequest, ConfigurationError, Intent, Record, RecordedEdit,
+    AuditFilter, ChangeRequest, ConfigurationError, Intent, OfferResult, Record, RecordedEdit,
   },
   std::sync::Arc,
 };
@@ -178,8 +178,15 @@
           operator = record.operator,
           change = %record.edit
         );
-        // Spreads the change from here too, without waiting for a watch.
-        self.0.watcher.refresh();
+        // Puts the change in force here and spreads it, without waiting for a watch. A gap means
+        // that this node lacks earlier changes, which the refresh brings.
+        let changes = vec![request.accepted(&record)];
+        if !matches!(
+          self.0.watcher.offer(ConfigDelta { changes }).await,
+          Some(OfferResult::Adopted(_))
+        ) {
+          self.0.watcher.refresh();
+        }
         Ok(Accepted {
           id: record.id,
           revision: record.revision,
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -22,8 +22,10 @@
   cactusyoke_nodes::{
     Hop, Incoming, IncomingCall, Links, LinksConfig, Membership, MembershipConfig, MembershipHandle,
   },
-  cactusyoke_operators::ListenerLimits,
-  cactusyoke_platform::{Configuration, HttpStore, RetryLimits, Store, StoreLimits, Watcher},
+  cactusyoke_operators::{ListenerLimits, Metrics},
+  cactusyoke_platform::{
+    Configuration, HttpStore, ObservedStore, RetryLimits, Store, StoreLimits, Watcher,
+  },
   cactusyoke_upstreams::{Upstream, UpstreamConfig, Views, announce, egress},
   ractor::Actor,
   std::{
@@ -112,8 +114,19 @@
     let listeners = Listeners::bind(&settings).await?;
     let stop = CancellationToken::new();
     let refuse_work = stop.child_token();
-    let store = Arc::new(HttpStore::new(settings.platform, StoreLimits::default()));
-    let core = build(settings, clock, store, &listeners, &stop).await?;
+    let metrics = Arc::new(Metrics::new(Arc::clone(&clock)));
+    let counted = Arc::clone(&metrics);
+    let store = HttpStore::new(settings.platform, StoreLimits::default());
+    let store = ObservedStore::new(Arc::new(store), move |kind, result| {
+      counted.platform_call(kind, result);
+    });
+    let parts = Parts {
+      settings,
+      clock,
+      store: Arc::new(store),
+      metrics,
+    };
+    let core = build(parts, &listeners, &stop).await?;
     start_loops(&core).await?;
     let limits = Limits {
       connections: core.settings.connections as usize,
@@ -188,13 +201,25 @@
   }
 }
 
-async fn build(
+/// What a node is built from.
+struct Parts {
   settings: Settings,
   clock: Arc<dyn Clock>,
   store: Arc<dyn Store>,
+  metrics: Arc<Metrics>,
+}
+
+async fn build(
+  parts: Parts,
   listeners: &Listeners,
   stop: &CancellationToken,
 ) -> Result<Arc<Core>, StartError> {
+  let Parts {
+    settings,
+    clock,
+    store,
+    metrics,
+  } = parts;
   let incarnation = incarnation(clock.wall());
   let (watcher, _task) = Watcher::start(Arc::clone(&store), Arc::clone(&clock))
     .await
@@ -237,7 +262,7 @@
     edges: Edges::default(),
     keyed: Keyed::new(rosters, settings.keys),
     spread: Spread::default(),
-    meters: Meters::new(Arc::clone(&clock)),
+    meters: Meters::new(metrics),
     draining: AtomicBool::new(false),
     next_span: AtomicU64::new(rand::random()),
     in_flight: InFlight::default(),
