Send one probe for each shed route, not for each of its instances

Levels are kept for each instance, so that the probes of one sender multiplied with the number of instances; a probe that is shed further down wastes the work above.

--- a/crates/cactusyoke/src/edges.rs
+++ b/crates/cactusyoke/src/edges.rs
@@ -18,6 +18,44 @@
   levels: HashMap<NodeId, Levels>,
   routers: HashMap<ServiceName, Router>,
   ratios: HashMap<RouteName, RetryRatio>,
+  /// Last probe of each route.
+  probes: HashMap<RouteName, Instant>,
+}
+
+impl Inner {
+  /// Instances that are known to shed the call.
+  fn shedding(&self, edge: Edge<'_>, nodes: &[NodeId], now: Instant) -> Vec<NodeId> {
+    let sheds = |node: &&NodeId| {
+      let level = self
+        .levels
+        .get(node)
+        .map(|levels| levels.level(edge.route, now));
+      level.is_some_and(|level| !level.admits(edge.priority))
+    };
+    nodes.iter().filter(sheds).copied().collect()
+  }
+
+  /// Claims the probe of this interval, where no instance has reported lately.
+  ///
+  /// One probe serves all instances of the route: their levels follow the same load, and probes
+  /// that are shed further down waste the work above.
+  fn may_probe(&mut self, route: &RouteName, nodes: &[NodeId], now: Instant) -> bool {
+    let silent = |node: &NodeId| {
+      self
+        .levels
+        .get(node)
+        .is_none_or(|levels| levels.silent(route, now))
+    };
+    if !nodes.iter().all(silent) {
+      return false;
+    }
+    let due = |last: &Instant| now.saturating_duration_since(*last) >= Levels::PROBE_INTERVAL;
+    if !self.probes.get(route).is_none_or(due) {
+      return false;
+    }
+    self.probes.insert(route.clone(), now);
+    true
+  }
 }
 
 /// Levels, loads and retry ratios by instance, service and route.
@@ -56,30 +94,23 @@
       return Err(NotRunReason::NoUpstream);
     }
     let mut inner = self.lock();
-    let shedding = |node: &NodeId, levels: &HashMap<NodeId, Levels>| {
-      levels
-        .get(node)
-        .is_some_and(|levels| !levels.admits(edge.route, edge.priority, now))
-    };
-    let mut excluded = avoid.to_vec();
-    for candidate in candidates {
-      if !excluded.contains(&candidate.node) && shedding(&candidate.node, &inner.levels) {
-        excluded.push(candidate.node);
-      }
+    let untried = candidates
+      .iter()
+      .map(|candidate| candidate.node)
+      .filter(|node| !avoid.contains(node));
+    let untried = untried.collect::<Vec<NodeId>>();
+    if untried.is_empty() {
+      return Err(NotRunReason::NoUpstream);
     }
-    if excluded.len() >= candidates.len()
-      && candidates
-        .iter()
-        .all(|candidate| excluded.contains(&candidate.node))
-    {
-      let tried = candidates
-        .iter()
-        .all(|candidate| avoid.contains(&candidate.node));
-      return Err(if tried {
-        NotRunReason::NoUpstream
-      } else {
-        NotRunReason::Shed
-      });
+    let shed = inner.shedding(edge, &untried, now);
+    // A probe goes to any instance, so that a fresh report comes back.
+    let probe = shed.len() == untried.len();
+    if probe && !inner.may_probe(edge.route, &untried, now) {
+      return Err(NotRunReason::Shed);
+    }
+    let mut excluded = avoid.to_vec();
+    if !probe {
+      excluded.extend(shed);
     }
     let router = inner.routers.entry(edge.service.clone()).or_default();
     let node = router
@@ -173,7 +204,9 @@
 
   /// Drops the ratios, after another preset came into force.
   pub(crate) fn reset_ratios(&self) {
-    self.lock().ratios.clear();
+    let mut inner = self.lock();
+    inner.ratios.clear();
+    inner.probes.clear();
   }
 
   fn lock(&self) -> MutexGuard<'_, Inner> {
