Bound the log lines on refused connections

Each connection beyond the limit wrote a warning; there can be thousands a second just when the node is overloaded.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! lives here: reading requests into [`CallerRequest`], writing answers and failures, removing
 //! hop-by-hop headers, and checking body lengths.
 
+mod acceptor;
 mod answer_response;
 mod call_handler;
 mod caller_request;
@@ -31,6 +32,7 @@
 pub use serve::serve;
 
 use {
-  answer_response::answer_response, connection::Connection, failure_body::FailureBody,
-  failure_response::failure_response, leftover::Leftover, stall::Stall, stall_io::StallIo,
+  acceptor::Acceptor, answer_response::answer_response, connection::Connection,
+  failure_body::FailureBody, failure_response::failure_response, leftover::Leftover, stall::Stall,
+  stall_io::StallIo,
 };
