Report a missing announcement once, and let refused connections finish their upload

The test of the warning compares the whole line. Connections beyond the limit lost their 429 to a reset when they were sending a body, as refused requests did before.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -41,10 +41,7 @@
 
   async fn respond(&self, request: Request<Incoming>) -> Result<Response<CheckedBody>, Infallible> {
     let method = request.method().clone();
-    // A caller that expects `100 Continue` has not sent the body; reading it would ask for it.
-    let sends_body =
-      !request.body().is_end_stream() && !request.headers().contains_key(header::EXPECT);
-    let leftover = sends_body.then(Leftover::default);
+    let leftover = sends_body(&request).then(Leftover::default);
     let rest = || leftover.as_ref().and_then(Leftover::take);
     let mut response = match CallerRequest::check(request, &self.limits, leftover.clone()) {
       Err(refusal) => failed(refusal.response(), rest()),
@@ -63,8 +60,9 @@
 /// Answers the first request of a connection beyond the limit, then closes the connection.
 pub(crate) async fn refuse(stream: TcpStream, mut limits: Limits, shutdown: &CancellationToken) {
   limits.idle = limits.idle.min(Duration::from_secs(1));
-  let service = service_fn(|_request: Request<Incoming>| async move {
-    let mut response = failed(Refusal::Connections(limits.connections).response(), None);
+  let service = service_fn(|request: Request<Incoming>| async move {
+    let rest = sends_body(&request).then(|| request.into_body());
+    let mut response = failed(Refusal::Connections(limits.connections).response(), rest);
     close(&mut response);
     Ok::<_, Infallible>(response)
   });
@@ -107,6 +105,12 @@
   }
 }
 
+/// True when the caller sends a body without being asked. One that expects `100 Continue` does not,
+/// and reading its body would ask for it.
+fn sends_body(request: &Request<Incoming>) -> bool {
+  !request.body().is_end_stream() && !request.headers().contains_key(header::EXPECT)
+}
+
 fn failed(response: Response<Bytes>, rest: Option<Incoming>) -> Response<CheckedBody> {
   response.map(|text| CheckedBody::new(FailureBody::new(text, rest).boxed_unsync(), None))
 }
--- /dev/null
+++ b/crates/upstreams/tests/first_announcement.rs
@@ -0,0 +1,84 @@
+//! The warning for operators whose upstream does not announce itself.
+
+mod support;
+
+use {
+  cactusyoke_model::{Clock, ManualClock},
+  cactusyoke_upstreams::announce::{AnnounceConfig, start},
+  std::{
+    io,
+    sync::{Arc, Mutex},
+    time::Duration,
+  },
+  support::HANG,
+  tokio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+  },
+  tokio_util::sync::CancellationToken,
+};
+
+/// Log lines in memory.
+#[derive(Clone, Debug, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Lines {
+  fn text(&self) -> String {
+    let bytes = self.0.lock().expect("not poisoned");
+    String::from_utf8_lossy(&bytes).into_owned()
+  }
+}
+
+impl io::Write for Lines {
+  fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+    self.0.lock().expect("not poisoned").write(buf)
+  }
+
+  fn flush(&mut self) -> io::Result<()> {
+    Ok(())
+  }
+}
+
+/// Guards against a node that waits for its upstream without a word, and against a warning that
+/// is repeated or has no remedy.
+#[tokio::test]
+async fn missing_announcement_is_reported_once() {
+  let lines = Lines::default();
+  let writer = lines.clone();
+  let subscriber = tracing_subscriber::fmt()
+    .with_max_level(tracing::Level::WARN)
+    .with_ansi(false)
+    .without_time()
+    .with_writer(move || writer.clone())
+    .finish();
+  // The runtime of the test runs every task on this thread.
+  let _default = tracing::subscriber::set_default(subscriber);
+  let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+  let address = listener.local_addr().expect("a bound address");
+  let clock = Arc::new(ManualClock::default());
+  let config = AnnounceConfig {
+    clock: Arc::clone(&clock) as Arc<dyn Clock>,
+    ..AnnounceConfig::default()
+  };
+  let shutdown = CancellationToken::new();
+  let _stop = shutdown.clone().drop_guard();
+  let _views = start(listener, config, shutdown)
+    .await
+    .expect("the listener starts");
+  clock.advance(Duration::from_secs(10));
+  let warned = async {
+    while lines.text().is_empty() {
+      sleep(Duration::from_millis(5)).await;
+    }
+  };
+  timeout(HANG, warned).await.expect("a warning");
+  clock.advance(Duration::from_secs(10));
+  // Several checks of the actor.
+  sleep(Duration::from_millis(500)).await;
+  assert_eq!(
+    lines.text(),
+    format!(
+      " WARN cactusyoke_upstreams::announce::actor: no upstream has announced itself: send `PUT /announce` to the listener every second listener={address} waited_s=10\n"
+    )
+  );
+}
