Receive answers of upstreams that refuse a request early

An upstream that answers before it has read the request and then closes the connection made the write fail; the call became unknown and was reported as a crash, although the answer was there to be read.

Repeating the write was ruled out, since it can only fail again.

--- a/crates/upstreams/src/connection_state.rs
+++ b/crates/upstreams/src/connection_state.rs
@@ -108,6 +108,11 @@
     self.gate.fetch_and(!WRITING, Ordering::SeqCst);
   }
 
+  /// Bytes of the current call were written.
+  pub(crate) fn is_written(&self) -> bool {
+    self.gate.load(Ordering::SeqCst) & WRITTEN != 0
+  }
+
   /// Prevents further writes. False when no byte of the current call can have left.
   pub(crate) fn seal(&self) -> bool {
     self.gate.fetch_or(SEALED, Ordering::SeqCst) & (WRITTEN | WRITING) != 0
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -153,6 +153,7 @@
     let io = TokioIo::new(TrackedIo {
       stream,
       state: Arc::clone(&state),
+      broken: false,
     });
     let (sender, connection) = Builder::new()
       .max_buf_size(BUFFER)
--- a/crates/upstreams/src/tracked_io.rs
+++ b/crates/upstreams/src/tracked_io.rs
@@ -17,23 +17,37 @@
 pub(crate) struct TrackedIo {
   pub(crate) stream: TcpStream,
   pub(crate) state: Arc<ConnectionState>,
+  /// Writing failed after a part of the request was written.
+  pub(crate) broken: bool,
 }
 
 impl TrackedIo {
   fn write(
     &mut self,
-    write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    cx: &mut Context<'_>,
+    write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
   ) -> Poll<io::Result<usize>> {
+    if self.broken {
+      return Poll::Pending;
+    }
     if !self.state.begin_write() {
       self.state.end_write(0);
       return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
     }
-    let result = write(Pin::new(&mut self.stream));
+    let result = write(Pin::new(&mut self.stream), cx);
     let bytes = match &result {
       Poll::Ready(Ok(bytes)) => *bytes,
       Poll::Ready(Err(_)) | Poll::Pending => 0,
     };
     self.state.end_write(bytes);
+    if matches!(result, Poll::Ready(Err(_))) && self.state.is_written() {
+      // An upstream that refuses a request early answers and closes the connection, so that the
+      // rest of the request cannot be written. Its answer may still be read; without one, reading
+      // fails as well and ends the call.
+      self.broken = true;
+      cx.waker().wake_by_ref();
+      return Poll::Pending;
+    }
     result
   }
 }
@@ -56,7 +70,9 @@
 
 impl AsyncWrite for TrackedIo {
   fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-    self.get_mut().write(|stream| stream.poll_write(cx, buf))
+    self
+      .get_mut()
+      .write(cx, |stream, cx| stream.poll_write(cx, buf))
   }
 
   fn poll_write_vectored(
@@ -66,7 +82,7 @@
   ) -> Poll<io::Result<usize>> {
     self
       .get_mut()
-      .write(|stream| stream.poll_write_vectored(cx, bufs))
+      .write(cx, |stream, cx| stream.poll_write_vectored(cx, bufs))
   }
 
   fn is_write_vectored(&self) -> bool {
--- a/crates/upstreams/tests/outcomes.rs
+++ b/crates/upstreams/tests/outcomes.rs
@@ -276,3 +276,27 @@
   assert_eq!(failed, CallFailure::unknown(UnknownReason::Cancelled));
   assert!(reports.lock().expect("not poisoned").is_empty());
 }
+
+/// Guards against a lost answer, and a crash that was none, when the upstream refuses a large
+/// request early and closes the connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn early_answer_is_received() {
+  let address = raw_upstream(|_number, mut stream| async move {
+    read_head(&mut stream).await;
+    let answer =
+      b"HTTP/1.1 413 Payload Too Large\r\ncontent-length: 2\r\nconnection: close\r\n\r\nno";
+    stream.write_all(answer).await.expect("the client reads");
+  })
+  .await;
+  let (config, reports) = client(serving(address, 10));
+  let upstream = Upstream::new(config);
+  for _ in 0..200 {
+    let body = cactusyoke_standins::upstream::pattern_body(1_000_000);
+    let (call, context) = call(Method::POST, "/", body, HANG);
+    let answer = upstream.call(call, context).await.expect("a head");
+    assert_eq!(answer.status, 413);
+    let body = answer.body.collect().await.expect("a whole body");
+    assert_eq!(body.to_bytes(), "no");
+  }
+  assert!(reports.lock().expect("not poisoned").is_empty());
+}
