Read the rest of an unfinished request after every response, not only refusals

Reading the rest inside the response body worked for refusals only: an answer with a length ends before its body can wait, and responses of the parser (431, 400) have no body of ours. A refused upload closes its connection instead of keeping it open.

--- a/crates/callers/tests/bodies.rs
+++ b/crates/callers/tests/bodies.rs
@@ -10,7 +10,7 @@
   http::{HeaderMap, HeaderValue, Request, header},
   http_body_util::BodyExt,
   std::future::pending,
-  support::{HANG, Listener, answer, read_until, stream_body, text},
+  support::{HANG, Listener, answer, read_all, read_until, stream_body, text},
   tokio::{io::AsyncWriteExt, sync::mpsc, time::timeout},
   yare::parameterized,
 };
@@ -142,20 +142,27 @@
   assert_eq!(end, None);
 }
 
-/// Guards against refusals that a caller in the middle of an upload does not receive: closing the
+/// Guards against responses that a caller in the middle of an upload does not receive: closing the
 /// connection with unread bytes resets it.
 #[parameterized(
-  length = { "content-length: 8000000\r\n\r\n", "" },
-  chunked = { "transfer-encoding: chunked\r\n\r\n7a1200\r\n", "\r\n0\r\n\r\n" },
+  length = { "content-length: 8000000\r\n\r\n", "", false },
+  chunked = { "transfer-encoding: chunked\r\n\r\n7a1200\r\n", "\r\n0\r\n\r\n", false },
+  answered = { "content-length: 8000000\r\n\r\n", "", true },
+  bad_key = { "idempotency-key: \r\ncontent-length: 8000000\r\n\r\n", "", false },
+  malformed = { "content-length: x\r\n\r\n", "", false },
+  long_head = { "x: 80001\r\nlong: ", "", false },
 )]
 #[test_macro(tokio::test)]
-async fn refusals_reach_uploading_callers(head: &str, end: &str) {
-  let listener = Listener::start(Limits::default(), |_request| async {
+async fn early_responses_reach_uploading_callers(head: &str, end: &str, answered: bool) {
+  let listener = Listener::start(Limits::default(), move |_request| async move {
+    if answered {
+      return Ok(text("early"));
+    }
     Err(CallFailure::not_run(NotRunReason::Shed))
   })
   .await;
-  let mut stream = listener.connect().await;
-  for _ in 0..2 {
+  for _ in 0..5 {
+    let mut stream = listener.connect().await;
     stream
       .write_all(format!("POST / HTTP/1.1\r\nhost: x\r\n{head}").as_bytes())
       .await
@@ -170,8 +177,14 @@
       .write_all(end.as_bytes())
       .await
       .expect("the listener reads");
-    let response = read_until(&mut stream, "after the time in `retry-after`\n").await;
-    assert!(response.contains("HTTP/1.1 503 "), "{response}");
+    stream.shutdown().await.expect("the connection is open");
+    let response = read_all(&mut stream).await;
+    assert!(response.starts_with("HTTP/1.1 "), "{response}");
+    let whole = response.ends_with("early")
+      || response.ends_with("`retry-after`\n")
+      || response.ends_with("visible ASCII characters\n")
+      || response.ends_with("\r\n\r\n");
+    assert!(whole, "{response}");
   }
 }
 
--- a/crates/http/src/caller_request.rs
+++ b/crates/http/src/caller_request.rs
@@ -1,10 +1,13 @@
 use {
-  crate::{Leftover, Limits, ReceivedBody, Refusal, hop_headers::remove_hop_headers},
+  crate::{Limits, ReceivedBody, Refusal, hop_headers::remove_hop_headers},
   cactusyoke_model::{Body, CONTEXT_HEADER, Context, IdempotencyKey, KEY_HEADER, KeyError},
   http::{HeaderMap, Method, Request, Version, header, request::Parts},
   http_body_util::BodyExt,
   hyper::body::Incoming,
-  std::fmt,
+  std::{
+    fmt,
+    sync::{Arc, atomic::AtomicBool},
+  },
 };
 
 /// Checked HTTP request of a caller.
@@ -37,15 +40,15 @@
 }
 
 impl CallerRequest {
-  /// Checks a request against the limits of its listener. What is not read of its body goes to
-  /// `leftover`.
+  /// Checks a request against the limits of its listener. `unread` becomes false when its body
+  /// has been read whole.
   pub(crate) fn check(
     request: Request<Incoming>,
     limits: &Limits,
-    leftover: Option<Leftover>,
+    unread: Arc<AtomicBool>,
   ) -> Result<Self, Refusal> {
     let (parts, body) = request.into_parts();
-    let body = ReceivedBody::new(body, limits.body, limits.idle).keep_rest(leftover);
+    let body = ReceivedBody::new(body, limits.body, limits.idle, unread);
     check_head(&parts, &body, limits)?;
     let key = read_key(&parts.headers)?;
     let context = read_context(&parts.headers)?;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,15 +1,27 @@
 use {
   crate::{
-    CallHandler, CallerRequest, CheckedBody, FailureBody, Leftover, Limits, Refusal, StallIo,
-    answer_response, failure_response,
+    CallHandler, CallerRequest, CheckedBody, Limits, Refusal, Returned, StallIo, answer_response,
+    failure_response, linger,
   },
   bytes::Bytes,
+  cactusyoke_model::full_body,
   http::{HeaderValue, Request, Response, header},
   http_body::Body,
-  http_body_util::BodyExt,
-  hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
+  hyper::{
+    body::Incoming,
+    server::conn::http1::{self, Builder},
+    service::{HttpService, service_fn},
+  },
   hyper_util::rt::{TokioIo, TokioTimer},
-  std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
+  std::{
+    convert::Infallible,
+    pin::pin,
+    sync::{
+      Arc,
+      atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+  },
   tokio::{net::TcpStream, select, time::sleep},
   tokio_util::sync::CancellationToken,
 };
@@ -35,19 +47,23 @@
 impl<H: CallHandler> Connection<H> {
   /// Serves requests until the caller closes the connection or the listener shuts down.
   pub(crate) async fn run(self, stream: TcpStream) {
-    let service = service_fn(|request| self.respond(request));
-    serve_stream(stream, self.limits, &self.shutdown, service).await;
+    let unread = Arc::new(AtomicBool::new(false));
+    let service = service_fn(|request| self.respond(request, &unread));
+    serve_stream(stream, self.limits, &self.shutdown, &unread, service).await;
   }
 
-  async fn respond(&self, request: Request<Incoming>) -> Result<Response<CheckedBody>, Infallible> {
+  async fn respond(
+    &self,
+    request: Request<Incoming>,
+    unread: &Arc<AtomicBool>,
+  ) -> Result<Response<CheckedBody>, Infallible> {
     let method = request.method().clone();
-    let leftover = sends_body(&request).then(Leftover::default);
-    let rest = || leftover.as_ref().and_then(Leftover::take);
-    let mut response = match CallerRequest::check(request, &self.limits, leftover.clone()) {
-      Err(refusal) => failed(refusal.response(), rest()),
+    unread.store(sends_body(&request), Ordering::Relaxed);
+    let mut response = match CallerRequest::check(request, &self.limits, Arc::clone(unread)) {
+      Err(refusal) => failed(refusal.response()),
       Ok(request) => match self.handler.handle(request).await {
         Ok(answer) => answer_response(answer, &method),
-        Err(failure) => failed(failure_response(&failure), rest()),
+        Err(failure) => failed(failure_response(&failure)),
       },
     };
     if self.shutdown.is_cancelled() {
@@ -60,24 +76,29 @@
 /// Answers the first request of a connection beyond the limit, then closes the connection.
 pub(crate) async fn refuse(stream: TcpStream, mut limits: Limits, shutdown: &CancellationToken) {
   limits.idle = limits.idle.min(Duration::from_secs(1));
+  let unread = AtomicBool::new(false);
+  let unread = &unread;
   let service = service_fn(|request: Request<Incoming>| async move {
-    let rest = sends_body(&request).then(|| request.into_body());
-    let mut response = failed(Refusal::Connections(limits.connections).response(), rest);
+    unread.store(sends_body(&request), Ordering::Relaxed);
+    let mut response = failed(Refusal::Connections(limits.connections).response());
     close(&mut response);
     Ok::<_, Infallible>(response)
   });
-  serve_stream(stream, limits, shutdown, service).await;
+  serve_stream(stream, limits, shutdown, unread, service).await;
 }
 
+/// Serves one connection. `unread` says whether the caller may still be sending its last request.
 async fn serve_stream<S>(
   stream: TcpStream,
   limits: Limits,
   shutdown: &CancellationToken,
+  unread: &AtomicBool,
   service: S,
 ) where
-  S: hyper::service::HttpService<Incoming, ResBody = CheckedBody, Error = Infallible>,
+  S: HttpService<Incoming, ResBody = CheckedBody, Error = Infallible>,
 {
-  let io = TokioIo::new(StallIo::new(stream, limits.idle));
+  let returned = Returned::default();
+  let io = StallIo::new(stream, limits.idle, Arc::clone(&returned));
   let mut builder = Builder::new();
   builder
     .timer(TokioTimer::new())
@@ -86,33 +107,50 @@
   if limits.headers > INLINE_HEADERS {
     builder.max_headers(limits.headers);
   }
-  let mut connection = pin!(builder.serve_connection(io, service));
+  let connection = builder.serve_connection(TokioIo::new(io), service);
+  let unfinished = match drive(connection, shutdown).await {
+    Ok(()) => unread.load(Ordering::Relaxed),
+    Err(error) => {
+      tracing::debug!(%error, "caller connection ended");
+      error.is_parse()
+    }
+  };
+  let stream = returned
+    .lock()
+    .expect("no thread panics while it holds the lock")
+    .take();
+  if let Some(stream) = stream.filter(|_stream| unfinished) {
+    linger(stream).await;
+  }
+}
+
+async fn drive<S>(
+  connection: http1::Connection<TokioIo<StallIo>, S>,
+  shutdown: &CancellationToken,
+) -> hyper::Result<()>
+where
+  S: HttpService<Incoming, ResBody = CheckedBody, Error = Infallible>,
+{
+  let mut connection = pin!(connection);
   select! {
-    served = connection.as_mut() => return log_end(served),
+    served = connection.as_mut() => return served,
     () = shutdown.cancelled() => {}
   }
   select! {
-    served = connection.as_mut() => return log_end(served),
+    served = connection.as_mut() => return served,
     () = sleep(SHUTDOWN_GRACE) => {}
   }
   connection.as_mut().graceful_shutdown();
-  log_end(connection.await);
-}
-
-fn log_end(served: hyper::Result<()>) {
-  if let Err(error) = served {
-    tracing::debug!(%error, "caller connection ended");
-  }
+  connection.await
 }
 
-/// True when the caller sends a body without being asked. One that expects `100 Continue` does not,
-/// and reading its body would ask for it.
+/// True when the caller sends a body without being asked. One that expects `100 Continue` does not.
 fn sends_body(request: &Request<Incoming>) -> bool {
   !request.body().is_end_stream() && !request.headers().contains_key(header::EXPECT)
 }
 
-fn failed(response: Response<Bytes>, rest: Option<Incoming>) -> Response<CheckedBody> {
-  response.map(|text| CheckedBody::new(FailureBody::new(text, rest).boxed_unsync(), None))
+fn failed(response: Response<Bytes>) -> Response<CheckedBody> {
+  response.map(|text| CheckedBody::new(full_body(text), None))
 }
 
 fn close(response: &mut Response<CheckedBody>) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,11 +10,10 @@
 mod caller_request;
 mod checked_body;
 mod connection;
-mod failure_body;
 mod failure_response;
 mod hop_headers;
-mod leftover;
 mod limits;
+mod linger;
 mod received_body;
 mod refusal;
 mod serve;
@@ -27,12 +26,16 @@
 pub use failure_response::{OUTCOME_HEADER, REASON_HEADER};
 pub use hop_headers::remove_hop_headers;
 pub use limits::Limits;
-pub use received_body::ReceivedBody;
 pub use refusal::Refusal;
 pub use serve::serve;
 
 use {
-  acceptor::Acceptor, answer_response::answer_response, connection::Connection,
-  failure_body::FailureBody, failure_response::failure_response, leftover::Leftover, stall::Stall,
-  stall_io::StallIo,
+  acceptor::Acceptor,
+  answer_response::answer_response,
+  connection::Connection,
+  failure_response::failure_response,
+  linger::linger,
+  received_body::ReceivedBody,
+  stall::Stall,
+  stall_io::{Returned, StallIo},
 };
--- a/crates/http/src/stall_io.rs
+++ b/crates/http/src/stall_io.rs
@@ -3,27 +3,46 @@
   std::{
     io,
     pin::Pin,
+    sync::{Arc, Mutex},
     task::{Context, Poll, ready},
     time::Duration,
   },
-  tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
+  tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+  },
 };
 
+/// Where a connection leaves its stream when it is dropped.
+pub(crate) type Returned = Arc<Mutex<Option<TcpStream>>>;
+
 /// Connection whose writes fail when the peer stops reading for too long.
 #[derive(Debug)]
-pub(crate) struct StallIo<T> {
-  inner: T,
+pub(crate) struct StallIo {
+  /// `None` only while it is dropped.
+  stream: Option<TcpStream>,
   stall: Stall,
+  returned: Returned,
 }
 
-impl<T> StallIo<T> {
-  pub(crate) const fn new(inner: T, limit: Duration) -> Self {
+impl StallIo {
+  pub(crate) const fn new(stream: TcpStream, limit: Duration, returned: Returned) -> Self {
     Self {
-      inner,
+      stream: Some(stream),
       stall: Stall::new(limit),
+      returned,
     }
   }
 
+  fn stream(&mut self) -> Pin<&mut TcpStream> {
+    Pin::new(
+      self
+        .stream
+        .as_mut()
+        .expect("the stream is taken only by the destructor"),
+    )
+  }
+
   fn written(
     &mut self,
     cx: &mut Context<'_>,
@@ -40,20 +59,20 @@
   }
 }
 
-impl<T: AsyncRead + Unpin> AsyncRead for StallIo<T> {
+impl AsyncRead for StallIo {
   fn poll_read(
     self: Pin<&mut Self>,
     cx: &mut Context<'_>,
     buf: &mut ReadBuf<'_>,
   ) -> Poll<io::Result<()>> {
-    Pin::new(&mut self.get_mut().inner).poll_read(cx, buf)
+    self.get_mut().stream().poll_read(cx, buf)
   }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for StallIo<T> {
+impl AsyncWrite for StallIo {
   fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
     let this = self.get_mut();
-    let result = Pin::new(&mut this.inner).poll_write(cx, buf);
+    let result = this.stream().poll_write(cx, buf);
     this.written(cx, result)
   }
 
@@ -63,19 +82,31 @@
     bufs: &[io::IoSlice<'_>],
   ) -> Poll<io::Result<usize>> {
     let this = self.get_mut();
-    let result = Pin::new(&mut this.inner).poll_write_vectored(cx, bufs);
+    let result = this.stream().poll_write_vectored(cx, bufs);
     this.written(cx, result)
   }
 
   fn is_write_vectored(&self) -> bool {
-    self.inner.is_write_vectored()
+    self
+      .stream
+      .as_ref()
+      .is_some_and(TcpStream::is_write_vectored)
   }
 
   fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-    Pin::new(&mut self.get_mut().inner).poll_flush(cx)
+    self.get_mut().stream().poll_flush(cx)
   }
 
   fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-    Pin::new(&mut self.get_mut().inner).poll_shutdown(cx)
+    self.get_mut().stream().poll_shutdown(cx)
+  }
+}
+
+impl Drop for StallIo {
+  fn drop(&mut self) {
+    *self
+      .returned
+      .lock()
+      .expect("no thread panics while it holds the lock") = self.stream.take();
   }
 }
