--- a/crates/upstreams/tests/streaming.rs
+++ b/crates/upstreams/tests/streaming.rs
@@ -14,7 +14,7 @@
   std::time::Duration,
   support::{Node, client, raw_upstream, read_head, service, serving},
   tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     time::{sleep, timeout},
   },
@@ -136,3 +136,41 @@
     .await
     .expect("the requests in flight reach the count");
 }
+
+/// Guards against an answer that is lost on its way through the node while the caller is uploading.
+#[tokio::test]
+async fn early_answer_reaches_the_uploading_caller() {
+  let address = raw_upstream(|_number, mut stream| async move {
+    read_head(&mut stream).await;
+    let answer =
+      b"HTTP/1.1 413 Payload Too Large\r\ncontent-length: 2\r\nconnection: close\r\n\r\nno";
+    stream.write_all(answer).await.expect("the client reads");
+  })
+  .await;
+  let (config, _crashes) = client(serving(address, 10));
+  let node = Node::forward(config).await;
+  for _ in 0..20 {
+    let mut stream = TcpStream::connect(node.address).await.expect("the node");
+    stream
+      .write_all(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4000000\r\n\r\n")
+      .await
+      .expect("the node reads");
+    for _ in 0..400 {
+      stream
+        .write_all(&[b'a'; 10_000])
+        .await
+        .expect("the node reads the whole upload");
+    }
+    stream.shutdown().await.expect("the connection is open");
+    let mut response = String::new();
+    timeout(
+      Duration::from_secs(30),
+      stream.read_to_string(&mut response),
+    )
+    .await
+    .expect("the node closes the connection")
+    .expect("no reset");
+    assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
+    assert!(response.ends_with("\r\n\r\nno"), "{response}");
+  }
+}
