Apply a renewed number of connections to the open pool

A renewal with another number replaced the pool, so that both numbers could be open until the calls of the old pool had ended.

--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -3,7 +3,7 @@
     ConnectionState, Driver, Lease, Silence, TrackedIo, UpstreamConfig, announce::Announcement,
     idle::Idle,
   },
-  cactusyoke_model::NotRunReason,
+  cactusyoke_model::{Connections, NotRunReason},
   hyper::client::conn::http1::Builder,
   hyper_util::rt::TokioIo,
   std::{
@@ -11,7 +11,7 @@
     io,
     sync::{
       Arc, Mutex, MutexGuard,
-      atomic::{AtomicBool, Ordering},
+      atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Instant,
   },
@@ -30,6 +30,10 @@
 pub(crate) struct Pool {
   config: UpstreamConfig,
   announcement: Announcement,
+  /// Connections for calls, as last announced.
+  bound: AtomicUsize,
+  /// Connections to be closed, instead of kept, until a lower bound is reached.
+  excess: Arc<AtomicUsize>,
   /// One permit per call that uses a connection.
   busy: Arc<Semaphore>,
   /// One permit per connection, returned when its socket is closed.
@@ -40,14 +44,21 @@
   reported: AtomicBool,
 }
 
+/// Connections that calls may use: one of the announced ones is left for `GET /health` and
+/// `GET /load`.
+fn call_connections(announced: Connections) -> usize {
+  announced.0.saturating_sub(1).max(1) as usize
+}
+
 impl Pool {
   pub(crate) fn new(config: UpstreamConfig, announcement: Announcement) -> Self {
-    // One of the announced connections is left for `GET /health` and `GET /load`.
-    let bound = announcement.connections.0.saturating_sub(1).max(1) as usize;
+    let bound = call_connections(announcement.connections);
     let silence = Mutex::new(Silence::new(config.silence));
     Self {
       config,
       announcement,
+      bound: AtomicUsize::new(bound),
+      excess: Arc::default(),
       busy: Arc::new(Semaphore::new(bound)),
       open: Arc::new(Semaphore::new(bound)),
       idle: Mutex::new(VecDeque::new()),
@@ -59,10 +70,41 @@
   /// True when the pool connects to the announced upstream.
   pub(crate) fn serves(&self, announcement: &Announcement) -> bool {
     self.announcement.address == announcement.address
-      && self.announcement.connections == announcement.connections
       && self.announcement.instance == announcement.instance
   }
 
+  /// Applies the bound of a renewed announcement. A lower one takes effect as calls end; further
+  /// calls wait meanwhile.
+  pub(crate) fn resize(&self, connections: Connections) {
+    let bound = call_connections(connections);
+    let before = self.bound.swap(bound, Ordering::SeqCst);
+    if bound > before {
+      self.open.add_permits(bound - before);
+      self.busy.add_permits(bound - before);
+      return;
+    }
+    if bound == before {
+      return;
+    }
+    let removed = before - bound;
+    self.excess.fetch_add(removed, Ordering::SeqCst);
+    // Idle connections count as open.
+    self.idle().clear();
+    let (busy, open) = (Arc::clone(&self.busy), Arc::clone(&self.open));
+    let excess = Arc::clone(&self.excess);
+    tokio::spawn(async move {
+      if let Ok(permits) = open.acquire_many_owned(removed as u32).await {
+        permits.forget();
+      }
+      excess.fetch_sub(removed, Ordering::SeqCst);
+    });
+    tokio::spawn(async move {
+      if let Ok(permits) = busy.acquire_many_owned(removed as u32).await {
+        permits.forget();
+      }
+    });
+  }
+
   pub(crate) fn announcement(&self) -> &Announcement {
     &self.announcement
   }
@@ -179,7 +221,7 @@
   pub(crate) fn put_back(&self, mut connection: Idle, now: Instant) {
     connection.since = now;
     let mut idle = self.idle();
-    if self.busy.is_closed() {
+    if self.busy.is_closed() || self.excess.load(Ordering::SeqCst) > 0 {
       return;
     }
     idle.push_back(connection);
--- a/crates/upstreams/src/upstream.rs
+++ b/crates/upstreams/src/upstream.rs
@@ -86,10 +86,14 @@
         .as_ref()
         .is_some_and(|announcement| pool.serves(announcement))
     };
-    match current.filter(serves) {
-      Some(pool) => Ok(pool),
-      None => self.replace(&view).ok_or(NotRunReason::NoUpstream),
+    let pool = match current.filter(serves) {
+      Some(pool) => pool,
+      None => self.replace(&view).ok_or(NotRunReason::NoUpstream)?,
+    };
+    if let Some(announcement) = &view.announcement {
+      pool.resize(announcement.connections);
     }
+    Ok(pool)
   }
 
   /// Closes the pool, and opens one for the announced upstream.
