Count the datagrams of the membership as control bytes

The metric `control_bytes` promised the control bytes exchanged with other nodes but held the frames of links only, so the bound of 4 KB/s could not be checked. The membership now counts its datagrams and the metric adds both.

--- a/crates/cactusyoke/src/status.rs
+++ b/crates/cactusyoke/src/status.rs
@@ -27,12 +27,11 @@
     metrics.limit.store(u64::from(gate.limit), Relaxed);
     metrics.in_flight.store(u64::from(gate.in_flight), Relaxed);
     metrics.queued.store(u64::from(gate.queued), Relaxed);
-    metrics
-      .control_sent
-      .store(self.links.stats().control_out(), Relaxed);
-    metrics
-      .control_received
-      .store(self.links.stats().control_in(), Relaxed);
+    let (links, datagrams) = (self.links.stats(), self.members.stats());
+    let sent = links.control_out() + datagrams.bytes_out();
+    let received = links.control_in() + datagrams.bytes_in();
+    metrics.control_sent.store(sent, Relaxed);
+    metrics.control_received.store(received, Relaxed);
     let view = self.members.view();
     let count = |status| {
       view
--- a/crates/nodes/src/lib.rs
+++ b/crates/nodes/src/lib.rs
@@ -18,6 +18,7 @@
 mod membership_config;
 mod membership_error;
 mod membership_handle;
+mod membership_stats;
 mod peers;
 mod responder;
 pub mod wire;
@@ -34,6 +35,7 @@
 pub use membership_config::MembershipConfig;
 pub use membership_error::MembershipError;
 pub use membership_handle::MembershipHandle;
+pub use membership_stats::MembershipStats;
 pub use responder::Responder;
 
 /// Longest control message or reply, bytes.
--- a/crates/nodes/src/membership.rs
+++ b/crates/nodes/src/membership.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{MembersView, MembershipConfig, MembershipError, MembershipHandle},
+  crate::{MembersView, MembershipConfig, MembershipError, MembershipHandle, MembershipStats},
   arc_swap::ArcSwap,
   cactusyoke_decisions::membership::{Members, MembersConfig, Own},
   cactusyoke_model::{Clock, NodeId, Revision},
@@ -52,6 +52,7 @@
   clock: Arc<dyn Clock>,
   view: Arc<ArcSwap<MembersView>>,
   reports: Reports,
+  stats: Arc<MembershipStats>,
   queued: Arc<AtomicUsize>,
 }
 
@@ -80,12 +81,14 @@
     let members = Members::new(members_config, config.clock.now());
     let view = Arc::new(ArcSwap::from_pointee(MembersView::from(&members)));
     let reports = Reports::default();
+    let stats = Arc::<MembershipStats>::default();
     let arguments = Arguments {
       members,
       socket: Arc::new(socket),
       clock: config.clock,
       view: Arc::clone(&view),
       reports: Arc::clone(&reports),
+      stats: Arc::clone(&stats),
       queued: Arc::default(),
     };
     let (actor, _task) =
@@ -94,13 +97,19 @@
         .map_err(|error| MembershipError::Actor {
           reason: error.to_string(),
         })?;
-    Ok(MembershipHandle::new(actor, view, reports))
+    Ok(MembershipHandle::new(actor, view, reports, stats))
   }
 }
 
 impl MembershipState {
   fn on_datagram(&mut self, from: SocketAddr, datagram: &[u8]) {
-    let Arguments { members, clock, .. } = &mut self.arguments;
+    let Arguments {
+      members,
+      clock,
+      stats,
+      ..
+    } = &mut self.arguments;
+    stats.bytes_in.fetch_add(datagram.len() as u64, Relaxed);
     let now = clock.now();
     match members.handle(NodeId(from), datagram, now, &mut self.out) {
       Ok(Some(report)) => {
@@ -130,8 +139,12 @@
   /// Sends what is due. A datagram that the socket does not take is lost, as on the network.
   fn flush(&mut self) {
     for (to, datagram) in self.out.drain(..) {
-      if let Err(error) = self.arguments.socket.try_send_to(&datagram, to.0) {
-        tracing::debug!(%to, %error, "a datagram was not sent");
+      match self.arguments.socket.try_send_to(&datagram, to.0) {
+        Ok(sent) => {
+          let bytes_out = &self.arguments.stats.bytes_out;
+          bytes_out.fetch_add(sent as u64, Relaxed);
+        }
+        Err(error) => tracing::debug!(%to, %error, "a datagram was not sent"),
       }
     }
   }
--- a/crates/nodes/src/membership_handle.rs
+++ b/crates/nodes/src/membership_handle.rs
@@ -1,6 +1,6 @@
 use {
   crate::{
-    MembersView,
+    MembersView, MembershipStats,
     membership::{MembershipMessage, Reports},
   },
   arc_swap::ArcSwap,
@@ -20,6 +20,7 @@
   actor: ActorRef<MembershipMessage>,
   view: Arc<ArcSwap<MembersView>>,
   reports: Reports,
+  stats: Arc<MembershipStats>,
 }
 
 impl MembershipHandle {
@@ -27,11 +28,13 @@
     actor: ActorRef<MembershipMessage>,
     view: Arc<ArcSwap<MembersView>>,
     reports: Reports,
+    stats: Arc<MembershipStats>,
   ) -> Self {
     Self {
       actor,
       view,
       reports,
+      stats,
     }
   }
 
@@ -70,6 +73,16 @@
     receiver
   }
 
+  /// Counters.
+  pub fn stats(&self) -> &MembershipStats {
+    &self.stats
+  }
+
+  /// Ends the membership without a report, as the end of the process would.
+  pub fn abort(&self) {
+    self.actor.stop(None);
+  }
+
   /// Reports that this node leaves, then ends the membership.
   pub async fn leave(&self) {
     let left = self.actor.call(MembershipMessage::Leave, None).await;
