End the membership and the control loops of an aborted node

`Server::abort` promises to stop as a failed process would, but the membership went on to answer probes and the loops for configuration and rosters went on too, so the other nodes never saw the loss of a node that ran in the same process. A shutdown now ends the loops as well.

--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -27,7 +27,7 @@
     Configuration, HttpStore, ObservedStore, RetryLimits, Store, StoreLimits, Watcher,
   },
   cactusyoke_upstreams::{Upstream, UpstreamConfig, Views, announce, egress},
-  ractor::Actor,
+  ractor::{Actor, ActorCell},
   std::{
     collections::BTreeSet,
     fmt::{self, Display, Formatter},
@@ -52,6 +52,7 @@
 #[derive(Debug)]
 pub struct Server {
   core: Arc<Core>,
+  loops: Vec<ActorCell>,
   work: Vec<JoinHandle<()>>,
   egress: JoinHandle<()>,
   refuse_work: CancellationToken,
@@ -127,7 +128,7 @@
       metrics,
     };
     let core = build(parts, &listeners, &stop).await?;
-    start_loops(&core).await?;
+    let loops = start_loops(&core).await?;
     let limits = Limits {
       connections: core.settings.connections as usize,
       body: core.settings.body,
@@ -154,6 +155,7 @@
     );
     Ok(Self {
       core,
+      loops,
       work,
       egress,
       refuse_work,
@@ -181,6 +183,7 @@
     drop(timeout(Duration::from_secs(1), self.egress).await);
     self.core.members.leave().await;
     self.core.watcher.stop();
+    stop_loops(&self.loops);
     if finished.is_err() {
       tracing::error!(event = "shutdown_limit_reached", calls);
       return Err(Unfinished { calls, limit });
@@ -197,7 +200,9 @@
       task.abort();
     }
     self.egress.abort();
+    self.core.members.abort();
     self.core.watcher.stop();
+    stop_loops(&self.loops);
   }
 }
 
@@ -329,17 +334,23 @@
     .map_err(|error| actor_error("announce", &error))
 }
 
-async fn start_loops(core: &Arc<Core>) -> Result<(), StartError> {
+async fn start_loops(core: &Arc<Core>) -> Result<Vec<ActorCell>, StartError> {
   let (spread, _task) = Actor::spawn(None, SpreadActor, Arc::clone(core))
     .await
     .map_err(|error| actor_error("spread", &error))?;
-  core.spread.set(spread);
-  Actor::spawn(None, RosterKeeper, Arc::clone(core))
+  core.spread.set(spread.clone());
+  let (keeper, _task) = Actor::spawn(None, RosterKeeper, Arc::clone(core))
     .await
     .map_err(|error| actor_error("rosters", &error))?;
   upstream_follower::start(core);
   follow_revisions(core);
-  Ok(())
+  Ok(vec![spread.get_cell(), keeper.get_cell()])
+}
+
+fn stop_loops(loops: &[ActorCell]) {
+  for actor in loops {
+    actor.stop(None);
+  }
 }
 
 /// Passes adopted and reported revisions on to the spreading actor.
