--- a/crates/demo/src/bin/measure.rs
+++ b/crates/demo/src/bin/measure.rs
@@ -1,17 +1,54 @@
-//! `measure`: time that nodes add to a call, their saturation and what an idle node uses.
+//! `measure`: time that nodes add to a call, their saturation, and the cost of control.
 
-use {bpaf::Bpaf, std::process::ExitCode};
+use {
+  bpaf::Bpaf,
+  cactusyoke_demo::{FleetError, Sizes, measure_control, measure_latency},
+  std::process::ExitCode,
+};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
-/// Measures node processes on loopback, beside direct calls in the same run
+/// Measures nodes on loopback
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
-struct Options {
-  /// Length of the part at 400 calls/s
-  #[bpaf(argument("N"), fallback(10), display_fallback)]
-  seconds: u64,
+enum Options {
+  /// Bytes, processor time, memory, platform calls and delays of control, without calls
+  #[bpaf(command)]
+  Control {
+    /// Numbers of nodes, 3 to 400 each; up to 100 are processes, more run in this process
+    #[bpaf(argument("N,N"), fallback(Sizes(vec![10, 30, 100])), display_fallback)]
+    nodes: Sizes,
+    /// Services in the preset, 1 to 300
+    #[bpaf(
+      argument("N"),
+      guard(in_range, "use 1 to 300 services"),
+      fallback(300),
+      display_fallback
+    )]
+    services: u16,
+  },
+  /// Time that nodes add to a call, beside direct calls in the same run
+  Latency {
+    /// Length of the part at 400 calls/s
+    #[bpaf(argument("N"), fallback(10), display_fallback)]
+    seconds: u64,
+  },
+}
+
+#[expect(
+  clippy::trivially_copy_pass_by_ref,
+  reason = "the parser passes a reference"
+)]
+fn in_range(services: &u16) -> bool {
+  (1..=300).contains(services)
+}
+
+async fn measure(options: Options) -> Result<(), FleetError> {
+  match options {
+    Options::Control { nodes, services } => measure_control(&nodes, services).await,
+    Options::Latency { seconds } => measure_latency(seconds).await,
+  }
 }
 
 fn main() -> ExitCode {
@@ -26,7 +63,7 @@
       return ExitCode::FAILURE;
     }
   };
-  match runtime.block_on(cactusyoke_demo::measure_latency(options.seconds)) {
+  match runtime.block_on(measure(options)) {
     Ok(()) => ExitCode::SUCCESS,
     Err(error) => {
       eprintln!("error: {error}");
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -13,7 +13,7 @@
   args::Args,
   deployment::{Deployment, Service},
   fleet::{Fleet, FleetError},
-  measure::{Latency, measure_latency},
+  measure::{Control, ControlPlan, Latency, NodeKind, Sizes, measure_control, measure_latency},
   outcome::{ClassOutcome, Outcome},
   report::print,
   run::run,
--- a/crates/demo/src/measure.rs
+++ b/crates/demo/src/measure.rs
@@ -1,10 +1,25 @@
-//! Measurements with node processes on loopback.
+//! Measurements with nodes on loopback.
 
+mod control;
+mod control_fleet;
+mod control_plan;
+mod control_preset;
+mod control_table;
 mod latency;
 mod listeners;
 mod node_process;
+mod scrape;
+mod sizes;
 
+pub use control::{Control, measure_control};
+pub use control_plan::{ControlPlan, NodeKind};
 pub use latency::{Latency, measure_latency};
 pub(crate) use listeners::Listeners;
+pub use sizes::Sizes;
 
-use node_process::{NodeProcess, Usage};
+use {
+  control_fleet::ControlFleet,
+  control_preset::ControlPreset,
+  node_process::{NodeProcess, Usage},
+  scrape::Scrape,
+};
--- /dev/null
+++ b/crates/demo/src/measure/control_fleet.rs
@@ -0,0 +1,175 @@
+use {
+  super::{ControlPlan, ControlPreset, Listeners, NodeKind, NodeProcess, Scrape, Usage},
+  crate::FleetError,
+  cactusyoke::Server,
+  cactusyoke_model::SystemClock,
+  cactusyoke_standins::{
+    Addresses,
+    platform::Platform,
+    upstream::{Config, Upstream},
+  },
+  std::{
+    collections::HashSet,
+    fs, io,
+    net::{IpAddr, SocketAddr},
+    process,
+    sync::Arc,
+    time::Duration,
+  },
+};
+
+/// Members of a group of witnesses at full scale.
+const GROUP: usize = 12;
+
+#[derive(Debug)]
+enum Node {
+  Process(NodeProcess),
+  Task(Server),
+}
+
+/// Nodes with the platform's stand-in; a third of them has an upstream.
+#[derive(Debug)]
+pub(crate) struct ControlFleet {
+  pub(crate) platform: Platform,
+  pub(crate) preset: ControlPreset,
+  listeners: Vec<Listeners>,
+  kind: NodeKind,
+  nodes: Vec<Node>,
+  _upstreams: Vec<Upstream>,
+  /// Resident memory of this process before the nodes, KiB.
+  before: u64,
+}
+
+impl ControlFleet {
+  /// Starts the nodes together.
+  pub(crate) async fn start(plan: ControlPlan) -> Result<Self, FleetError> {
+    let ControlPlan {
+      nodes: size,
+      services,
+      kind,
+      ..
+    } = plan;
+    let platform = Platform::start().await?;
+    let preset = ControlPreset::put_in_force(&platform, services).await?;
+    let before = Usage::of(process::id())?.memory;
+    let addresses = Addresses::for_nodes(size);
+    let listeners = (1..=size)
+      .map(|number| Listeners::new(addresses, number))
+      .collect::<Vec<_>>();
+    let groups = (usize::from(size) / GROUP).max(1);
+    let (mut nodes, mut upstreams) = (Vec::new(), Vec::new());
+    for (index, own) in listeners.iter().enumerate() {
+      let contact = listeners[usize::from(index == 0)].node;
+      nodes.push(match kind {
+        NodeKind::Process => Node::Process(NodeProcess::start(
+          *own,
+          contact,
+          platform.address(),
+          groups,
+        )?),
+        NodeKind::Task => {
+          let settings = own.settings(contact, platform.address(), groups).parse()?;
+          Node::Task(Server::start(settings, Arc::new(SystemClock)).await?)
+        }
+      });
+      if index % 3 == 0 {
+        let config = Config {
+          node: Some(own.announce),
+          ..Config::new(format!("service-{}", index % usize::from(services)).parse()?)
+        };
+        upstreams.push(Upstream::start(config).await?);
+      }
+    }
+    Ok(Self {
+      platform,
+      preset,
+      listeners,
+      kind,
+      nodes,
+      _upstreams: upstreams,
+      before,
+    })
+  }
+
+  /// Running nodes.
+  pub(crate) fn len(&self) -> usize {
+    self.nodes.len()
+  }
+
+  /// Metrics of the running nodes that answer, in order.
+  pub(crate) async fn scrape(&self) -> Vec<Scrape> {
+    let reads = self.listeners[..self.nodes.len()]
+      .iter()
+      .map(|listeners| tokio::spawn(Scrape::read(listeners.operators)))
+      .collect::<Vec<_>>();
+    let mut scrapes = Vec::with_capacity(reads.len());
+    for read in reads {
+      scrapes.extend(read.await.ok().flatten());
+    }
+    scrapes
+  }
+
+  /// Processor time and memory of all nodes. For nodes in this process it includes the stand-ins
+  /// and the measurement.
+  pub(crate) fn usage(&self) -> io::Result<Usage> {
+    let mut total = Usage {
+      time: Duration::ZERO,
+      memory: 0,
+    };
+    for node in &self.nodes {
+      if let Node::Process(process) = node {
+        let usage = process.usage()?;
+        total.time += usage.time;
+        total.memory += usage.memory;
+      }
+    }
+    if self.kind == NodeKind::Task {
+      total = Usage::of(process::id())?;
+      total.memory = total.memory.saturating_sub(self.before);
+    }
+    Ok(total)
+  }
+
+  /// Open links between the nodes, each counted once.
+  pub(crate) fn links(&self) -> io::Result<usize> {
+    let table = fs::read_to_string("/proc/self/net/tcp")?;
+    let locals = self.listeners.iter().map(|listeners| local(listeners.node));
+    let locals = locals.collect::<HashSet<String>>();
+    let accepted = table.lines().filter(|line| {
+      let mut fields = line.split_whitespace().skip(1);
+      let (local, _peer, state) = (fields.next(), fields.next(), fields.next());
+      // State 01 is an established connection.
+      local.is_some_and(|local| locals.contains(local)) && state == Some("01")
+    });
+    Ok(accepted.count())
+  }
+
+  /// Ends the last node without notice.
+  pub(crate) fn kill(&mut self) {
+    match self.nodes.pop() {
+      Some(Node::Task(server)) => server.abort(),
+      Some(Node::Process(process)) => drop(process),
+      None => {}
+    }
+  }
+
+  /// Stops everything.
+  pub(crate) async fn stop(mut self) {
+    while !self.nodes.is_empty() {
+      self.kill();
+    }
+    self.platform.stop().await;
+  }
+}
+
+/// Address as the kernel's table of connections has it.
+fn local(address: SocketAddr) -> String {
+  let IpAddr::V4(ip) = address.ip() else {
+    return String::new();
+  };
+  format!(
+    "{:08X}:{:04X}",
+    u32::from_le_bytes(ip.octets()),
+    address.port()
+  )
+}
--- /dev/null
+++ b/crates/demo/src/measure/control_table.rs
@@ -0,0 +1,105 @@
+//! Table of the cost of control, and slopes by number of nodes.
+
+use {super::Control, cactusyoke_standins::platform::Calls, std::time::Duration};
+
+/// Prints one size at once, so that a long run shows where it is.
+pub(crate) fn print_row(row: &Control) {
+  let mut times = row.adoption.clone();
+  times.sort_unstable();
+  let median = times.get(times.len() / 2).copied();
+  println!("nodes={} kind={:?} load={}", row.nodes, row.kind, row.load);
+  println!(
+    "  start_s={} start_calls: {}",
+    seconds(row.start),
+    calls(&row.start_calls)
+  );
+  println!(
+    "  quiet: bytes_per_s={:.0} most_bytes_per_s={:.0} core_percent={:.3} memory_kib={:.0}",
+    row.bytes, row.most_bytes, row.core, row.memory
+  );
+  let [gets, puts, watches] = row.calls;
+  println!("  platform calls/s: gets={gets:.2} puts={puts:.2} watches={watches:.2}");
+  println!(
+    "  changes: adoption_s_median={} adoption_s_max={} missed={} bytes_per_change={:.0}",
+    seconds(median),
+    seconds(times.last().copied()),
+    row.missed,
+    row.change_bytes
+  );
+  println!(
+    "  after changes: links_per_node={:.1} bytes_per_s={:.0} core_percent={:.3}",
+    row.links, row.linked_bytes, row.linked_core
+  );
+  println!("  killed node known as dead_s={}", seconds(row.death));
+}
+
+/// Prints the slopes.
+pub(crate) fn print(rows: &[Control]) {
+  type Value = fn(&Control) -> f64;
+  let values: [(&str, Value); 6] = [
+    ("bytes/s", |row| row.bytes),
+    ("most bytes/s", |row| row.most_bytes),
+    ("core %", |row| row.core),
+    ("memory KiB", |row| row.memory),
+    ("bytes/change", |row| row.change_bytes),
+    ("adoption max s", |row| {
+      let longest = row.adoption.iter().max().copied();
+      longest.unwrap_or_default().as_secs_f64()
+    }),
+  ];
+  println!();
+  println!("{:<16} {:>12} {:>14}", "least squares", "at 0", "per node");
+  for (name, value) in values {
+    if let Some((base, slope)) = fit(rows, |row| row.nodes as f64, value) {
+      println!("{name:<16} {base:>12.3} {slope:>14.5}");
+    }
+  }
+  println!("{:<16} {:>12} {:>14}", "", "at 0", "per link");
+  let values: [(&str, Value); 2] = [
+    ("bytes/s", |row| row.linked_bytes),
+    ("core %", |row| row.linked_core),
+  ];
+  for (name, value) in values {
+    if let Some((base, slope)) = fit(rows, |row| row.links, value) {
+      println!("{name:<16} {base:>12.3} {slope:>14.5}");
+    }
+  }
+}
+
+/// Base and slope of `y` over `x` by least squares; `None` for fewer than two points.
+fn fit(
+  rows: &[Control],
+  x: impl Fn(&Control) -> f64,
+  y: impl Fn(&Control) -> f64,
+) -> Option<(f64, f64)> {
+  let count = rows.len() as f64;
+  let mean = |value: &dyn Fn(&Control) -> f64| rows.iter().map(value).sum::<f64>() / count;
+  let (mean_x, mean_y) = (mean(&x), mean(&y));
+  let spread = rows
+    .iter()
+    .map(|row| (x(row) - mean_x).powi(2))
+    .sum::<f64>();
+  if rows.len() < 2 || spread == 0.0 {
+    return None;
+  }
+  let joint = rows
+    .iter()
+    .map(|row| (x(row) - mean_x) * (y(row) - mean_y))
+    .sum::<f64>();
+  let slope = joint / spread;
+  Some((mean_y - slope * mean_x, slope))
+}
+
+fn seconds(time: Option<Duration>) -> String {
+  time.map_or_else(
+    || "none".to_owned(),
+    |time| format!("{:.2}", time.as_secs_f64()),
+  )
+}
+
+fn calls(calls: &Calls) -> String {
+  format!(
+    "gets={} puts={} watches={} leases={} refused={} connections={}",
+    calls.gets, calls.puts, calls.watches, calls.leases, calls.refused, calls.connections
+  )
+}
--- a/crates/demo/src/measure/latency.rs
+++ b/crates/demo/src/measure/latency.rs
@@ -60,9 +60,12 @@
     let platform = Platform::start().await?;
     put_in_force(&platform, PRESET).await?;
     let addresses = Addresses::default();
-    let (first, second) = (Listeners::new(addresses, 1), Listeners::new(addresses, 2));
-    let beside = NodeProcess::start(first, first.node, platform.address())?;
-    let entry = NodeProcess::start(second, first.node, platform.address())?;
+    let (first, second) = (
+      Listeners::new(addresses, 1_u8),
+      Listeners::new(addresses, 2_u8),
+    );
+    let beside = NodeProcess::start(first, first.node, platform.address(), 1)?;
+    let entry = NodeProcess::start(second, first.node, platform.address(), 1)?;
     let config = Config {
       slots: Slots(512),
       connections: Connections(1024),
--- a/crates/demo/src/measure/listeners.rs
+++ b/crates/demo/src/measure/listeners.rs
@@ -14,7 +14,8 @@
 }
 
 impl Listeners {
-  pub(crate) fn new(addresses: Addresses, number: u8) -> Self {
+  pub(crate) fn new(addresses: Addresses, number: impl Into<u16>) -> Self {
+    let number = number.into();
     let listener = |offset| addresses.listener(number, NODE_PORT + offset);
     Self {
       node: listener(0),
@@ -26,7 +27,12 @@
   }
 
   /// Settings of the node, YAML.
-  pub(crate) fn settings(&self, contact: SocketAddr, platform: SocketAddr) -> String {
+  pub(crate) fn settings(
+    &self,
+    contact: SocketAddr,
+    platform: SocketAddr,
+    key_groups: usize,
+  ) -> String {
     let Self {
       node,
       callers,
@@ -38,7 +44,7 @@
       "node: {node}\ndata_centre: concord\n\
        data_centres: {{concord: {{contacts: ['{contact}']}}}}\n\
        callers: {callers}\negress: {egress}\nannounce: {announce}\noperators: {operators}\n\
-       platform: {platform}\n"
+       platform: {platform}\nkey_groups: {key_groups}\n"
     )
   }
 }
--- a/crates/demo/src/measure/node_process.rs
+++ b/crates/demo/src/measure/node_process.rs
@@ -31,9 +31,10 @@
     listeners: Listeners,
     contact: SocketAddr,
     platform: SocketAddr,
+    key_groups: usize,
   ) -> io::Result<Self> {
     let path = env::temp_dir().join(format!("cactusyoke-measure-{}.yaml", listeners.node.ip()));
-    fs::write(&path, listeners.settings(contact, platform))?;
+    fs::write(&path, listeners.settings(contact, platform, key_groups))?;
     let child = Command::new(binary()?)
       .args(["node", "--settings"])
       .arg(&path)
@@ -45,7 +46,13 @@
 
   /// Processor time and memory so far.
   pub(crate) fn usage(&self) -> io::Result<Usage> {
-    let id = self.0.id();
+    Usage::of(self.0.id())
+  }
+}
+
+impl Usage {
+  /// Processor time and memory of a process so far.
+  pub(crate) fn of(id: u32) -> io::Result<Self> {
     let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
     // The name of the command may hold spaces; it ends with the last parenthesis.
     let fields = stat
@@ -64,7 +71,7 @@
       .find_map(|line| line.strip_prefix("VmRSS:"))
       .and_then(|value| value.split_whitespace().next()?.parse().ok())
       .unwrap_or_default();
-    Ok(Usage {
+    Ok(Self {
       time: Duration::from_secs_f64(ticks as f64 / TICKS),
       memory,
     })
--- /dev/null
+++ b/crates/demo/src/measure/sizes.rs
@@ -0,0 +1,29 @@
+use std::{fmt, str::FromStr};
+
+/// Most nodes of one run: keeps the memory and the open connections on one machine bounded.
+const MOST: u16 = 400;
+
+/// Numbers of nodes to measure, such as `10,30,100`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sizes(pub Vec<u16>);
+
+impl fmt::Display for Sizes {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let sizes = self.0.iter().map(u16::to_string).collect::<Vec<_>>();
+    f.write_str(&sizes.join(","))
+  }
+}
+
+impl FromStr for Sizes {
+  type Err = String;
+
+  fn from_str(s: &str) -> Result<Self, Self::Err> {
+    let parse = |part: &str| {
+      let size = part.trim().parse::<u16>().ok();
+      size
+        .filter(|size| (3..=MOST).contains(size))
+        .ok_or_else(|| format!("`{part}` is not a number of nodes: use 3 to {MOST}"))
+    };
+    s.split(',').map(parse).collect::<Result<_, _>>().map(Self)
+  }
+}
--- /dev/null
+++ b/crates/demo/tests/control.rs
@@ -0,0 +1,24 @@
+//! Cost and delay of control without calls.
+
+use {
+  cactusyoke_demo::{Control, ControlPlan, NodeKind},
+  std::time::Duration,
+};
+
+/// Guards against changes that do not reach all nodes in the time that the design page states, and
+/// against a lost node that others still count as alive.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_reach_30_nodes_within_4_s() {
+  let plan = ControlPlan {
+    kind: NodeKind::Task,
+    window: Duration::from_secs(2),
+    ..ControlPlan::new(30, 300)
+  };
+  let control = Control::measure(plan).await.expect("the nodes start");
+  assert!(control.start.is_some(), "the nodes did not find each other");
+  assert_eq!(control.missed, 0, "changes were not adopted everywhere");
+  let longest = control.adoption.iter().max().copied();
+  assert!(longest < Some(Duration::from_secs(4)), "{longest:?}");
+  assert!(control.bytes < 4_096.0, "{} bytes/s", control.bytes);
+  assert!(control.death.is_some(), "the killed node counts as alive");
+}
