--- a/crates/cactusyoke/tests/common/mod.rs
+++ b/crates/cactusyoke/tests/common/mod.rs
@@ -10,7 +10,10 @@
   node_process::NodeProcess,
 };
 
-use std::time::Duration;
+use {
+  cactusyoke_standins::upstream::{ClientError, Received},
+  std::time::Duration,
+};
 
 /// Longest wait for a state that a test expects; far above what is needed on a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
@@ -26,3 +29,14 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
   }
 }
+
+/// Outcome and reason that a caller was told, such as `not-run no-witnesses`; `broken` without a
+/// whole response.
+pub fn outcome(received: &Result<Received, ClientError>) -> String {
+  let Ok(received) = received else {
+    return "broken".to_owned();
+  };
+  let outcome = received.header("cactusyoke-outcome");
+  let reason = received.header("cactusyoke-reason");
+  format!("{outcome} {reason}").trim_end().to_owned()
+}
