Test that callers are told the truth while nodes and upstreams fail

Load runs while an upstream crashes and a node is killed; bodies are cut off, connections go silent, and a poison request is sent again. What callers are told is compared with the runs of the stand-ins.

Open connections that all go silent fail one request each, by its deadline: the comparison with answers on other connections does not apply, since there are none. The test states that bound.

--- /dev/null
+++ b/crates/cactusyoke/tests/outcomes.rs
@@ -0,0 +1,266 @@
+//! What callers are told agrees with what ran, while nodes and upstreams fail.
+
+mod common;
+
+use {
+  cactusyoke_model::full_body,
+  cactusyoke_standins::load::{ClassLoad, LoadConfig, Segment, run},
+  common::{Cluster, ClusterBuilder, eventually, outcome},
+  futures_util::{future::join_all, stream},
+  http::{Method, Request},
+  http_body::Frame,
+  http_body_util::{BodyExt, StreamBody},
+  std::{sync::Arc, time::Duration},
+};
+
+const PRESET: &str = "
+name: test
+classes: [orders, lookups]
+routes:
+  - {name: place, service: front, methods: [POST], path: /orders, class: orders, idempotent: false, deadline: 4s, retries: 2}
+  - {name: look-up, service: front, methods: [GET, PUT], path: /front, class: lookups, idempotent: true, deadline: 8s, retries: 3}
+  - {name: cut, service: front, methods: [GET], path: /cut, class: lookups, idempotent: true, deadline: 8s, retries: 3}
+  - {name: echo, service: front, methods: [POST], path: /echo, class: lookups, idempotent: false, deadline: 20s}
+";
+
+async fn cluster(time: Duration) -> Cluster {
+  ClusterBuilder::new(PRESET)
+    .service("front", 3, &[])
+    .capacity(60, time)
+    .start()
+    .await
+}
+
+fn load(cluster: &Cluster, classes: Vec<ClassLoad>, rate: f64, seconds: u64) -> LoadConfig {
+  LoadConfig {
+    targets: (0..3).map(|node| cluster.callers(node)).collect(),
+    classes,
+    trace: vec![Segment {
+      duration: Duration::from_secs(seconds),
+      rate,
+    }],
+    seed: 11,
+    max_requests: 5000,
+    progress: Arc::default(),
+  }
+}
+
+fn post(name: &str, keyed: bool, retries: u32) -> ClassLoad {
+  ClassLoad {
+    method: Method::POST,
+    body: 3000,
+    keyed,
+    retries,
+    ..ClassLoad::get(name, "/orders")
+  }
+}
+
+fn order(tag: &str) -> Request<cactusyoke_model::Body> {
+  let request = Request::post("/orders").header("x-request-tag", tag);
+  request
+    .body(full_body("body"))
+    .expect("the request is correct")
+}
+
+// Guards against `not run` for a request that reached an upstream, a second run of an order, and
+// an answer that is not the caller's own, while an upstream crashes and a node is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_told_the_truth_while_processes_die_under_load() {
+  let mut cluster = cluster(Duration::from_millis(100)).await;
+  cluster.wait_keyed("/orders").await;
+  let classes = vec![
+    post("order", false, 0),
+    post("keyed", true, 3),
+    ClassLoad::get("lookup", "/front/a"),
+  ];
+  let report = tokio::spawn(run(load(&cluster, classes, 300.0, 6)));
+  tokio::time::sleep(Duration::from_secs(1)).await;
+  cluster.upstreams[1].crash().await;
+  tokio::time::sleep(Duration::from_secs(1)).await;
+  let restarted = cluster.upstreams[1].restart().await;
+  restarted.expect("its port is free");
+  tokio::time::sleep(Duration::from_secs(1)).await;
+  cluster.nodes[2].kill();
+  tokio::time::sleep(Duration::from_secs(1)).await;
+  cluster.nodes[2].restart();
+  let report = report.await.expect("the load ends");
+  assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
+  for class in ["order", "keyed"] {
+    let twice = report.run_twice(class, &cluster.runs);
+    assert!(twice.is_empty(), "{class}: {twice:?}");
+  }
+  let hit = report.classes.values();
+  let hit = hit.map(|class| class.unknown + class.broken).sum::<u64>();
+  assert!(hit > 0, "no request was in flight during the faults");
+  for (name, class) in &report.classes {
+    assert_eq!(class.corrupt, 0, "{name}");
+    // The faults hit a third of the instances for a third of the time.
+    assert!(class.answered * 2 > class.sent, "{name}: {class:?}");
+  }
+}
+
+// Guards against a short answer that looks whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_is_cut_off_breaks_the_callers_connection() {
+  let cluster = cluster(Duration::from_millis(1)).await;
+  for number in 0..12 {
+    // Lengths differ, since a request that breaks its connection twice is quarantined.
+    for length in [100 + number, 1_000_000 + number] {
+      let path = format!("/cut/{length}");
+      let received = cluster.get(number % 3, &path).await;
+      let told = outcome(&received);
+      assert!(
+        received.is_err() || told.starts_with("unknown"),
+        "{path}: {told}"
+      );
+    }
+  }
+}
+
+/// Calls in flight to the upstream next to a node.
+async fn in_flight(cluster: &Cluster, node: usize) -> usize {
+  let status = cluster.operator(node).status().await;
+  let upstream = status.expect("the node answers").upstream;
+  upstream.map_or(0, |upstream| upstream.in_flight as usize)
+}
+
+/// Request body of 100 chunks over two seconds.
+fn slow_body(length: usize) -> cactusyoke_model::Body {
+  let chunks = stream::unfold(0, move |number| async move {
+    if number == 100 {
+      return None;
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let chunk = bytes::Bytes::from(vec![number as u8; length]);
+    Some((Ok(Frame::data(chunk)), number + 1))
+  });
+  StreamBody::new(chunks).boxed_unsync()
+}
+
+// Guards against a body that ends early without an error when the node that streams it is killed,
+// and against harm to other requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_node_cuts_only_the_bodies_that_it_streams() {
+  let mut cluster = cluster(Duration::from_millis(1)).await;
+  let length = 5000;
+  let target = cluster.callers(0);
+  let client = Arc::new(cactusyoke_standins::upstream::Client::default());
+  let requests = (0..12).map(|_| {
+    let client = Arc::clone(&client);
+    let request = Request::post("/echo").header("te", "trailers");
+    let request = request.body(slow_body(length));
+    let request = request.expect("the request is correct");
+    tokio::spawn(async move { client.exchange(target, request).await })
+  });
+  let requests = requests.collect::<Vec<_>>();
+  eventually("all bodies are streamed", || async {
+    let mut streamed = 0;
+    for node in 0..3 {
+      streamed += in_flight(&cluster, node).await;
+    }
+    streamed == 12
+  })
+  .await;
+  let lost = in_flight(&cluster, 2).await;
+  assert!(lost > 0, "the node that is killed streams nothing");
+  cluster.nodes[2].kill();
+  let received = join_all(requests).await;
+  let mut whole = 0;
+  for received in received {
+    if let Ok(received) = received.expect("the request ends") {
+      if received.header("cactusyoke-outcome") != "answered" {
+        continue;
+      }
+      assert_eq!(received.length, 100 * length as u64);
+      assert!(received.is_intact());
+      assert!(!received.trailers.is_empty(), "the hash is missing");
+      whole += 1;
+    }
+  }
+  assert_eq!(whole, 12 - lost);
+}
+
+// Guards against a silent connection that fails more than one request, and against orders that run
+// twice because one was sent again on another connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_upstream_connections_are_taken_out_of_use() {
+  let cluster = cluster(Duration::from_millis(20)).await;
+  let warm = (0..60).map(|number| cluster.get(number % 3, "/front/warm"));
+  for received in join_all(warm).await {
+    assert_eq!(outcome(&received), "answered");
+  }
+  for upstream in &cluster.upstreams {
+    upstream.faults().silence_connections();
+  }
+  let mut unknown = 0;
+  for round in 0.. {
+    let before = unknown;
+    let sends = (0..30).map(|number| {
+      let cluster = &cluster;
+      async move {
+        let tag = format!("silent-{round}-{number}");
+        let received = cluster.send(number % 3, order(&tag)).await;
+        (tag, outcome(&received))
+      }
+    });
+    for (tag, told) in join_all(sends).await {
+      let started = cluster.runs.of(&tag).started;
+      assert!(started <= 1, "`{tag}` ran {started} times: {told}");
+      assert!(
+        !told.starts_with("not-run") || started == 0,
+        "{tag}: {told}"
+      );
+      unknown += usize::from(told.starts_with("unknown"));
+    }
+    // The 60 requests before the fault opened at most 60 connections; each fails one request.
+    assert!(unknown <= 60, "{unknown} requests failed");
+    if unknown == before {
+      break;
+    }
+  }
+  assert!(unknown > 0, "no request met a silent connection");
+  let lookups = (0..30).map(|number| cluster.get(number % 3, "/front/after"));
+  for received in join_all(lookups).await {
+    assert_eq!(outcome(&received), "answered");
+  }
+}
+
+// Guards against a request that crashes one upstream after the other while its caller sends it
+// again, and against a quarantine of requests that were merely in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_is_quarantined_and_others_go_on() {
+  let mut cluster = cluster(Duration::from_millis(20)).await;
+  for upstream in &cluster.upstreams {
+    upstream.faults().poison(Some("/front/poison"));
+  }
+  let classes = vec![ClassLoad::get("lookup", "/front/a")];
+  let report = tokio::spawn(run(load(&cluster, classes, 50.0, 8)));
+  let mut crashes = 0;
+  let mut told = Vec::new();
+  for attempt in 0..30 {
+    let received = cluster.get(attempt % 3, "/front/poison").await;
+    told.push(outcome(&received));
+    for upstream in &mut cluster.upstreams {
+      if upstream.is_crashed() {
+        crashes += 1;
+        upstream.restart().await.expect("its port is free");
+      }
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+  }
+  // One crash makes it suspect; each node may learn of that only after it has run it once.
+  assert!((2..=3).contains(&crashes), "{crashes} crashes: {told:?}");
+  assert!(
+    told[10..].iter().all(|told| told == "not-run quarantined"),
+    "{told:?}"
+  );
+  for node in 0..3 {
+    let listed = cluster.operator(node).quarantine().await;
+    let listed = listed.expect("the node answers");
+    assert_eq!(listed.len(), 1, "node {node}: {listed:?}");
+  }
+  let report = report.await.expect("the load ends");
+  let lookups = &report.classes["lookup"];
+  assert!(lookups.answered * 10 > lookups.sent * 9, "{lookups:?}");
+  assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
+}
