--- a/crates/cactusyoke/tests/common/cluster.rs
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -270,6 +270,13 @@
     }
   }
 
+  /// Calls in flight to the upstream next to a node.
+  pub async fn in_flight(&self, node: usize) -> usize {
+    let status = self.operator(node).status().await;
+    let upstream = status.expect("the node answers").upstream;
+    upstream.map_or(0, |upstream| upstream.in_flight as usize)
+  }
+
   fn expected_members(&self, centre: &str) -> usize {
     self.centres.iter().filter(|name| **name == centre).count()
   }
--- a/crates/cactusyoke/tests/common/mod.rs
+++ b/crates/cactusyoke/tests/common/mod.rs
@@ -11,7 +11,11 @@
 };
 
 use {
+  cactusyoke_model::Body,
   cactusyoke_standins::upstream::{ClientError, Received},
+  futures_util::stream,
+  http_body::Frame,
+  http_body_util::{BodyExt, StreamBody},
   std::time::Duration,
 };
 
@@ -40,3 +44,16 @@
   let reason = received.header("cactusyoke-reason");
   format!("{outcome} {reason}").trim_end().to_owned()
 }
+
+/// Request body of 100 chunks over two seconds.
+pub fn slow_body(length: usize) -> Body {
+  let chunks = stream::unfold(0, move |number| async move {
+    if number == 100 {
+      return None;
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let chunk = bytes::Bytes::from(vec![number as u8; length]);
+    Some((Ok(Frame::data(chunk)), number + 1))
+  });
+  StreamBody::new(chunks).boxed_unsync()
+}
--- a/crates/cactusyoke/tests/outcomes.rs
+++ b/crates/cactusyoke/tests/outcomes.rs
@@ -5,11 +5,9 @@
 use {
   cactusyoke_model::full_body,
   cactusyoke_standins::load::{ClassLoad, LoadConfig, Segment, run},
-  common::{Cluster, ClusterBuilder, eventually, outcome},
-  futures_util::{future::join_all, stream},
+  common::{Cluster, ClusterBuilder, eventually, outcome, slow_body},
+  futures_util::future::join_all,
   http::{Method, Request},
-  http_body::Frame,
-  http_body_util::{BodyExt, StreamBody},
   std::{sync::Arc, time::Duration},
 };
 
@@ -117,26 +115,6 @@
   }
 }
 
-/// Calls in flight to the upstream next to a node.
-async fn in_flight(cluster: &Cluster, node: usize) -> usize {
-  let status = cluster.operator(node).status().await;
-  let upstream = status.expect("the node answers").upstream;
-  upstream.map_or(0, |upstream| upstream.in_flight as usize)
-}
-
-/// Request body of 100 chunks over two seconds.
-fn slow_body(length: usize) -> cactusyoke_model::Body {
-  let chunks = stream::unfold(0, move |number| async move {
-    if number == 100 {
-      return None;
-    }
-    tokio::time::sleep(Duration::from_millis(20)).await;
-    let chunk = bytes::Bytes::from(vec![number as u8; length]);
-    Some((Ok(Frame::data(chunk)), number + 1))
-  });
-  StreamBody::new(chunks).boxed_unsync()
-}
-
 // Guards against a body that ends early without an error when the node that streams it is killed,
 // and against harm to other requests.
 #[tokio::test(flavor = "multi_thread")]
@@ -156,12 +134,12 @@
   eventually("all bodies are streamed", || async {
     let mut streamed = 0;
     for node in 0..3 {
-      streamed += in_flight(&cluster, node).await;
+      streamed += cluster.in_flight(node).await;
     }
     streamed == 12
   })
   .await;
-  let lost = in_flight(&cluster, 2).await;
+  let lost = cluster.in_flight(2).await;
   assert!(lost > 0, "the node that is killed streams nothing");
   cluster.nodes[2].kill();
   let received = join_all(requests).await;
