Test overload of a chain three services deep, and its retries while nodes are lost

The deep service runs at a tenth of its speed while callers retry three times, 50 ms apart. Orders are answered, browsing is shed first, and all of it is answered again afterwards.

--- /dev/null
+++ b/crates/cactusyoke/tests/overload.rs
@@ -0,0 +1,175 @@
+//! A chain three services deep under overload.
+
+mod common;
+
+use {
+  cactusyoke_standins::load::{AttemptOutcome, ClassLoad, LoadConfig, LoadReport, Segment, run},
+  common::{Cluster, ClusterBuilder, eventually, outcome},
+  http::Method,
+  std::{ops::Range, sync::Arc, time::Duration},
+  tokio::sync::Mutex,
+};
+
+const PRESET: &str = "
+name: test
+classes: [orders, lookups, browsing]
+routes:
+  - {name: place, service: front, methods: [POST], path: /orders, class: orders, idempotent: false, deadline: 4s, retries: 2}
+  - {name: look-up, service: front, methods: [GET], path: /lookups, class: lookups, idempotent: true, deadline: 4s, retries: 3}
+  - {name: browse, service: front, methods: [GET], path: /map, class: browsing, idempotent: true, deadline: 4s, retries: 3}
+  - {name: middle, service: middle, methods: [GET], path: /middle, class: browsing, idempotent: true, deadline: 4s}
+  - {name: back, service: back, methods: [GET], path: /back, class: browsing, idempotent: true, deadline: 4s}
+";
+
+const CLASSES: [&str; 3] = ["order", "lookup", "browse"];
+
+/// Most runs of one request at each service: the first and its allowance of retries.
+const MOST_RUNS: [u32; 3] = [3, 4, 4];
+
+/// Held by each test, since two loads at once slow each other down on a busy machine.
+static MACHINE: Mutex<()> = Mutex::const_new(());
+
+async fn chain() -> Cluster {
+  let calls = ["/orders", "/lookups", "/map"].map(|path| (path, "/middle/x"));
+  ClusterBuilder::new(PRESET)
+    .service("front", 3, &calls)
+    .service("middle", 3, &[("/middle", "/back/x")])
+    .service("back", 3, &[])
+    .capacity(8, Duration::from_millis(20))
+    .start()
+    .await
+}
+
+/// Callers that retry at once whatever they are told.
+fn load(cluster: &Cluster, rate: f64, seconds: u64) -> LoadConfig {
+  let class = |name: &str, method, path: &str, weight| ClassLoad {
+    weight,
+    method,
+    retries: 3,
+    backoff: Duration::from_millis(50),
+    ..ClassLoad::get(name, path)
+  };
+  LoadConfig {
+    targets: (0..3).map(|node| cluster.callers(node)).collect(),
+    classes: vec![
+      class("order", Method::POST, "/orders/a", 1.0),
+      class("lookup", Method::GET, "/lookups/a", 3.0),
+      class("browse", Method::GET, "/map/a", 4.0),
+    ],
+    trace: vec![Segment {
+      duration: Duration::from_secs(seconds),
+      rate,
+    }],
+    seed: 5,
+    max_requests: 10_000,
+    progress: Arc::default(),
+  }
+}
+
+/// Share of each class that was answered with success, of the requests that began in `seconds`.
+fn answered(report: &LoadReport, seconds: Range<u64>) -> [f64; 3] {
+  [0, 1, 2].map(|class| {
+    let samples = report
+      .samples
+      .iter()
+      .filter(|sample| sample.class == class && seconds.contains(&sample.scheduled.as_secs()));
+    let outcomes = samples.map(|sample| sample.outcome).collect::<Vec<_>>();
+    let whole = AttemptOutcome::Answered { success: true };
+    let answered = outcomes.iter().filter(|outcome| **outcome == whole);
+    answered.count() as f64 / outcomes.len() as f64
+  })
+}
+
+/// Checks the runs of each attempt at each depth, and returns the number of second runs.
+fn assert_allowance(cluster: &Cluster, report: &LoadReport) -> u32 {
+  let mut repeated = 0;
+  for attempt in &report.attempts {
+    let class = CLASSES
+      .iter()
+      .position(|name| attempt.tag.starts_with(name))
+      .expect("the tag begins with a class");
+    let middle = format!("{}>/middle/x", attempt.tag);
+    let back = format!("{middle}>/back/x");
+    for tag in [&attempt.tag, &middle, &back] {
+      let started = cluster.runs.of(tag).started;
+      assert!(started <= MOST_RUNS[class], "`{tag}` ran {started} times");
+      repeated += started.saturating_sub(1);
+    }
+    if class == 0 {
+      assert!(
+        cluster.runs.of(&attempt.tag).started <= 1,
+        "{}",
+        attempt.tag
+      );
+    }
+  }
+  repeated
+}
+
+// Guards against an overload in which the most important requests fail, retries multiply along
+// the chain, or which outlasts its cause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_deep_service_costs_the_least_important_requests_first() {
+  let _alone = MACHINE.lock().await;
+  let cluster = chain().await;
+  let report = tokio::spawn(run(load(&cluster, 200.0, 20)));
+  tokio::time::sleep(Duration::from_secs(4)).await;
+  for upstream in &cluster.upstreams[6..] {
+    upstream.faults().slow(10.0);
+  }
+  tokio::time::sleep(Duration::from_secs(8)).await;
+  for upstream in &cluster.upstreams[6..] {
+    upstream.faults().slow(1.0);
+  }
+  let report = report.await.expect("the load ends");
+  let during = answered(&report, 5..12);
+  let after = answered(&report, 16..20);
+  let repeated = assert_allowance(&cluster, &report);
+  eprintln!("answered {during:.3?}, afterwards {after:.3?}; {repeated} second runs");
+  assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
+  let [order, lookup, browse] = during;
+  assert!(order >= 0.95, "{during:?}");
+  assert!(order >= lookup && lookup > browse, "{during:?}");
+  assert!(browse < 0.5, "there was no overload: {during:?}");
+  // Browsing comes back last, and how soon depends on the load of the machine.
+  assert!(after[0] >= 0.95 && after[1] >= 0.95, "{after:?}");
+  assert!(after[2] > 2.0 * browse, "{after:?}");
+  eventually(
+    "30 of the least important requests in turn are answered",
+    || async {
+      for number in 0..30 {
+        if outcome(&cluster.get(number % 3, "/map/a").await) != "answered" {
+          return false;
+        }
+      }
+      true
+    },
+  )
+  .await;
+}
+
+// Guards against retries that multiply along the chain while nodes at two depths are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_of_the_whole_chain_stay_within_the_allowance() {
+  let _alone = MACHINE.lock().await;
+  let mut cluster = chain().await;
+  let report = tokio::spawn(run(load(&cluster, 150.0, 12)));
+  for round in 0..3 {
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for node in [3 + round, 6 + round] {
+      cluster.nodes[node].kill();
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for node in [3 + round, 6 + round] {
+      cluster.nodes[node].restart();
+    }
+  }
+  let report = report.await.expect("the load ends");
+  let repeated = assert_allowance(&cluster, &report);
+  eprintln!(
+    "{repeated} second runs of {} attempts",
+    report.attempts.len()
+  );
+  assert!(repeated > 0, "nothing was sent again");
+  assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
+}
