--- a/crates/cactusyoke/tests/common/cluster.rs
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -1,5 +1,5 @@
 use {
-  super::{NodeProcess, eventually},
+  super::{NodeProcess, TOKEN, eventually},
   cactusyoke_model::{ChangeId, Connections, Preset, Revision, Slots, SystemClock},
   cactusyoke_operators::Client as Operator,
   cactusyoke_platform::{
@@ -14,9 +14,6 @@
   std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// Secret of all nodes.
-pub const TOKEN: &str = "test-token-0123456789";
-
 /// One service of a cluster.
 #[derive(Clone, Debug)]
 struct Service {
@@ -28,7 +25,8 @@
 /// What a test sets up.
 #[derive(Clone, Debug)]
 pub struct ClusterBuilder {
-  preset: String,
+  /// Preset in force from the start.
+  preset: Option<String>,
   services: Vec<Service>,
   centres: Vec<&'static str>,
   slots: u32,
@@ -53,7 +51,15 @@
   /// Cluster in one data centre with a preset.
   pub fn new(preset: &str) -> Self {
     Self {
-      preset: preset.to_owned(),
+      preset: Some(preset.to_owned()),
+      ..Self::empty()
+    }
+  }
+
+  /// Cluster in one data centre whose platform has no configuration yet.
+  pub fn empty() -> Self {
+    Self {
+      preset: None,
       services: Vec::new(),
       centres: vec!["one"],
       slots: 20,
@@ -99,10 +105,12 @@
     self
   }
 
-  /// Starts everything and waits until each node serves.
+  /// Starts everything and, with a preset, waits until each node serves.
   pub async fn start(self) -> Cluster {
     let platform = Platform::start().await.expect("a loopback port is free");
-    put_in_force(platform.address(), &self.preset).await;
+    if let Some(preset) = &self.preset {
+      put_in_force(platform.address(), preset).await;
+    }
     let addresses = Addresses::default();
     let runs = Arc::<Runs>::default();
     let mut cluster = Cluster {
@@ -120,7 +128,9 @@
         self.add(&mut cluster, service, centre).await;
       }
     }
-    cluster.wait_serving().await;
+    if self.preset.is_some() {
+      cluster.wait_serving().await;
+    }
     cluster
   }
 
--- a/crates/cactusyoke/tests/common/mod.rs
+++ b/crates/cactusyoke/tests/common/mod.rs
@@ -19,6 +19,9 @@
   std::time::Duration,
 };
 
+/// Secret of all nodes.
+pub const TOKEN: &str = "test-token-0123456789";
+
 /// Longest wait for a state that a test expects; far above what is needed on a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
--- a/crates/cactusyoke/tests/common/node_process.rs
+++ b/crates/cactusyoke/tests/common/node_process.rs
@@ -3,7 +3,7 @@
   std::{
     fs::{self, File},
     io::Write,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
   },
@@ -36,6 +36,11 @@
     }
   }
 
+  /// File with the settings of the node.
+  pub fn settings(&self) -> &Path {
+    &self.settings
+  }
+
   /// Starts the node again after it has ended.
   pub fn restart(&mut self) {
     self.kill();
