--- a/crates/cactusyoke/tests/common/cluster.rs
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -1,39 +1,15 @@
 use {
   super::{NodeProcess, TOKEN, eventually},
-  cactusyoke_model::{ChangeId, Connections, Preset, Revision, Slots, SystemClock},
   cactusyoke_operators::Client as Operator,
-  cactusyoke_platform::{
-    ChangeRequest, Configuration, HttpStore, Intent, RetryLimits, StoreLimits,
-  },
   cactusyoke_standins::{
     Addresses,
     platform::Platform,
-    upstream::{Child, Client, ClientError, Config, Received, Runs, ServiceTime, Upstream},
+    upstream::{Client, ClientError, Received, Runs, Upstream},
   },
-  http::{Method, Request},
+  http::Request,
   std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// One service of a cluster.
-#[derive(Clone, Debug)]
-struct Service {
-  name: &'static str,
-  instances: u8,
-  children: Vec<Child>,
-}
-
-/// What a test sets up.
-#[derive(Clone, Debug)]
-pub struct ClusterBuilder {
-  /// Preset in force from the start.
-  preset: Option<String>,
-  services: Vec<Service>,
-  centres: Vec<&'static str>,
-  slots: u32,
-  time: Duration,
-  shutdown: &'static str,
-}
-
 /// Node processes with their upstreams.
 #[derive(Debug)]
 pub struct Cluster {
@@ -44,147 +20,7 @@
   pub runs: Arc<Runs>,
   pub client: Client,
   /// Data centre of each node.
-  centres: Vec<&'static str>,
-}
-
-impl ClusterBuilder {
-  /// Cluster in one data centre with a preset.
-  pub fn new(preset: &str) -> Self {
-    Self {
-      preset: Some(preset.to_owned()),
-      ..Self::empty()
-    }
-  }
-
-  /// Cluster in one data centre whose platform has no configuration yet.
-  pub fn empty() -> Self {
-    Self {
-      preset: None,
-      services: Vec::new(),
-      centres: vec!["one"],
-      slots: 20,
-      time: Duration::from_millis(2),
-      shutdown: "20s",
-    }
-  }
-
-  /// Adds a service; `calls` are the paths that its upstream requests for each of its own.
-  pub fn service(mut self, name: &'static str, instances: u8, calls: &[(&str, &str)]) -> Self {
-    let children = calls
-      .iter()
-      .map(|(parent, path)| Child {
-        parent: (*parent).to_owned(),
-        method: Method::GET,
-        path: (*path).to_owned(),
-      })
-      .collect();
-    self.services.push(Service {
-      name,
-      instances,
-      children,
-    });
-    self
-  }
-
-  /// Spreads the instances of each service over these data centres in turn.
-  pub fn centres(mut self, centres: &[&'static str]) -> Self {
-    self.centres = centres.to_vec();
-    self
-  }
-
-  /// Slots of each upstream and the time of a request.
-  pub fn capacity(mut self, slots: u32, time: Duration) -> Self {
-    self.slots = slots;
-    self.time = time;
-    self
-  }
-
-  /// Bound on a graceful shutdown.
-  pub fn shutdown_limit(mut self, limit: &'static str) -> Self {
-    self.shutdown = limit;
-    self
-  }
-
-  /// Starts everything and, with a preset, waits until each node serves.
-  pub async fn start(self) -> Cluster {
-    let platform = Platform::start().await.expect("a loopback port is free");
-    if let Some(preset) = &self.preset {
-      put_in_force(platform.address(), preset).await;
-    }
-    let addresses = Addresses::default();
-    let runs = Arc::<Runs>::default();
-    let mut cluster = Cluster {
-      addresses,
-      platform,
-      nodes: Vec::new(),
-      upstreams: Vec::new(),
-      runs,
-      client: Client::default(),
-      centres: Vec::new(),
-    };
-    for service in &self.services {
-      for instance in 0..service.instances {
-        let centre = usize::from(instance) % self.centres.len();
-        self.add(&mut cluster, service, centre).await;
-      }
-    }
-    if self.preset.is_some() {
-      cluster.wait_serving().await;
-    }
-    cluster
-  }
-
-  async fn add(&self, cluster: &mut Cluster, service: &Service, centre: usize) {
-    let number = cluster.nodes.len() as u8 + 1;
-    let yaml = self.settings(cluster, number, centre);
-    let name = format!("{}", cluster.addresses.node(number));
-    cluster.nodes.push(NodeProcess::start(&name, &yaml));
-    cluster.centres.push(self.centres[centre]);
-    let config = Config {
-      slots: Slots(self.slots),
-      connections: Connections(self.slots * 4),
-      time: ServiceTime::Fixed(self.time),
-      node: Some(cluster.addresses.listener(number, 7104)),
-      egress: Some(cluster.addresses.listener(number, 7103)),
-      renewal: Duration::from_millis(500),
-      children: service.children.clone(),
-      runs: Arc::clone(&cluster.runs),
-      ..Config::new(service.name.parse().expect("the name is correct"))
-    };
-    cluster.upstreams.push(
-      Upstream::start(config)
-        .await
-        .expect("a loopback port is free"),
-    );
-  }
-
-  fn settings(&self, cluster: &Cluster, number: u8, centre: usize) -> String {
-    let listener = |port| cluster.addresses.listener(number, port);
-    // The first instances of the first service are spread over the data centres in turn.
-    let entry = |(index, name): (usize, &&str)| {
-      let contact = cluster.addresses.listener(index as u8 + 1, 7101);
-      format!("  {name}: {{distance: 1ms, contacts: ['{contact}']}}")
-    };
-    let centres = self
-      .centres
-      .iter()
-      .enumerate()
-      .map(entry)
-      .collect::<Vec<_>>()
-      .join("\n");
-    format!(
-      "node: {}\ndata_centre: {}\ndata_centres:\n{centres}\ncallers: {}\negress: {}\nannounce: {}\n\
-       operators: {}\ntoken: {TOKEN}\nplatform: {}\nshutdown_limit: {}\n",
-      listener(7101),
-      self.centres[centre],
-      listener(7102),
-      listener(7103),
-      listener(7104),
-      listener(7105),
-      cluster.platform.address(),
-      self.shutdown,
-    )
-  }
+  pub(super) centres: Vec<&'static str>,
 }
 
 impl Cluster {
@@ -291,27 +127,3 @@
     self.centres.iter().filter(|name| **name == centre).count()
   }
 }
-
-async fn put_in_force(platform: SocketAddr, yaml: &str) {
-  let preset = yaml.parse::<Preset>().expect("the preset is correct");
-  let store = Arc::new(HttpStore::new(platform, StoreLimits::default()));
-  let configuration = Configuration::new(store, Arc::new(SystemClock), RetryLimits::default());
-  let edits = [
-    Intent::Put(Box::new(preset.raw().clone())),
-    Intent::Use(preset.name),
-  ];
-  for (index, intent) in edits.into_iter().enumerate() {
-    let based_on = Revision(index as u64);
-    let request = ChangeRequest {
-      id: ChangeId(index as u128 + 1),
-      operator: "test".to_owned(),
-      reason: String::new(),
-      based_on,
-      intent,
-    };
-    configuration
-      .change(&request, based_on)
-      .await
-      .expect("the platform serves");
-  }
-}
--- a/crates/cactusyoke/tests/common/mod.rs
+++ b/crates/cactusyoke/tests/common/mod.rs
@@ -3,12 +3,10 @@
 #![allow(dead_code, reason = "each test file uses a part of the builder")]
 
 mod cluster;
+mod cluster_builder;
 mod node_process;
 
-pub use {
-  cluster::{Cluster, ClusterBuilder},
-  node_process::NodeProcess,
-};
+pub use {cluster::Cluster, cluster_builder::ClusterBuilder, node_process::NodeProcess};
 
 use {
   cactusyoke_model::Body,
--- a/crates/cactusyoke/tests/overload.rs
+++ b/crates/cactusyoke/tests/overload.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use {
+  cactusyoke_model::empty_body,
   cactusyoke_standins::load::{AttemptOutcome, ClassLoad, LoadConfig, LoadReport, Segment, run},
+  cactusyoke_standins::upstream::Client,
   common::{Cluster, ClusterBuilder, eventually, outcome},
-  http::Method,
+  http::{Method, Request},
   std::{ops::Range, sync::Arc, time::Duration},
   tokio::sync::Mutex,
 };
@@ -13,10 +15,12 @@
 const PRESET: &str = "
 name: test
 classes: [orders, lookups, browsing]
+retry_ratio: 100
 routes:
   - {name: place, service: front, methods: [POST], path: /orders, class: orders, idempotent: false, deadline: 4s, retries: 2}
   - {name: look-up, service: front, methods: [GET], path: /lookups, class: lookups, idempotent: true, deadline: 4s, retries: 3}
   - {name: browse, service: front, methods: [GET], path: /map, class: browsing, idempotent: true, deadline: 4s, retries: 3}
+  - {name: narrow, service: front, methods: [GET], path: /narrow, class: lookups, idempotent: true, deadline: 8s, retries: 1}
   - {name: middle, service: middle, methods: [GET], path: /middle, class: browsing, idempotent: true, deadline: 4s}
   - {name: back, service: back, methods: [GET], path: /back, class: browsing, idempotent: true, deadline: 4s}
 ";
@@ -173,3 +177,56 @@
   assert!(repeated > 0, "nothing was sent again");
   assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
 }
+
+// Guards against a retry at each depth for each node that is lost: without a common allowance, one
+// request runs as often as nodes are lost under it.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_retry_for_the_chain_is_not_one_for_each_depth() {
+  let _alone = MACHINE.lock().await;
+  let mut cluster = ClusterBuilder::new(PRESET)
+    .service("front", 2, &[("/narrow", "/middle/x")])
+    .service("middle", 2, &[("/middle", "/back/x")])
+    .service("back", 6, &[])
+    .capacity(60, Duration::from_millis(10))
+    .start()
+    .await;
+  for upstream in &cluster.upstreams[4..] {
+    upstream.faults().slow(50.0);
+  }
+  let client = Arc::new(Client::default());
+  let requests = (0..40).map(|number| {
+    let (client, target) = (Arc::clone(&client), cluster.callers(number % 2));
+    let request = Request::get("/narrow/a").header("x-request-tag", format!("narrow-{number}"));
+    let request = request.body(empty_body());
+    let request = request.expect("the request is correct");
+    tokio::spawn(async move { client.exchange(target, request).await })
+  });
+  let requests = requests.collect::<Vec<_>>();
+  // Three of six nodes are lost while they run requests, then two of the other three.
+  for lost in [4..7, 7..9] {
+    eventually("the nodes that are killed run requests", || async {
+      let mut running = cluster.upstreams[lost.clone()].iter();
+      running.any(|upstream| upstream.in_flight() > 0)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for node in lost {
+      cluster.nodes[node].kill();
+    }
+  }
+  let mut answered = 0;
+  for request in requests {
+    let received = request.await.expect("the request ends");
+    answered += usize::from(received.is_ok_and(|received| received.status == 200));
+  }
+  for number in 0..40 {
+    let tag = format!("narrow-{number}");
+    let middle = format!("{tag}>/middle/x");
+    let back = format!("{middle}>/back/x");
+    for tag in [tag, middle, back] {
+      let started = cluster.runs.of(&tag).started;
+      assert!(started <= 2, "`{tag}` ran {started} times");
+    }
+  }
+  assert!(answered < 40, "no request met a lost node");
+}
