--- a/crates/cactusyoke/tests/common/mod.rs
+++ b/crates/cactusyoke/tests/common/mod.rs
@@ -3,14 +3,22 @@
 #![allow(dead_code, reason = "each test file uses a part of the builder")]
 
 mod cluster;
+mod cluster_builder;
 mod node_process;
 
-pub use {
-  cluster::{Cluster, ClusterBuilder},
-  node_process::NodeProcess,
+pub use {cluster::Cluster, cluster_builder::ClusterBuilder, node_process::NodeProcess};
+
+use {
+  cactusyoke_model::Body,
+  cactusyoke_standins::upstream::{ClientError, Received},
+  futures_util::stream,
+  http_body::Frame,
+  http_body_util::{BodyExt, StreamBody},
+  std::time::Duration,
 };
 
-use std::time::Duration;
+/// Secret of all nodes.
+pub const TOKEN: &str = "test-token-0123456789";
 
 /// Longest wait for a state that a test expects; far above what is needed on a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
@@ -26,3 +34,27 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
   }
 }
+
+/// Outcome and reason that a caller was told, such as `not-run no-witnesses`; `broken` without a
+/// whole response.
+pub fn outcome(received: &Result<Received, ClientError>) -> String {
+  let Ok(received) = received else {
+    return "broken".to_owned();
+  };
+  let outcome = received.header("cactusyoke-outcome");
+  let reason = received.header("cactusyoke-reason");
+  format!("{outcome} {reason}").trim_end().to_owned()
+}
+
+/// Request body of 100 chunks over two seconds.
+pub fn slow_body(length: usize) -> Body {
+  let chunks = stream::unfold(0, move |number| async move {
+    if number == 100 {
+      return None;
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let chunk = bytes::Bytes::from(vec![number as u8; length]);
+    Some((Ok(Frame::data(chunk)), number + 1))
+  });
+  StreamBody::new(chunks).boxed_unsync()
+}
