--- a/crates/decisions/tests/keys_takeover.rs
+++ b/crates/decisions/tests/keys_takeover.rs
@@ -1,11 +1,14 @@
 //! Changes of the roster: handovers, and the platform's store.
 
+mod keys_cluster;
+
 use {
   cactusyoke_decisions::keys::{
     CLAIM_LIMIT, ChangeError, ChangeStep, Claim, Coverage, HandoverPage, KEY_MEMORY, Member,
     Roster, RosterChange, RunId, StoreReply, Vote, Witness, WitnessReply, WitnessRequest,
   },
   cactusyoke_model::{IdempotencyKey, Incarnation, NodeId},
+  keys_cluster::{Cluster, NODES, Op},
   std::time::{Duration, Instant},
 };
 
@@ -39,7 +42,7 @@
   };
   match witness.handle(run.member.node, request, now) {
     WitnessReply::Key { vote, .. } => vote,
-    WitnessReply::Handover(_) => panic!("a vote"),
+    _ => panic!("a vote"),
   }
 }
 
@@ -58,7 +61,7 @@
 ) -> HandoverPage {
   match witness.handle(from.node, request, now) {
     WitnessReply::Handover(page) => page,
-    WitnessReply::Key { .. } => panic!("a page"),
+    _ => panic!("a page"),
   }
 }
 
@@ -102,6 +105,99 @@
   assert_eq!(claim(&mut new, 2, 1000, run(5000), now), Vote::Granted);
 }
 
+/// Guards against a handover that counts as whole although a page of it is missing.
+#[test]
+fn last_page_alone_is_not_a_handover() {
+  let now = Instant::now();
+  let first = Roster::first(members(0..1)).expect("a valid roster");
+  let second = first.next(members(1..2)).expect("a valid roster");
+  let mut old = Witness::new(member(0), 10_000);
+  old.adopt(first, now);
+  for index in 0..300 {
+    assert_eq!(claim(&mut old, 1, index, run(index), now), Vote::Granted);
+  }
+  let mut other = Witness::new(member(1), 10_000);
+  let (_, request) = other.adopt(second.clone(), now).pop().expect("a request");
+  let page_one = page(&mut old, member(1), request, now);
+  let (_, request) = other.on_page(&page_one, now).expect("a second request");
+  let page_two = page(&mut old, member(1), request, now);
+  let mut new = Witness::new(member(1), 10_000);
+  new.adopt(second, now);
+  assert_eq!(new.on_page(&page_two, now), None);
+  assert_eq!(claim(&mut new, 2, 1000, run(5000), now), Vote::NotReady);
+  new.on_page(&page_one, now);
+  new.on_page(&page_two, now);
+  assert_eq!(claim(&mut new, 2, 1000, run(5000), now), Vote::Granted);
+}
+
+/// Guards against a witness that vouches for keys that it learned of behind the cursor of a pass.
+#[test]
+fn coverage_gained_during_a_pass_does_not_count() {
+  let now = Instant::now();
+  let first = Roster::first(members(0..1)).expect("a valid roster");
+  let second = first.next(members(1..2)).expect("a valid roster");
+  let third = second.next(members(2..3)).expect("a valid roster");
+  let mut witnesses = [0, 1, 2].map(|index| Witness::new(member(index), 10_000));
+  let [old, middle, new] = &mut witnesses;
+  middle.set_page(100);
+  old.adopt(first, now);
+  for index in 0..600 {
+    assert_eq!(claim(old, 1, index, run(index), now), Vote::Granted);
+  }
+  old.set_page(150);
+  let (_, request) = middle.adopt(second, now).pop().expect("a request");
+  let next = middle.on_page(&page(old, member(1), request, now), now);
+  let (_, request) = new.adopt(third, now).pop().expect("a request");
+  let half = new.on_page(&page(middle, member(2), request, now), now);
+  hand_over(old, middle, next.expect("a second request").1, now);
+  hand_over(middle, new, half.expect("a second request").1, now);
+  let granted = |new: &mut Witness| {
+    let votes = (0..600).map(|index| claim(new, 3, index, run(5000), now));
+    votes.filter(|vote| *vote == Vote::Granted).count()
+  };
+  assert_eq!(granted(new), 0);
+  let (_, request) = new
+    .on_retry(now)
+    .pop()
+    .expect("a request for what is missing");
+  hand_over(middle, new, request, now);
+  assert_eq!(granted(new), 0);
+  assert_eq!(claim(new, 3, 1000, run(5000), now), Vote::Granted);
+}
+
+/// Guards against members that missed a roster and vouch for the grants of that roster.
+#[test]
+fn member_that_missed_a_roster_does_not_know_its_grants() {
+  let mut cluster = Cluster::new(NODES, 5, None);
+  let first = (0..5).map(|node| cluster.member(node)).collect::<Vec<_>>();
+  let roster = Roster::first(first).expect("a valid roster");
+  let key = (0..1000).find(|key| {
+    let witnesses = roster.witnesses(&Cluster::key(*key));
+    (0..3).all(|node| witnesses.contains(&cluster.member(node)))
+  });
+  let key = key.expect("a key of the first three");
+  cluster.apply(&Op::Start { node: 5, key });
+  cluster.deliver_all();
+  for mask in [0b01_1001, 0b11_1000] {
+    cluster.apply(&Op::Change { node: 0, mask });
+    cluster.apply(&Op::Store {
+      node: 0,
+      outcome: 0,
+    });
+    cluster.deliver_all();
+  }
+  cluster.apply(&Op::Pause(0));
+  for node in 3..6 {
+    cluster.apply(&Op::Learn(node));
+  }
+  cluster.deliver_all();
+  cluster.apply(&Op::LearnView(1));
+  cluster.apply(&Op::Start { node: 1, key });
+  cluster.deliver_all();
+  assert_eq!(cluster.oracle.violation(), None);
+  assert_eq!(cluster.oracle.runs(&Cluster::key(key)), 1);
+}
+
 /// Guards against a page that a node's frames of 64 KiB cannot carry.
 #[test]
 fn page_fits_a_frame() {
@@ -156,6 +252,30 @@
   }
 }
 
+/// Guards against restarts in turn that lose a key's history, or refuse keys for the key memory.
+#[test]
+fn restarts_in_turn_keep_keys_and_refuse_none() {
+  let mut cluster = Cluster::new(NODES, 4, None);
+  cluster.apply(&Op::Start { node: 5, key: 0 });
+  cluster.deliver_all();
+  for round in 1..=8 {
+    let node = round % 4;
+    cluster.apply(&Op::Restart(node));
+    cluster.change_to((node + 1) % 4, &[0, 1, 2, 3]);
+    cluster.deliver_all();
+    assert!((0..4).all(|member| cluster.is_done(member)));
+    cluster.apply(&Op::LearnView(4));
+    cluster.apply(&Op::Start {
+      node: 4,
+      key: round,
+    });
+    cluster.apply(&Op::Start { node: 4, key: 0 });
+    cluster.deliver_all();
+    assert_eq!(cluster.oracle.runs(&Cluster::key(round)), 1);
+    assert_eq!(cluster.oracle.runs(&Cluster::key(0)), 1);
+  }
+}
+
 /// Guards against a lone witness that forgets its keys by a restart and runs them again.
 #[test]
 fn restarted_lone_witness_refuses_keys_for_the_key_memory() {
@@ -175,6 +295,10 @@
   assert_eq!(claim(&mut witness, 2, 0, run(1), over), Vote::Granted);
 }
 
+fn propose(witness: &Witness) -> Result<(RosterChange, ChangeStep), ChangeError> {
+  RosterChange::propose(witness, &members(1..4), members(2..5))
+}
+
 /// Guards against a second change before the first one has taken effect, and a message that does
 /// not say how to go on.
 #[test]
@@ -184,16 +308,22 @@
   let second = first.next(members(1..4)).expect("a valid roster");
   let mut witness = Witness::new(member(3), 10);
   witness.adopt(second, now);
-  let error = RosterChange::propose(&witness, members(2..5)).expect_err("not settled");
+  let error = propose(&witness).expect_err("not settled");
   assert_eq!(error, ChangeError::NotSettled(2));
   assert_eq!(
     error.to_string(),
     "roster 2 is not in effect yet: wait until the members of the roster before have handed over"
   );
   witness.on_ended(member(0), now);
-  RosterChange::propose(&witness, members(2..5)).expect_err("two may still grant");
+  propose(&witness).expect_err("two may still grant");
   witness.on_ended(member(1), now);
-  RosterChange::propose(&witness, members(2..5)).expect("one alone cannot grant");
+  propose(&witness).expect("one alone cannot grant");
+  let error = RosterChange::propose(&witness, &members(1..2), members(2..5)).expect_err("not done");
+  assert_eq!(
+    error.to_string(),
+    "2 members of roster 2 are still taking over: wait until all but one report that they are done \
+     or are known to have ended"
+  );
 }
 
 /// Guards against a change that is made twice or given up when the store's reply is lost, and
