--- a/crates/decisions/src/load/ledgers.rs
+++ b/crates/decisions/src/load/ledgers.rs
@@ -59,8 +59,9 @@
       .map_or(Ok(Retries::ZERO), |ledger| ledger.begin(call))
   }
 
-  /// Ends an outgoing call. `returned` is zero when the response was lost; `level` is the
-  /// strictest admission level that the response reported.
+  /// Ends an outgoing call. `returned` is what the node has left of the share that it got for this
+  /// attempt, zero when the response was lost; `level` is the strictest admission level that the
+  /// response reported.
   pub fn end_call(
     &mut self,
     span: SpanId,
--- /dev/null
+++ b/crates/decisions/tests/gate.rs
@@ -0,0 +1,198 @@
+//! Admission next to one upstream.
+
+use {
+  cactusyoke_decisions::load::{Completion, Gate, GateAction, GateConfig, Offer},
+  cactusyoke_model::{Level, NotRunReason, Priority, Slots},
+  std::time::{Duration, Instant},
+  yare::parameterized,
+};
+
+const MINUTE: Duration = Duration::from_mins(1);
+
+fn ms(millis: u64) -> Duration {
+  Duration::from_millis(millis)
+}
+
+fn gate(slots: u32, queue: usize, cold_start: Duration, now: Instant) -> Gate {
+  let config = GateConfig {
+    slots: Slots(slots),
+    queue,
+    queue_wait: ms(200),
+    cold_start,
+  };
+  Gate::new(config, now)
+}
+
+/// Offers a call each millisecond for `time`, cycling through four classes; each call runs 10 ms.
+/// Returns the refusals by class.
+fn load(
+  gate: &mut Gate,
+  now: &mut Instant,
+  time: Duration,
+  calls: u64,
+  ticket: &mut u64,
+) -> [u32; 4] {
+  let mut refused = [0; 4];
+  let mut running = Vec::<(Instant, u64)>::new();
+  let end = *now + time;
+  let mut actions = Vec::new();
+  while *now < end {
+    running.retain(|(done, ticket)| {
+      if *done <= *now {
+        gate.finish(*ticket, Completion::Whole, *now);
+      }
+      *done > *now
+    });
+    for _ in 0..calls {
+      *ticket += 1;
+      let class = *ticket % 4;
+      let priority = Priority(((class << 8) | ((*ticket * 37) % 256)) as u16);
+      match gate.offer(*ticket, priority, *now + MINUTE, *now) {
+        Offer::Start => running.push((*now + ms(10), *ticket)),
+        Offer::Queued { evicted } => {
+          if let Some(evicted) = evicted {
+            refused[(evicted % 4) as usize] += 1;
+          }
+        }
+        Offer::Refused(_) => refused[class as usize] += 1,
+      }
+    }
+    gate.poll(*now, &mut actions);
+    for action in actions.drain(..) {
+      match action {
+        GateAction::Start(ticket) => running.push((*now + ms(10), ticket)),
+        GateAction::Drop(ticket, _) => refused[(ticket % 4) as usize] += 1,
+      }
+    }
+    *now += ms(1);
+  }
+  for (_, ticket) in running {
+    gate.finish(ticket, Completion::Whole, *now);
+  }
+  refused
+}
+
+/// Guards against shedding important calls, and against a level that stays after the load fell.
+#[test]
+fn level_sheds_the_lowest_classes_and_recovers_within_a_second() {
+  let mut now = Instant::now();
+  let mut ticket = 0;
+  let mut gate = gate(10, 40, Duration::ZERO, now);
+  assert_eq!(load(&mut gate, &mut now, ms(2000), 1, &mut ticket), [0; 4]);
+  // Twice the capacity: the two lower classes are one half of the calls.
+  let refused = load(&mut gate, &mut now, ms(5000), 2, &mut ticket);
+  assert_eq!(refused[0], 0, "{refused:?}");
+  assert!(refused[3] > 2000, "{refused:?}");
+  assert!(gate.level(now) < Level(0x0400));
+  load(&mut gate, &mut now, ms(900), 1, &mut ticket);
+  assert_eq!(load(&mut gate, &mut now, ms(2000), 1, &mut ticket), [0; 4]);
+  assert_eq!(gate.level(now), Level::ALL);
+}
+
+/// Guards against a level that outlives its traffic: without arrivals nothing else resets it.
+#[test]
+fn level_admits_everything_after_a_second_of_silence() {
+  let mut now = Instant::now();
+  let mut ticket = 0;
+  let mut gate = gate(10, 40, Duration::ZERO, now);
+  load(&mut gate, &mut now, ms(3000), 5, &mut ticket);
+  assert_ne!(gate.level(now), Level::ALL);
+  let mut actions = Vec::new();
+  while let Some(next) = gate.next_poll().filter(|_| gate.queued() > 0) {
+    now = now.max(next);
+    gate.poll(now, &mut actions);
+  }
+  assert_eq!(gate.level(now + ms(1001)), Level::ALL);
+}
+
+/// Guards against a cold upstream that gets its full load at once.
+#[test]
+fn limit_ramps_up_after_a_cold_start() {
+  let start = Instant::now();
+  let mut gate = gate(100, 10, ms(1000), start);
+  assert_eq!(gate.limit(), 10);
+  let mut limits = vec![];
+  for step in 1..=10 {
+    gate.poll(start + ms(step * 100), &mut Vec::new());
+    limits.push(gate.limit());
+  }
+  assert_eq!(limits, [10, 20, 30, 40, 50, 60, 70, 80, 90, 100]);
+}
+
+/// Guards against a limit that stays at slots that the upstream cannot use: above two calls at
+/// once, this one only gets slower.
+#[test]
+fn limit_falls_when_more_calls_only_add_latency() {
+  let mut now = Instant::now();
+  let mut gate = gate(20, 100, Duration::ZERO, now);
+  let mut ticket = 0;
+  let mut running = std::collections::VecDeque::new();
+  let mut lowest = gate.limit();
+  for round in 0..20_000 {
+    // Warm up without concurrency, so that the base latency is known.
+    let wanted = if round < 200 { 1 } else { 30 };
+    for _ in gate.load()..wanted {
+      ticket += 1;
+      if gate.offer(ticket, Priority(0), now + MINUTE, now) == Offer::Start {
+        running.push_back(ticket);
+      }
+    }
+    now += ms(5);
+    if let Some(done) = running.pop_front() {
+      gate.finish(done, Completion::Whole, now);
+    }
+    let mut actions = Vec::new();
+    gate.poll(now, &mut actions);
+    for action in actions {
+      if let GateAction::Start(ticket) = action {
+        running.push_back(ticket);
+      }
+    }
+    lowest = lowest.min(gate.limit());
+  }
+  assert!(lowest <= 10, "the limit stayed at {lowest}");
+}
+
+/// Guards against a call that waits although it cannot finish in time.
+#[test]
+fn calls_without_enough_time_are_refused() {
+  let now = Instant::now();
+  let mut gate = gate(1, 10, Duration::ZERO, now);
+  assert_eq!(gate.offer(1, Priority(0), now + MINUTE, now), Offer::Start);
+  let later = now + ms(100);
+  gate.finish(1, Completion::Whole, later);
+  let offer = gate.offer(2, Priority(0), later + ms(50), later);
+  assert_eq!(offer, Offer::Refused(NotRunReason::Deadline));
+  // The measurement fades, or no call with a short deadline would ever be tried again.
+  let much_later = later + ms(3000);
+  gate.poll(later + ms(1500), &mut Vec::new());
+  gate.poll(much_later, &mut Vec::new());
+  let offer = gate.offer(2, Priority(0), much_later + ms(50), much_later);
+  assert_eq!(offer, Offer::Start);
+}
+
+#[parameterized(
+  higher_class = { 0x0000, Offer::Queued { evicted: Some(2) } },
+  same_class = { 0x0100, Offer::Refused(NotRunReason::QueueFull) },
+  lower_class = { 0x0200, Offer::Refused(NotRunReason::QueueFull) },
+)]
+fn full_queue_evicts_only_for_a_higher_class(priority: u16, expected: Offer) {
+  let now = Instant::now();
+  let mut gate = gate(1, 1, Duration::ZERO, now);
+  let end = now + MINUTE;
+  assert_eq!(gate.offer(1, Priority(0x0100), end, now), Offer::Start);
+  let queued = Offer::Queued { evicted: None };
+  assert_eq!(gate.offer(2, Priority(0x0100), end, now), queued);
+  assert_eq!(gate.offer(3, Priority(priority), end, now), expected);
+}
+
+/// Guards against a ticket that stands for two calls.
+#[test]
+fn ticket_in_use_is_refused() {
+  let now = Instant::now();
+  let mut gate = gate(2, 1, Duration::ZERO, now);
+  assert_eq!(gate.offer(1, Priority(0), now + MINUTE, now), Offer::Start);
+  let offer = gate.offer(1, Priority(0), now + MINUTE, now);
+  assert_eq!(offer, Offer::Refused(NotRunReason::BadRequest));
+  assert!(!gate.cancel(1), "a started call cannot be cancelled here");
+}
--- /dev/null
+++ b/crates/decisions/tests/quarantine.rs
@@ -0,0 +1,91 @@
+//! Requests that crash upstreams.
+
+use {
+  cactusyoke_decisions::load::{Fingerprint, Quarantine},
+  std::time::{Duration, Instant},
+};
+
+fn poison() -> Fingerprint {
+  Fingerprint::head("POST", "/photos").with_body(b"poison")
+}
+
+/// Guards against requests that share a fingerprint although they differ.
+#[test]
+fn fingerprint_covers_method_path_and_body() {
+  let head = Fingerprint::head("POST", "/photos");
+  let others = [
+    poison(),
+    Fingerprint::head("PUT", "/photos"),
+    Fingerprint::head("POST", "/photo"),
+    head.with_body(b"poisoN"),
+    head,
+  ];
+  for (index, one) in others.iter().enumerate() {
+    assert!(!others[..index].contains(one));
+  }
+  assert_eq!(poison().with_body(b""), head);
+}
+
+/// Guards against one crash that blocks, two that do not, and a quarantine without end.
+#[test]
+fn second_crash_blocks_for_a_time() {
+  let now = Instant::now();
+  let mut quarantine = Quarantine::new();
+  assert_eq!(quarantine.crashed(poison(), now), None);
+  assert!(!quarantine.blocks(poison(), now));
+  assert!(quarantine.suspects_head(Fingerprint::head("POST", "/photos")));
+  let later = now + Duration::from_secs(1);
+  let notice = quarantine.crashed(poison(), later).expect("a quarantine");
+  assert!(quarantine.blocks(poison(), later));
+  assert_eq!(quarantine.list(later), [notice]);
+  assert!(!quarantine.blocks(poison(), later + notice.remaining));
+  assert!(!quarantine.suspects_head(poison()));
+}
+
+/// Guards against two crashes far apart that count as one cause, and against popular requests
+/// that were in flight during two crashes.
+#[test]
+fn suspicion_ends_with_time_or_a_response() {
+  let now = Instant::now();
+  let mut quarantine = Quarantine::new();
+  assert_eq!(quarantine.crashed(poison(), now), None);
+  let much_later = now + Duration::from_mins(6);
+  assert_eq!(quarantine.crashed(poison(), much_later), None);
+  quarantine.completed(poison());
+  assert_eq!(quarantine.crashed(poison(), much_later), None);
+}
+
+/// Guards against a notice that is not taken over, or that a release does not end.
+#[test]
+fn notices_are_adopted_and_released() {
+  let now = Instant::now();
+  let (mut one, mut two) = (Quarantine::new(), Quarantine::new());
+  one.crashed(poison(), now);
+  let notice = one.crashed(poison(), now).expect("a quarantine");
+  two.adopt(notice, now);
+  assert!(two.blocks(poison(), now));
+  assert!(two.release(poison()));
+  assert!(!two.blocks(poison(), now));
+  assert!(!two.release(poison()));
+}
+
+/// Guards against memory that grows with each crash, and against suspects that displace what is
+/// in quarantine.
+#[test]
+fn entries_are_bounded() {
+  let now = Instant::now();
+  let mut quarantine = Quarantine::new();
+  quarantine.crashed(poison(), now);
+  quarantine.crashed(poison(), now);
+  for index in 0..5000_u32 {
+    let other = poison().with_body(&index.to_le_bytes());
+    quarantine.crashed(other, now);
+  }
+  assert!(quarantine.blocks(poison(), now));
+  for index in 0..5000_u32 {
+    let other = poison().with_body(&index.to_be_bytes());
+    quarantine.crashed(other, now);
+    quarantine.crashed(other, now);
+  }
+  assert_eq!(quarantine.list(now).len(), 1024);
+}
