--- a/crates/cactusyoke/src/roster_keeper.rs
+++ b/crates/cactusyoke/src/roster_keeper.rs
@@ -8,9 +8,12 @@
     Core,
     control::{Ask, Reply},
   },
-  cactusyoke_decisions::keys::{ChangeStep, Member, Roster, RosterChange, StoreReply},
+  cactusyoke_decisions::keys::{
+    ChangeStep, Member, Roster, RosterChange, StoreReply, WitnessReply, WitnessRequest,
+  },
   cactusyoke_model::{Incarnation, NodeId},
   cactusyoke_platform::{Expect, StoreError},
+  futures_util::stream::{FuturesUnordered, StreamExt},
   ractor::{Actor, ActorProcessingErr, ActorRef},
   std::{
     cmp::Reverse,
@@ -157,7 +160,8 @@
     if wanted == roster.members {
       return;
     }
-    let proposal = RosterChange::propose(&rosters.witness(), wanted);
+    let done = self.done(&roster, &present).await;
+    let proposal = RosterChange::propose(&rosters.witness(), &done, wanted);
     match proposal {
       Ok((change, step)) => self.write(group, change, step).await,
       Err(error) => tracing::debug!(event = "roster_change_postponed", group, %error),
@@ -213,6 +217,43 @@
     }
   }
 
+  /// Members whose takeover for the roster is over, or whose process has ended.
+  async fn done(&self, roster: &Roster, present: &[Member]) -> Vec<Member> {
+    let epoch = roster.epoch;
+    let ended = |old: &Member| {
+      present
+        .iter()
+        .any(|new| new.node == old.node && new.incarnation > old.incarnation)
+    };
+    let mut done = roster
+      .members
+      .iter()
+      .copied()
+      .filter(ended)
+      .collect::<Vec<Member>>();
+    let mut asks = roster
+      .members
+      .iter()
+      .filter(|member| present.contains(member))
+      .map(|member| {
+        self
+          .core
+          .ask_witness(*member, WitnessRequest::Status { epoch })
+      })
+      .collect::<FuturesUnordered<_>>();
+    while let Some(reply) = asks.next().await {
+      if let Some(WitnessReply::Status {
+        witness,
+        done: true,
+        ..
+      }) = reply
+      {
+        done.push(witness);
+      }
+    }
+    done
+  }
+
   /// Members that the roster should have: those that are still there, then others.
   fn wanted(&mut self, roster: &Roster, present: &[Member]) -> Vec<Member> {
     let now = self.core.clock.now();
--- a/crates/upstreams/tests/promises.rs
+++ b/crates/upstreams/tests/promises.rs
@@ -14,7 +14,7 @@
     announce::{AnnounceConfig, start},
   },
   http::Method,
-  std::time::Duration,
+  std::{sync::Arc, time::Duration},
   support::{Forward, HANG, Node, service},
   tokio::{
     net::TcpListener,
@@ -77,6 +77,7 @@
     }],
     seed,
     max_requests: 300,
+    progress: Arc::default(),
   };
   let running = tokio::spawn(run(load.clone()));
   for _ in 0..3 {
@@ -99,6 +100,7 @@
   let refused = run(LoadConfig {
     seed: seed + 1000,
     max_requests: 10,
+    progress: Arc::default(),
     ..load
   })
   .await;
