--- a/crates/decisions/tests/keys_takeover.rs
+++ b/crates/decisions/tests/keys_takeover.rs
@@ -198,6 +198,75 @@
   assert_eq!(cluster.oracle.runs(&Cluster::key(key)), 1);
 }
 
+/// A new lone member, the page that it asked of the old one, which holds key 0, and the time.
+fn lone_handover() -> (Witness, HandoverPage, Instant) {
+  let now = Instant::now();
+  let first = Roster::first(members(0..1)).expect("a valid roster");
+  let second = first.next(members(1..2)).expect("a valid roster");
+  let mut old = Witness::new(member(0), 10);
+  let mut new = Witness::new(member(1), 10);
+  old.adopt(first, now);
+  assert_eq!(claim(&mut old, 1, 0, run(0), now), Vote::Granted);
+  let (_, request) = new.adopt(second, now).pop().expect("a request");
+  (new, page(&mut old, member(1), request, now), now)
+}
+
+/// Guards against a grant whose time is cut by a second handover with less time left.
+#[test]
+fn longest_time_of_a_grant_counts() {
+  let (mut new, mut page, now) = lone_handover();
+  new.on_page(&page, now);
+  page.grants[0].remaining = Duration::from_secs(1);
+  new.on_page(&page, now);
+  let denied = Vote::Denied { holder: run(0) };
+  assert_eq!(claim(&mut new, 2, 0, run(1), now + KEY_MEMORY), denied);
+}
+
+/// Guards against a handover that brings back a grant of a run that has withdrawn.
+#[test]
+fn withdrawn_run_is_not_taken_over() {
+  let (mut new, page, now) = lone_handover();
+  let withdrawal = WitnessRequest::Key {
+    epoch: 1,
+    key: key(0),
+    run: run(0),
+    claim: Claim::Withdraw,
+  };
+  new.handle(member(99).node, withdrawal, now);
+  new.on_page(&page, now);
+  assert_eq!(claim(&mut new, 2, 0, run(1), now), Vote::Granted);
+}
+
+/// Guards against the end of a member that is concluded from a page of its earlier process.
+#[test]
+fn earlier_incarnation_does_not_prove_the_end_of_a_later_one() {
+  let (mut new, mut page, now) = lone_handover();
+  page.from.incarnation = Incarnation(1);
+  new.on_page(&page, now);
+  assert!(!new.takeover().expect("a takeover").is_settled());
+  page.from.incarnation = Incarnation(u64::MAX);
+  new.on_page(&page, now);
+  assert!(new.takeover().expect("a takeover").is_settled());
+}
+
+/// Guards against keys that count as known because witnesses vouch for them that do not know them.
+#[test]
+fn coverage_depends_on_what_the_old_members_knew() {
+  let partial = Coverage {
+    members: members(0..3),
+    known: vec![(members(0..1), Coverage::default())],
+    remaining: Some(KEY_MEMORY),
+  };
+  let coverage = |nested: &Coverage| Coverage {
+    known: vec![(members(0..2), nested.clone())],
+    ..partial.clone()
+  };
+  let hash = (&key(0)).into();
+  assert!(!coverage(&partial).covers(hash, Duration::ZERO));
+  assert!(coverage(&Coverage::default()).covers(hash, Duration::ZERO));
+  assert!(coverage(&partial).covers(hash, KEY_MEMORY));
+}
+
 /// Guards against a page that a node's frames of 64 KiB cannot carry.
 #[test]
 fn page_fits_a_frame() {
@@ -278,7 +347,7 @@
 
 /// Guards against a lone witness that forgets its keys by a restart and runs them again.
 #[test]
-fn restarted_lone_witness_refuses_keys_for_the_key_memory() {
+fn restarted_lone_witness_refuses_keys_for_the_longest_key_memory() {
   let now = Instant::now();
   let first = Roster::first(members(0..1)).expect("a valid roster");
   let restarted = Member {
@@ -289,8 +358,10 @@
   let mut witness = Witness::new(restarted, 10);
   witness.adopt(second, now);
   witness.on_ended(member(0), now);
-  let over = now + KEY_MEMORY + CLAIM_LIMIT;
-  let almost = now + KEY_MEMORY + CLAIM_LIMIT.saturating_sub(Duration::from_millis(1));
+  witness.set_memory(2 * KEY_MEMORY);
+  witness.set_memory(KEY_MEMORY);
+  let over = now + 2 * KEY_MEMORY + CLAIM_LIMIT;
+  let almost = now + 2 * KEY_MEMORY + CLAIM_LIMIT.saturating_sub(Duration::from_millis(1));
   assert_eq!(claim(&mut witness, 2, 0, run(1), almost), Vote::NotReady);
   assert_eq!(claim(&mut witness, 2, 0, run(1), over), Vote::Granted);
 }
--- a/crates/decisions/tests/keys_witness.rs
+++ b/crates/decisions/tests/keys_witness.rs
@@ -247,6 +247,32 @@
   assert_eq!(late, [expected.swap_remove(0)]);
 }
 
+/// Guards against votes that were cast for another run, under another roster, or by a witness that
+/// has restarted since.
+#[yare::parameterized(
+  epoch = { 2, 1, 1 },
+  run = { 1, 2, 1 },
+  incarnation = { 1, 1, 2 },
+)]
+fn foreign_votes_are_not_counted(epoch: u64, number: u64, incarnation: u64) {
+  let now = Instant::now();
+  let (mut run, claims) = Run::start(run_id(4, 1), key(0), 1, &roster(3), now);
+  for (witness, _) in claims {
+    let vote = WitnessReply::Key {
+      witness: Member {
+        incarnation: Incarnation(incarnation),
+        ..witness
+      },
+      epoch,
+      key: key(0),
+      run: run_id(4, number),
+      vote: Vote::Granted,
+    };
+    assert_eq!(run.on_reply(witness, &vote, now), []);
+  }
+  assert_eq!(run.state(), RunState::Claiming);
+}
+
 /// Guards against a cancelled run that runs, and a running one that is cancelled.
 #[test]
 fn cancelled_run_does_not_run() {
