--- a/crates/decisions/tests/keys_witness.rs
+++ b/crates/decisions/tests/keys_witness.rs
@@ -1,9 +1,9 @@
-//! Witnesses and runs, message by message.
+//! Witnesses and rosters, message by message.
 
 use {
   cactusyoke_decisions::keys::{
-    CLAIM_LIMIT, Claim, KEY_MEMORY, Member, Roster, RosterError, Run, RunAction, RunId, RunState,
-    Vote, Witness, WitnessReply, WitnessRequest,
+    CLAIM_LIMIT, Claim, KEY_MEMORY, Member, Roster, RosterError, Run, RunAction, RunId, Vote,
+    Witness, WitnessReply, WitnessRequest,
   },
   cactusyoke_model::{IdempotencyKey, Incarnation, NodeId, NotRunReason},
   std::time::{Duration, Instant},
@@ -66,16 +66,6 @@
   witness
 }
 
-fn reply(from: Member, run: &Run, vote: Vote) -> WitnessReply {
-  WitnessReply::Key {
-    witness: from,
-    epoch: run.epoch(),
-    key: run.key().clone(),
-    run: run.id(),
-    vote,
-  }
-}
-
 /// Guards against a key that stays blocked because its claim overtook nothing but its withdrawal.
 #[test]
 fn late_claim_after_withdrawal_does_not_hold_the_key() {
@@ -194,98 +184,6 @@
   assert_eq!(vote(&mut witness, &key(0), run, CLAIM, now), wrong(1));
 }
 
-/// Guards against keys that need all three witnesses: one of them may be lost.
-#[yare::parameterized(first = { 0 }, second = { 1 }, third = { 2 })]
-fn one_lost_witness_refuses_nothing(lost: usize) {
-  let now = Instant::now();
-  let roster = roster(5);
-  for index in 0..50 {
-    let (mut run, claims) = Run::start(run_id(4, 1), key(index), 1, &roster, now);
-    assert_eq!(claims.len(), 3);
-    let mut actions = Vec::new();
-    for (place, (to, claim)) in claims.into_iter().enumerate() {
-      if place != lost {
-        let mut witness = Witness::new(to, 10);
-        witness.adopt(roster.clone(), now);
-        let reply = witness.handle(member(4).node, claim, now);
-        actions.extend(run.on_reply(to, &reply, now));
-      }
-    }
-    assert_eq!(actions, [RunAction::MayRun]);
-  }
-}
-
-/// Guards against a refusal that does not say why, or that leaves grants behind.
-#[yare::parameterized(
-  silent = { &[], RunAction::NotRun(NotRunReason::NoWitnesses), false },
-  one_grant = { &[Vote::Granted], RunAction::NotRun(NotRunReason::NoWitnesses), false },
-  full = { &[Vote::Full, Vote::Full], RunAction::NotRun(NotRunReason::Limit), true },
-  newer = { &[Vote::WrongEpoch { epoch: 3 }, Vote::Full], RunAction::WrongEpoch(3), false },
-  older = { &[Vote::WrongEpoch { epoch: 0 }, Vote::NotReady],
-    RunAction::NotRun(NotRunReason::NoWitnesses), false },
-  held = { &[Vote::Granted, Vote::Denied { holder: run_id(2, 7) }],
-    RunAction::Held(run_id(2, 7)), false },
-)]
-fn refused_run_withdraws_from_all(votes: &[Vote], refusal: RunAction, knows: bool) {
-  let now = Instant::now();
-  let (mut run, claims) = Run::start(run_id(4, 1), key(0), 1, &roster(3), now);
-  let mut actions = Vec::new();
-  for ((witness, _), vote) in claims.iter().zip(votes) {
-    actions.extend(run.on_reply(*witness, &reply(*witness, &run, *vote), now));
-  }
-  actions.extend(run.on_timeout(now));
-  let sent = |(to, _): &(Member, WitnessRequest)| {
-    RunAction::Send(*to, request(1, &key(0), run.id(), Claim::Withdraw))
-  };
-  let mut expected = claims.iter().map(sent).collect::<Vec<_>>();
-  expected.push(refusal);
-  assert_eq!(actions, expected);
-  assert_eq!(run.state(), RunState::Withdrawn);
-  assert_eq!(run.knows_history(), knows);
-  let granted = reply(claims[0].0, &run, Vote::Granted);
-  let late = run.on_reply(claims[0].0, &granted, now);
-  assert_eq!(late, [expected.swap_remove(0)]);
-}
-
-/// Guards against votes that were cast for another run, under another roster, or by a witness that
-/// has restarted since.
-#[yare::parameterized(
-  epoch = { 2, 1, 1 },
-  run = { 1, 2, 1 },
-  incarnation = { 1, 1, 2 },
-)]
-fn foreign_votes_are_not_counted(epoch: u64, number: u64, incarnation: u64) {
-  let now = Instant::now();
-  let (mut run, claims) = Run::start(run_id(4, 1), key(0), 1, &roster(3), now);
-  for (witness, _) in claims {
-    let vote = WitnessReply::Key {
-      witness: Member {
-        incarnation: Incarnation(incarnation),
-        ..witness
-      },
-      epoch,
-      key: key(0),
-      run: run_id(4, number),
-      vote: Vote::Granted,
-    };
-    assert_eq!(run.on_reply(witness, &vote, now), []);
-  }
-  assert_eq!(run.state(), RunState::Claiming);
-}
-
-/// Guards against a cancelled run that runs, and a running one that is cancelled.
-#[test]
-fn cancelled_run_does_not_run() {
-  let now = Instant::now();
-  let (mut run, _) = Run::start(run_id(4, 1), key(0), 1, &roster(3), now);
-  let actions = run.cancel();
-  assert_eq!(
-    actions.last(),
-    Some(&RunAction::NotRun(NotRunReason::Cancelled))
-  );
-  assert_eq!(run.cancel(), []);
-}
-
 /// Guards against grants by two members, where the loss of one would lose the majority.
 #[test]
 fn two_members_refuse_keys() {
