--- a/crates/decisions/examples/membership.rs
+++ b/crates/decisions/examples/membership.rs
@@ -1,10 +1,10 @@
 //! Measures the membership in simulated time.
 //!
-//! `cargo run --release -p cactusyoke-decisions --example membership [-- MEMBERS...]`
+//! `cargo run --release -p cactusyoke-decisions --example membership [-- MEMBERS... | -- loss]`
 
 use {
   cactusyoke_decisions::membership::{LifeState, Status},
-  simulation::{Simulation, address, own},
+  simulation::{Node, Simulation, address, own},
   std::{env, time::Duration},
 };
 
@@ -15,6 +15,7 @@
 const STEADY: u32 = 60;
 const STEP: Duration = Duration::from_millis(100);
 const CRASHES: usize = 5;
+const SEEDS: u64 = 5;
 
 /// Runs until `reached`; the time it took.
 fn until(simulation: &mut Simulation, reached: impl Fn(&Simulation) -> bool) -> Duration {
@@ -144,7 +145,43 @@
   );
 }
 
+/// False deaths and refutations of `count` nodes that lose a share of all datagrams.
+fn loss(count: usize, share: f64) {
+  let (mut deaths, mut refutations) = (0, 0);
+  for seed in 0..SEEDS {
+    let mut simulation = Simulation::new(seed);
+    simulation.checked = false;
+    for index in 0..count {
+      simulation.add("east", &[0, 1, 2]);
+      simulation.set_own(index, own(index % 30, LifeState::Serving));
+    }
+    simulation.converge(LIMIT).expect("agreement");
+    let versions = |simulation: &Simulation| {
+      let nodes = simulation.nodes.iter();
+      nodes.map(|node| node.members.own().version).sum::<u64>()
+    };
+    let before = versions(&simulation);
+    simulation.loss = share;
+    simulation.run(Duration::from_mins(2));
+    refutations += versions(&simulation) - before;
+    let raised = |node: &&Node| node.members.own().incarnation != node.config.incarnation;
+    deaths += simulation.nodes.iter().filter(raised).count();
+  }
+  println!(
+    "members={count} loss={share} node_minutes={} nodes_declared_dead={deaths} refutations={refutations}",
+    count * SEEDS as usize * 2
+  );
+}
+
 fn main() {
+  if env::args().nth(1).is_some_and(|arg| arg == "loss") {
+    for share in [0.1, 0.2, 0.3] {
+      for count in [5, 20, 100] {
+        loss(count, share);
+      }
+    }
+    return;
+  }
   let counts = env::args()
     .skip(1)
     .map(|arg| arg.parse().expect("a number of members"))
--- a/crates/nodes/src/peers.rs
+++ b/crates/nodes/src/peers.rs
@@ -7,23 +7,24 @@
   std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
   },
   tokio::sync::Mutex as AsyncMutex,
   tokio_util::sync::{CancellationToken, DropGuard},
 };
 
-#[derive(Debug, Default)]
-struct Attempts {
-  count: u64,
-  failed: bool,
-}
+/// Time after a failed attempt for which calls fail at once. A node that is down would otherwise
+/// get an attempt, and the log a line, for each call.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Nodes kept before those without a link are forgotten.
+const MAX_UNUSED: usize = 4_096;
 
 /// Link to one node, opened on demand.
 #[derive(Debug, Default)]
 struct Peer {
   link: Mutex<Option<Arc<Link>>>,
-  attempts: Mutex<u64>,
-  dialling: AsyncMutex<Attempts>,
+  /// Time of the last attempt when it failed; held while an attempt is made.
+  failed: AsyncMutex<Option<Instant>>,
 }
 
 impl Peer {
@@ -32,8 +33,16 @@
     link.clone().filter(|link| !link.is_closed())
   }
 
-  fn attempts(&self) -> MutexGuard<'_, u64> {
-    self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+  fn set_link(&self, link: Arc<Link>) {
+    *self.link.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
+  }
+
+  /// Forgets a link that has ended, unless another has taken its place.
+  fn forget_closed(&self) {
+    let mut link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+    if link.as_ref().is_some_and(|link| link.is_closed()) {
+      *link = None;
+    }
   }
 }
 
@@ -42,7 +51,7 @@
 pub struct Peers {
   config: Arc<LinksConfig>,
   stats: Arc<LinkStats>,
-  nodes: Arc<Mutex<HashMap<NodeId, Arc<Peer>>>>,
+  nodes: Mutex<HashMap<NodeId, Arc<Peer>>>,
   closed: CancellationToken,
   _close: DropGuard,
 }
@@ -54,62 +63,63 @@
     Self {
       config,
       stats,
-      nodes: Arc::default(),
+      nodes: Mutex::default(),
       closed: closed.clone(),
       _close: closed.drop_guard(),
     }
   }
 
-  /// The open link to a node, opened when there is none. `None` when that failed; callers that
-  /// waited for the same attempt share its failure.
+  fn nodes(&self) -> MutexGuard<'_, HashMap<NodeId, Arc<Peer>>> {
+    self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  fn peer(&self, node: NodeId) -> Arc<Peer> {
+    let mut nodes = self.nodes();
+    if let Some(peer) = nodes.get(&node) {
+      return Arc::clone(peer);
+    }
+    if nodes.len() >= MAX_UNUSED {
+      // One that is in use by a call has another owner.
+      nodes.retain(|_, peer| peer.open_link().is_some() || Arc::strong_count(peer) > 1);
+    }
+    Arc::clone(nodes.entry(node).or_default())
+  }
+
+  /// The open link to a node, opened when there is none. `None` when that failed now or just
+  /// before.
   pub async fn link(&self, node: NodeId) -> Option<Arc<Link>> {
-    let peer = Arc::clone(lock(&self.nodes).entry(node).or_default());
+    let peer = self.peer(node);
     if let Some(link) = peer.open_link() {
       return Some(link);
     }
-    let seen = *peer.attempts();
-    let mut dialling = peer.dialling.lock().await;
+    let mut failed = peer.failed.lock().await;
     if let Some(link) = peer.open_link() {
       return Some(link);
     }
-    if dialling.count > seen && dialling.failed {
+    if failed.is_some_and(|failed| failed.elapsed() < RETRY_PAUSE) {
       return None;
     }
     let dialled = dial(node, Arc::clone(&self.config), Arc::clone(&self.stats)).await;
-    dialling.count += 1;
-    *peer.attempts() = dialling.count;
-    dialling.failed = dialled.is_err();
     let connection = match dialled {
       Ok(connection) => connection,
       Err(error) => {
-        tracing::warn!(peer = %node, %error, "the link cannot be opened");
-        remove(&self.nodes, node, &peer);
+        if failed.replace(Instant::now()).is_none() {
+          tracing::warn!(peer = %node, %error, "the link cannot be opened");
+        } else {
+          tracing::debug!(peer = %node, %error, "the link still cannot be opened");
+        }
         return None;
       }
     };
+    *failed = None;
     let link = Arc::clone(&connection.link);
-    *peer.link.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&link));
-    drop(dialling);
-    let (peers, closed) = (Arc::clone(&self.nodes), self.closed.clone());
+    peer.set_link(Arc::clone(&link));
+    drop(failed);
+    let closed = self.closed.clone();
     tokio::spawn(async move {
       closed.run_until_cancelled(connection.run_opener()).await;
-      remove(&peers, node, &peer);
+      peer.forget_closed();
     });
     Some(link)
   }
 }
-
-fn lock(peers: &Mutex<HashMap<NodeId, Arc<Peer>>>) -> MutexGuard<'_, HashMap<NodeId, Arc<Peer>>> {
-  peers.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Removes a peer whose link is closed, unless another has taken its place.
-fn remove(peers: &Mutex<HashMap<NodeId, Arc<Peer>>>, node: NodeId, peer: &Arc<Peer>) {
-  let mut peers = lock(peers);
-  let same = peers
-    .get(&node)
-    .is_some_and(|found| Arc::ptr_eq(found, peer));
-  if same && peer.open_link().is_none() {
-    peers.remove(&node);
-  }
-}
--- a/crates/nodes/tests/links_failures.rs
+++ b/crates/nodes/tests/links_failures.rs
@@ -46,6 +46,35 @@
   assert_eq!(failure.unwrap_err(), NOT_RUN);
 }
 
+/// Guards against an attempt for each call to a node that is down, and against one that is not
+/// tried again when it is back.
+#[tokio::test]
+async fn attempts_pause_after_a_failure() {
+  let (listener, node) = listen().await;
+  let client = client();
+  let attempts = async {
+    drop(listener.accept().await.unwrap());
+    let first = Instant::now();
+    drop(listener.accept().await.unwrap());
+    first.elapsed()
+  };
+  let calls = async {
+    loop {
+      let failure = client.call(node, call("/", empty_body())).await;
+      assert_eq!(failure.unwrap_err(), NOT_RUN);
+      tokio::task::yield_now().await;
+    }
+  };
+  let pause = within(async {
+    tokio::select! {
+      pause = attempts => pause,
+      () = calls => Duration::ZERO,
+    }
+  })
+  .await;
+  assert!(pause >= Duration::from_millis(100), "{pause:?}");
+}
+
 /// Guards against a call reported as not run after the peer may have seen it, and against a short
 /// body that looks whole.
 #[tokio::test]
--- a/crates/nodes/tests/links_flow.rs
+++ b/crates/nodes/tests/links_flow.rs
@@ -234,8 +234,11 @@
     assert_eq!(pair.server.stats().links(), 1);
     incoming.reply.answer(answer(empty_body())).await.unwrap();
     within(pending).await.unwrap().unwrap();
-    while pair.server.stats().links() + pair.client.stats().links() > 0 {
-      tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    within(async {
+      while pair.server.stats().links() + pair.client.stats().links() > 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+      }
+    })
+    .await;
   }
 }
