Wait for nodes and their presets in the tests of the user's path

`preset import` right after the start met nodes that did not listen yet (two of three tests failed in one run beside other load). After that was mended, an edit through a second node that had not adopted the preset yet was refused with `there is no preset` in two runs of three. The test does not mean to check either order: nodes may take up to 4 s to adopt a change.

--- a/crates/cactusyoke/tests/common/cluster.rs
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -54,6 +54,17 @@
     self.client.exchange(self.callers(node), request).await
   }
 
+  /// Waits until each node answers operators.
+  pub async fn wait_listening(&self) {
+    for index in 0..self.nodes.len() {
+      let operator = self.operator(index);
+      eventually("the node answers", || async {
+        operator.status().await.is_ok()
+      })
+      .await;
+    }
+  }
+
   /// Waits until each node has the preset and knows all upstreams of its data centre as serving.
   pub async fn wait_serving(&self) {
     for index in 0..self.nodes.len() {
--- a/crates/cactusyoke/tests/common/cluster_builder.rs
+++ b/crates/cactusyoke/tests/common/cluster_builder.rs
@@ -91,7 +91,7 @@
     self
   }
 
-  /// Starts everything and, with a preset, waits until each node serves.
+  /// Starts everything and waits until each node serves, or listens where there is no preset.
   pub async fn start(self) -> Cluster {
     let platform = Platform::start().await.expect("a loopback port is free");
     if let Some(preset) = &self.preset {
@@ -116,6 +116,8 @@
     }
     if self.preset.is_some() {
       cluster.wait_serving().await;
+    } else {
+      cluster.wait_listening().await;
     }
     cluster
   }
--- a/crates/cactusyoke/tests/user_path.rs
+++ b/crates/cactusyoke/tests/user_path.rs
@@ -150,6 +150,11 @@
   let cluster = start().await;
   let preset = text(&example("ordinary"));
   done(&cluster, 0, "ana", &["preset", "import", "--use", &preset]).await;
+  eventually("the other node knows the preset", || async {
+    let listed = done(&cluster, 1, "ben", &["preset", "list"]).await;
+    listed.contains("ordinary")
+  })
+  .await;
   let (ana, ben) = (edited(&cluster, "by-ana"), edited(&cluster, "by-ben"));
   let edit = |file, revision| ["preset", "edit", file, "--revision", revision].to_vec();
   done(&cluster, 0, "ana", &edit(&ana, "2")).await;
