Test that reported health and load decide nothing

One upstream reports that it is unhealthy and overloaded, another that it is idle: each lookup is answered, and the first one still gets work.

--- a/crates/cactusyoke/tests/outcomes.rs
+++ b/crates/cactusyoke/tests/outcomes.rs
@@ -242,3 +242,28 @@
   assert!(lookups.answered * 10 > lookups.sent * 9, "{lookups:?}");
   assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
 }
+
+// Guards against an upstream that gets no work, or all of it, because of what it reports.
+#[tokio::test(flavor = "multi_thread")]
+async fn reported_health_and_load_decide_nothing() {
+  let cluster = cluster(Duration::from_millis(20)).await;
+  let faults = cluster.upstreams[0].faults();
+  faults.lie_health(Some(false));
+  faults.lie_load(Some(1_000_000));
+  cluster.upstreams[1].faults().lie_load(Some(0));
+  // Longer than the period of the hints.
+  tokio::time::sleep(Duration::from_secs(3)).await;
+  let classes = vec![ClassLoad::get("lookup", "/front/a")];
+  let report = run(load(&cluster, classes, 100.0, 3)).await;
+  let lookups = &report.classes["lookup"];
+  assert_eq!(lookups.answered, lookups.sent, "{lookups:?}");
+  faults.fail_fast(true);
+  eventually(
+    "the upstream that reports a high load gets work",
+    || async {
+      let received = cluster.get(1, "/front/a").await;
+      received.is_ok_and(|received| received.status == 500)
+    },
+  )
+  .await;
+}
