--- a/crates/operators/src/node_error.rs
+++ b/crates/operators/src/node_error.rs
@@ -124,7 +124,7 @@
         f.write_str("the node does not accept the token: check `--token` or `CACTUSYOKE_TOKEN`")
       }
       Self::ChangesOff => {
-        f.write_str("the node accepts no changes: set `operators.token` in its settings")
+        f.write_str("the node accepts no changes: set `token` in its settings")
       }
       Self::Unconfirmed { id, based_on } => write!(
         f,
