Apply one level for each route where a request enters, and leave inner calls to the gate

Cause: levels kept for each instance sent the calls between two levels to the laxer instance, which swung both; and inner hops threw away work by a level that had fallen after the request was admitted.

--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -7,7 +7,7 @@
     replay::Replay,
     tracked::{BodyEnd, Tracked},
   },
-  cactusyoke_decisions::load::{CallEnd, Candidate},
+  cactusyoke_decisions::load::CallEnd,
   cactusyoke_model::{
     Answer, Call, CallFailure, CallHead, DataCentre, NodeId, NotRunReason, Report, Retries,
     UnknownReason,
@@ -43,7 +43,9 @@
       .map_err(|_error| CallFailure::not_run(NotRunReason::Cancelled))?;
     let config = self.config.load_full();
     let ratio = config.preset().map_or(0, |preset| preset.retry_ratio);
-    Dispatch::new(self, head, body).run_here(false, ratio).await
+    Dispatch::new(self, head, body, true)
+      .run_here(false, ratio)
+      .await
   }
 }
 
@@ -53,18 +55,21 @@
   head: CallHead,
   body: Replay,
   left: Retries,
+  /// The request enters here, so that shedding it wastes no work.
+  root: bool,
   tried: Vec<NodeId>,
   reroutes: usize,
 }
 
 impl<'a> Dispatch<'a> {
-  pub(crate) fn new(core: &'a Arc<Core>, head: CallHead, body: Replay) -> Self {
+  pub(crate) fn new(core: &'a Arc<Core>, head: CallHead, body: Replay, root: bool) -> Self {
     let left = head.retries;
     Self {
       core,
       head,
       body,
       left,
+      root,
       tried: Vec::new(),
       reroutes: 0,
     }
@@ -115,21 +120,27 @@
       route: &self.head.route,
       priority: self.head.priority,
     };
-    match self.core.edges.pick(edge, &candidates, &self.tried, now) {
+    let picked = if self.root && !self.core.edges.admits(edge, now) {
+      Err(NotRunReason::Shed)
+    } else {
+      let node = self.core.edges.pick(edge, &candidates, &self.tried, now);
+      node.ok_or(NotRunReason::NoUpstream)
+    };
+    match picked {
       Ok(node) => self.send(node, now).await,
       Err(reason) if spill && self.head.idempotent => match self.spill_target() {
         Some(centre) => self.relay(&centre, reason).await,
-        None => Err(self.not_sent(reason, &candidates)),
+        None => Err(self.not_sent(reason)),
       },
-      Err(reason) => Err(self.not_sent(reason, &candidates)),
+      Err(reason) => Err(self.not_sent(reason)),
     }
   }
 
-  fn not_sent(&self, reason: NotRunReason, candidates: &[Candidate]) -> CallFailure {
+  fn not_sent(&self, reason: NotRunReason) -> CallFailure {
     let level = self
       .core
       .edges
-      .level(&self.head.route, candidates, self.core.clock.now());
+      .level(&self.head.route, self.core.clock.now());
     let report = Report {
       level,
       unused: self.left,
@@ -257,7 +268,7 @@
     }
     match failure {
       CallFailure::NotRun {
-        reason: NotRunReason::Connection | NotRunReason::Draining | NotRunReason::Shed,
+        reason: NotRunReason::Connection | NotRunReason::Draining,
         ..
       } => {
         self.reroutes += 1;
--- a/crates/cactusyoke/src/edges.rs
+++ b/crates/cactusyoke/src/edges.rs
@@ -13,56 +13,13 @@
   },
 };
 
-#[derive(Default)]
 struct Inner {
-  levels: HashMap<NodeId, Levels>,
+  levels: Levels,
   routers: HashMap<ServiceName, Router>,
   ratios: HashMap<RouteName, RetryRatio>,
-  /// Last probe of each route.
-  probes: HashMap<RouteName, Instant>,
 }
 
-impl Inner {
-  /// Instances that are known to shed the call.
-  fn shedding(&self, edge: Edge<'_>, nodes: &[NodeId], now: Instant) -> Vec<NodeId> {
-    let sheds = |node: &&NodeId| {
-      let level = self
-        .levels
-        .get(node)
-        .map(|levels| levels.level(edge.route, now));
-      level.is_some_and(|level| !level.admits(edge.priority))
-    };
-    nodes.iter().filter(sheds).copied().collect()
-  }
-
-  /// Claims the probe of this interval, where no instance has reported lately.
-  ///
-  /// One probe serves all instances of the route: their levels follow the same load, and probes
-  /// that are shed further down waste the work above.
-  fn may_probe(&mut self, route: &RouteName, nodes: &[NodeId], now: Instant) -> bool {
-    let silent = |node: &NodeId| {
-      self
-        .levels
-        .get(node)
-        .is_none_or(|levels| levels.silent(route, now))
-    };
-    if !nodes.iter().all(silent) {
-      return false;
-    }
-    let due = |last: &Instant| now.saturating_duration_since(*last) >= Levels::PROBE_INTERVAL;
-    if !self.probes.get(route).is_none_or(due) {
-      return false;
-    }
-    self.probes.insert(route.clone(), now);
-    true
-  }
-}
-
-/// Levels, loads and retry ratios by instance, service and route.
-///
-/// Levels are kept for each instance: one that has just started sheds more than the others, and
-/// a call is shed at the sender only when no instance would admit it.
-#[derive(Default)]
+/// Levels and retry ratios by route, loads by instance.
 pub(crate) struct Edges {
   inner: Mutex<Inner>,
 }
@@ -82,42 +39,39 @@
 }
 
 impl Edges {
-  /// Chooses an instance that is known to admit the call and is not in `avoid`.
+  pub(crate) fn new(now: Instant) -> Self {
+    let levels = Levels::new(now);
+    let inner = Inner {
+      levels,
+      routers: HashMap::new(),
+      ratios: HashMap::new(),
+    };
+    Self {
+      inner: Mutex::new(inner),
+    }
+  }
+
+  /// True when a request that enters here is to be sent.
+  ///
+  /// Calls within a tree are left to the gate: checking the level again at inner hops throws away
+  /// the work above.
+  pub(crate) fn admits(&self, edge: Edge<'_>, now: Instant) -> bool {
+    self.lock().levels.admits(edge.route, edge.priority, now)
+  }
+
+  /// Chooses an instance that is not in `avoid`.
   pub(crate) fn pick(
     &self,
     edge: Edge<'_>,
     candidates: &[Candidate],
     avoid: &[NodeId],
     now: Instant,
-  ) -> Result<NodeId, NotRunReason> {
-    if candidates.is_empty() {
-      return Err(NotRunReason::NoUpstream);
-    }
+  ) -> Option<NodeId> {
     let mut inner = self.lock();
-    let untried = candidates
-      .iter()
-      .map(|candidate| candidate.node)
-      .filter(|node| !avoid.contains(node));
-    let untried = untried.collect::<Vec<NodeId>>();
-    if untried.is_empty() {
-      return Err(NotRunReason::NoUpstream);
-    }
-    let shed = inner.shedding(edge, &untried, now);
-    // A probe goes to any instance, so that a fresh report comes back.
-    let probe = shed.len() == untried.len();
-    if probe && !inner.may_probe(edge.route, &untried, now) {
-      return Err(NotRunReason::Shed);
-    }
-    let mut excluded = avoid.to_vec();
-    if !probe {
-      excluded.extend(shed);
-    }
     let router = inner.routers.entry(edge.service.clone()).or_default();
-    let node = router
-      .pick(candidates, &excluded, &mut rand::rng(), now)
-      .ok_or(NotRunReason::NoUpstream)?;
+    let node = router.pick(candidates, avoid, &mut rand::rng(), now)?;
     router.sent(node, now);
-    Ok(node)
+    Some(node)
   }
 
   /// Records how a call to `node` ended.
@@ -132,8 +86,9 @@
   ) {
     let mut inner = self.lock();
     if let Some(report) = report {
-      let levels = inner.levels.entry(node).or_insert_with(|| Levels::new(now));
-      levels.observe(edge.route, report.level, report.age, now);
+      inner
+        .levels
+        .observe(edge.route, report.level, report.age, now);
     }
     if let Some(router) = inner.routers.get_mut(edge.service) {
       let load = report.map(|report| report.load);
@@ -170,43 +125,21 @@
       .is_some_and(|ratio| ratio.try_retry(now))
   }
 
-  /// Most permissive level among `nodes`.
-  pub(crate) fn level(&self, route: &RouteName, nodes: &[Candidate], now: Instant) -> Level {
-    let inner = self.lock();
-    nodes
-      .iter()
-      .map(|node| {
-        inner
-          .levels
-          .get(&node.node)
-          .map_or(Level::ALL, |l| l.level(route, now))
-      })
-      .max()
-      .unwrap_or(Level::ALL)
+  /// Level in force for a route.
+  pub(crate) fn level(&self, route: &RouteName, now: Instant) -> Level {
+    self.lock().levels.level(route, now)
   }
 
-  /// Forgets instances that are no longer members.
-  pub(crate) fn retain(&self, known: impl Fn(&NodeId) -> bool) {
-    let mut inner = self.lock();
-    let gone = inner
-      .levels
-      .keys()
-      .filter(|node| !known(node))
-      .copied()
-      .collect::<Vec<NodeId>>();
-    for node in gone {
-      inner.levels.remove(&node);
-      for router in inner.routers.values_mut() {
-        router.forget(node);
-      }
+  /// Forgets an instance that is no longer a member.
+  pub(crate) fn forget(&self, node: NodeId) {
+    for router in self.lock().routers.values_mut() {
+      router.forget(node);
     }
   }
 
   /// Drops the ratios, after another preset came into force.
   pub(crate) fn reset_ratios(&self) {
-    let mut inner = self.lock();
-    inner.ratios.clear();
-    inner.probes.clear();
+    self.lock().ratios.clear();
   }
 
   fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -44,7 +44,7 @@
     let priority = Priority::new(route.rank, root);
     let deadline = started + route.deadline;
     let head = head_of(&request, route, root, priority, route.retries, deadline);
-    let result = self.send(&preset, route, head, request).await;
+    let result = self.send(&preset, route, head, request, true).await;
     self.meters.outcome(&route.name, &result);
     result
   }
@@ -77,7 +77,7 @@
       call,
       done: false,
     };
-    let result = self.send(&preset, route, head, request).await;
+    let result = self.send(&preset, route, head, request, false).await;
     pending.finish(&result);
     self.meters.outcome(&route.name, &result);
     result
@@ -89,11 +89,12 @@
     route: &Route,
     head: CallHead,
     request: CallerRequest,
+    root: bool,
   ) -> Result<Answer, CallFailure> {
     let body = Replay::read(request.body)
       .await
       .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?;
-    Dispatch::new(self, head, body)
+    Dispatch::new(self, head, body, root)
       .run(route.spill, preset.retry_ratio)
       .await
   }
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -264,7 +264,7 @@
     views,
     upstream: Upstream::new(upstream_config),
     admission,
-    edges: Edges::default(),
+    edges: Edges::new(clock.now()),
     keyed: Keyed::new(rosters, settings.keys),
     spread: Spread::default(),
     meters: Meters::new(metrics),
--- a/crates/cactusyoke/src/spread.rs
+++ b/crates/cactusyoke/src/spread.rs
@@ -11,11 +11,13 @@
     control::{Ask, Reply},
   },
   cactusyoke_model::{NodeId, Revision},
+  cactusyoke_nodes::MembersView,
   cactusyoke_platform::{ConfigUpdate, OfferResult},
   ractor::{Actor, ActorProcessingErr, ActorRef},
   rand::seq::IteratorRandom,
   std::{
     cmp::Reverse,
+    collections::BTreeSet,
     sync::{Arc, OnceLock},
     time::Duration,
   },
@@ -82,6 +84,7 @@
 pub(crate) struct SpreadState {
   core: Arc<Core>,
   watching: bool,
+  members: BTreeSet<NodeId>,
 }
 
 impl Actor for SpreadActor {
@@ -99,6 +102,7 @@
     Ok(SpreadState {
       core: args,
       watching: false,
+      members: BTreeSet::new(),
     })
   }
 
@@ -122,7 +126,7 @@
     self.core.update_gauges();
     let own = self.core.settings.node;
     let view = self.core.members.view();
-    self.core.edges.retain(|node| view.member(*node).is_some());
+    self.forget_departed(&view);
     let mut live = view
       .live()
       .map(|member| member.record.node)
@@ -146,6 +150,19 @@
     }
   }
 
+  /// Drops what is known of the load of nodes that are no longer members.
+  fn forget_departed(&mut self, view: &MembersView) {
+    let members = view
+      .members()
+      .iter()
+      .map(|member| member.record.node)
+      .collect();
+    for node in self.members.difference(&members) {
+      self.core.edges.forget(*node);
+    }
+    self.members = members;
+  }
+
   fn notify(&self, revision: Revision) {
     self.core.members.set_revision(revision);
     let own = self.core.settings.node;
--- a/crates/decisions/src/load/levels.rs
+++ b/crates/decisions/src/load/levels.rs
@@ -14,6 +14,8 @@
 const HOLD: Duration = Duration::from_millis(500);
 /// Silence after which everything is admitted.
 const EXPIRY: Duration = Duration::from_secs(1);
+/// While no report arrives, one shed call is let through in each such interval.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// First value above every class rank.
 const TOP: f64 = 0x2000 as f64;
 /// Bound on routes, above the number of routes of any preset in use.
@@ -40,9 +42,6 @@
 }
 
 impl Levels {
-  /// While no report arrives, one shed call is let through in each such interval.
-  pub const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-
   /// Admits everything until the first report.
   pub fn new(now: Instant) -> Self {
     Self {
@@ -103,22 +102,14 @@
     reported.level(now).admits(priority) || self.probes(reported, now)
   }
 
-  /// True when no report has arrived for a probe interval, so that a shed call may be sent to
-  /// fetch one.
-  pub fn silent(&self, route: &RouteName, now: Instant) -> bool {
-    self.routes.get(route).is_none_or(|reported| {
-      now.saturating_duration_since(reported.measured) >= Self::PROBE_INTERVAL
-    })
-  }
-
   /// Claims the probe of this interval when no report arrives otherwise.
   fn probes(&self, reported: &Reported, now: Instant) -> bool {
-    if now.saturating_duration_since(reported.measured) < Self::PROBE_INTERVAL {
+    if now.saturating_duration_since(reported.measured) < PROBE_INTERVAL {
       return false;
     }
     let micros = now.saturating_duration_since(self.start).as_micros() as u64;
     let last = reported.probed.load(Ordering::Relaxed);
-    micros.saturating_sub(last) >= Self::PROBE_INTERVAL.as_micros() as u64
+    micros.saturating_sub(last) >= PROBE_INTERVAL.as_micros() as u64
       && reported
         .probed
         .compare_exchange(last, micros, Ordering::Relaxed, Ordering::Relaxed)
--- a/crates/operators/src/node_error.rs
+++ b/crates/operators/src/node_error.rs
@@ -123,9 +123,7 @@
       Self::Unauthorized => {
         f.write_str("the node does not accept the token: check `--token` or `CACTUSYOKE_TOKEN`")
       }
-      Self::ChangesOff => {
-        f.write_str("the node accepts no changes: set `token` in its settings")
-      }
+      Self::ChangesOff => f.write_str("the node accepts no changes: set `token` in its settings"),
       Self::Unconfirmed { id, based_on } => write!(
         f,
         "the platform did not confirm change `{id}`, which may be in force: repeat the command with `--id {id} --revision {based_on}`, which never applies it twice"
