--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -15,6 +15,7 @@
 mod limit;
 mod offer;
 mod peer;
+mod place;
 mod quarantine;
 mod queue;
 mod rate;
@@ -40,6 +41,7 @@
   ledger::Ledger,
   limit::Limit,
   peer::Peer,
+  place::Place,
   queue::{Entry, Queue},
   rate::Rate,
   std::{
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -1,7 +1,7 @@
 use {
   super::{
-    Completion, Entry, GateAction, GateConfig, Limit, Offer, Queue, QueueOrder, Table, Threshold,
-    threshold::Pressure,
+    Completion, Entry, GateAction, GateConfig, Limit, Offer, Place, Queue, QueueOrder, Table,
+    Threshold, threshold::Pressure,
   },
   cactusyoke_model::{Level, NotRunReason, Priority, Slots},
   std::time::{Duration, Instant},
@@ -19,12 +19,6 @@
 /// Time without any event after which earlier load says nothing.
 const STALE: Duration = Duration::from_secs(1);
 
-#[derive(Clone, Copy, Debug)]
-enum Place {
-  Queued { class: usize },
-  Running { since: Instant },
-}
-
 /// Admission next to one upstream: a concurrency limit, a priority queue and an admission level.
 #[derive(Debug)]
 pub struct Gate {
--- a/crates/decisions/tests/policy.rs
+++ b/crates/decisions/tests/policy.rs
@@ -4,6 +4,7 @@
 //! `--nocapture` prints the figures of all policies.
 
 mod policy {
+  pub mod request;
   pub mod scenario;
   pub mod server;
   pub mod simulation;
--- /dev/null
+++ b/crates/decisions/tests/policy/request.rs
@@ -0,0 +1,20 @@
+use {cactusyoke_model::Priority, std::time::Instant};
+
+/// Attempt of a caller on its way through the chain.
+pub struct Request {
+  pub class: usize,
+  pub priority: Priority,
+  /// First attempt of the caller.
+  pub arrived: Instant,
+  pub sent: Instant,
+  pub answered: Option<Instant>,
+  pub attempt: u32,
+  pub entry: usize,
+  pub servers: [usize; 3],
+  pub sent_to: [Instant; 3],
+  pub work: f64,
+  /// When the work at the current hop is done.
+  pub done: Instant,
+  /// The caller has a response or has given up.
+  pub ended: bool,
+}
--- a/crates/decisions/tests/policy/simulation.rs
+++ b/crates/decisions/tests/policy/simulation.rs
@@ -1,13 +1,17 @@
 //! Event queue of one chain of services under one policy. Time is simulated.
 
+mod callers;
+mod work;
+
 use {
   super::{
-    scenario::{AFTER, DEADLINE, Deployment, NORMAL_LOAD, Scenario, TROUBLE, WARM_UP},
+    request::Request,
+    scenario::{AFTER, DEADLINE, Deployment, Scenario, TROUBLE, WARM_UP},
     server::{Policy, Server},
     summary::{Finished, Summary},
   },
   cactusyoke_decisions::load::{CallEnd, Candidate, Completed, Completion, GateAction, Offer},
-  cactusyoke_model::{ClassRank, Level, NodeId, Priority, RequestId, RouteName, Slots},
+  cactusyoke_model::{Level, NodeId, RouteName, Slots},
   rand::{Rng, SeedableRng, rngs::SmallRng},
   std::{
     cmp::Reverse,
@@ -37,24 +41,6 @@
   Poll(usize),
 }
 
-struct Request {
-  class: usize,
-  priority: Priority,
-  /// First attempt of the caller.
-  arrived: Instant,
-  sent: Instant,
-  answered: Option<Instant>,
-  attempt: u32,
-  entry: usize,
-  servers: [usize; 3],
-  sent_to: [Instant; 3],
-  work: f64,
-  /// When the work at the current hop is done.
-  done: Instant,
-  /// The caller has a response or has given up.
-  ended: bool,
-}
-
 pub struct Simulation {
   deployment: Deployment,
   scenario: Scenario,
@@ -160,53 +146,6 @@
     }
   }
 
-  /// Poisson arrivals.
-  fn arrival(&mut self) {
-    let load = if self.in_trouble() {
-      self.scenario.surge
-    } else {
-      NORMAL_LOAD
-    };
-    let gap = -self.rng.random::<f64>().max(1e-12).ln() / (load * self.deployment.capacity());
-    let next = self.now + Duration::from_secs_f64(gap);
-    if next < self.start + WARM_UP + TROUBLE + AFTER {
-      self.schedule(next, Event::Arrival);
-    }
-    let mut draw = self.rng.random::<f64>();
-    let class = self
-      .deployment
-      .classes
-      .iter()
-      .position(|(_, share)| {
-        draw -= share;
-        draw < 0.0
-      })
-      .unwrap_or(3);
-    self.send(class, self.now, 1, self.now);
-  }
-
-  fn send(&mut self, class: usize, arrived: Instant, attempt: u32, now: Instant) {
-    let root = RequestId::random(&mut self.rng);
-    let entry = self.rng.random_range(0..self.servers.len());
-    self.requests.push(Request {
-      class,
-      priority: Priority::new(ClassRank(class as u8), root),
-      arrived,
-      sent: now,
-      answered: None,
-      attempt,
-      entry,
-      servers: [0; 3],
-      sent_to: [now; 3],
-      work: 0.0,
-      done: now,
-      ended: false,
-    });
-    let request = self.requests.len() - 1;
-    self.schedule(now + CALLER_NETWORK, Event::Attempt(request));
-    self.schedule(now + DEADLINE, Event::GaveUp(request));
-  }
-
   /// Arrives at the entry node.
   fn attempt(&mut self, request: usize) {
     let Request {
@@ -271,40 +210,6 @@
     self.poll(server);
   }
 
-  fn begin(&mut self, request: usize, hop: usize) {
-    let slow = hop == 2 && self.in_trouble();
-    let speed = if slow { self.scenario.speed } else { 1.0 };
-    let work = self.deployment.chain[hop].work / 1000.0 / speed * self.rng.random_range(0.5..1.5);
-    self.requests[request].work += work;
-    let done = self.now + Duration::from_secs_f64(work);
-    self.requests[request].done = done;
-    if hop == 2 {
-      self.deepest.insert(request);
-    }
-    self.schedule(done, Event::Worked(request, hop));
-  }
-
-  /// The last service becomes slow, or normal again, also for the calls that it works on.
-  fn change_speed(&mut self, slow: bool) {
-    let factor = if slow {
-      1.0 / self.scenario.speed
-    } else {
-      self.scenario.speed
-    };
-    if (factor - 1.0).abs() < f64::EPSILON {
-      // The same end again would complete each call twice.
-      return;
-    }
-    for request in self.deepest.clone() {
-      let left = self.requests[request].done - self.now;
-      let left_then = left.mul_f64(factor);
-      let done = self.now + left_then;
-      self.requests[request].work += left_then.as_secs_f64() - left.as_secs_f64();
-      self.requests[request].done = done;
-      self.schedule(done, Event::Worked(request, 2));
-    }
-  }
-
   fn worked(&mut self, request: usize, hop: usize) {
     if hop < 2 {
       self.forward(request, hop + 1);
@@ -360,32 +265,6 @@
     self.complete(request, hop - 1, whole, level);
   }
 
-  fn answer(&mut self, request: usize, whole: bool) {
-    let arrives = self.now + CALLER_NETWORK;
-    if !whole {
-      self.fail(request, arrives);
-      return;
-    }
-    let request = &mut self.requests[request];
-    if !request.ended && arrives <= request.sent + DEADLINE {
-      request.ended = true;
-      request.answered = Some(arrives);
-    }
-  }
-
-  /// The caller learns at `at` that its attempt failed.
-  fn fail(&mut self, request: usize, at: Instant) {
-    let request = &mut self.requests[request];
-    if request.ended || at > request.sent + DEADLINE {
-      return;
-    }
-    request.ended = true;
-    if request.attempt < self.scenario.attempts {
-      let (class, arrived, attempt) = (request.class, request.arrived, request.attempt);
-      self.send(class, arrived, attempt + 1, at);
-    }
-  }
-
   fn poll(&mut self, server: usize) {
     for action in self.servers[server].poll(self.now) {
       match action {
