Fit processor time and memory of processes only

Nodes that run as tasks share one runtime and allocator, which made the slope over 10 to 300 nodes negative: -0.001% of a core and -107 KiB a node.

--- a/crates/demo/src/measure/control_table.rs
+++ b/crates/demo/src/measure/control_table.rs
@@ -1,6 +1,10 @@
 //! Table of the cost of control, and slopes by number of nodes.
 
-use {super::Control, cactusyoke_standins::platform::Calls, std::time::Duration};
+use {
+  super::{Control, NodeKind},
+  cactusyoke_standins::platform::Calls,
+  std::time::Duration,
+};
 
 /// Prints one size at once, so that a long run shows where it is.
 pub(crate) fn print_row(row: &Control) {
@@ -49,7 +53,17 @@
   ];
   println!();
   println!("{:<16} {:>12} {:>14}", "least squares", "at 0", "per node");
+  // Processor time and memory of nodes in this process are not comparable with those of processes.
+  let processes = rows
+    .iter()
+    .filter(|row| row.kind == NodeKind::Process)
+    .cloned()
+    .collect::<Vec<_>>();
   for (name, value) in values {
+    let rows = match name {
+      "core %" | "memory KiB" => &processes,
+      _ => rows,
+    };
     if let Some((base, slope)) = fit(rows, |row| row.nodes as f64, value) {
       println!("{name:<16} {base:>12.3} {slope:>14.5}");
     }
@@ -60,7 +74,7 @@
     ("core %", |row| row.linked_core),
   ];
   for (name, value) in values {
-    if let Some((base, slope)) = fit(rows, |row| row.links, value) {
+    if let Some((base, slope)) = fit(&processes, |row| row.links, value) {
       println!("{name:<16} {base:>12.3} {slope:>14.5}");
     }
   }
