Test that callers get their own answers, and bound the runs under combined faults

300 callers send a body of their own while an upstream crashes; each answer has the body of its caller. Under combined faults no attempt runs more than four times at a service: once and three retries.

--- a/crates/cactusyoke/tests/combined.rs
+++ b/crates/cactusyoke/tests/combined.rs
@@ -139,6 +139,13 @@
     Vec::<&str>::new(),
     "seed {seed}"
   );
+  for attempt in &report.attempts {
+    // The first run and three retries, at either service.
+    for tag in [attempt.tag.clone(), format!("{}>/back/x", attempt.tag)] {
+      let started = cluster.runs.of(&tag).started;
+      assert!(started <= 4, "`{tag}` ran {started} times, seed {seed}");
+    }
+  }
   for class in ["order", "keyed"] {
     let twice = report.run_twice(class, &cluster.runs);
     assert!(twice.is_empty(), "{class}, seed {seed}: {twice:?}");
--- a/crates/cactusyoke/tests/outcomes.rs
+++ b/crates/cactusyoke/tests/outcomes.rs
@@ -158,6 +158,34 @@
   assert_eq!(whole, 12 - lost);
 }
 
+// Guards against an answer that reaches another caller while connections are lost and replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_get_their_own_answers_while_an_upstream_crashes() {
+  let cluster = cluster(Duration::from_millis(20)).await;
+  let sends = (0..300).map(|number: u64| {
+    let cluster = &cluster;
+    async move {
+      tokio::time::sleep(Duration::from_millis(2 * number)).await;
+      let request = Request::post("/echo").body(full_body(format!("body of {number}")));
+      let request = request.expect("the request is correct");
+      let received = cluster.send(number as usize % 3, request).await;
+      let told = outcome(&received);
+      if told == "answered" {
+        let received = received.expect("it is answered");
+        assert_eq!(received.text(), format!("body of {number}"));
+      }
+      told
+    }
+  });
+  let crash = async {
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.upstreams[1].crash().await;
+  };
+  let (told, ()) = tokio::join!(join_all(sends), crash);
+  let answered = told.iter().filter(|told| *told == "answered").count();
+  assert!((200..300).contains(&answered), "{told:?}");
+}
+
 // Guards against a silent connection that fails more than one request, and against orders that run
 // twice because one was sent again on another connection.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/cactusyoke/tests/overload.rs
+++ b/crates/cactusyoke/tests/overload.rs
@@ -131,6 +131,7 @@
   let repeated = assert_allowance(&cluster, &report);
   eprintln!("answered {during:.3?}, afterwards {after:.3?}; {repeated} second runs");
   assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
+  assert!(report.classes.values().all(|class| class.corrupt == 0));
   let [order, lookup, browse] = during;
   assert!(order >= 0.95, "{during:?}");
   assert!(order >= lookup && lookup > browse, "{during:?}");
@@ -176,6 +177,7 @@
   );
   assert!(repeated > 0, "nothing was sent again");
   assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
+  assert!(report.classes.values().all(|class| class.corrupt == 0));
 }
 
 // Guards against a retry at each depth for each node that is lost: without a common allowance, one
