--- a/crates/cactusyoke/tests/configuration.rs
+++ b/crates/cactusyoke/tests/configuration.rs
@@ -223,6 +223,26 @@
   }
 }
 
+// Guards against a data centre that starts without a configuration because its own nodes have none
+// and the platform is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_that_restarts_in_an_outage_takes_the_configuration_from_another() {
+  let mut cluster = cluster().await;
+  let accepted = put(&cluster, 0, "before the outage", Revision(2)).await;
+  assert_in_force(&cluster, 0..6, accepted.revision, Instant::now()).await;
+  cluster.platform.faults().set_outage(Outage::Refuse);
+  for node in [1, 3, 5] {
+    cluster.nodes[node].kill();
+  }
+  for node in [1, 3, 5] {
+    cluster.nodes[node].restart();
+  }
+  cluster.wait_serving().await;
+  for node in [1, 3, 5] {
+    assert_eq!(revision(&cluster, node).await, accepted.revision);
+  }
+}
+
 // Guards against a configuration that reverts because a lagging replica answers.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_older_revision_of_the_platform_is_not_followed() {
