Tell the caller that the outcome is unknown when any attempt may have run

Cause: a node sent an idempotent call again after an attempt whose outcome was unknown, and reported the refusal of the last attempt as that of the request. Ruled out: the stand-ins' counts, as a test with one request shows the same.

The new test sends a request that crashes its upstream with retries allowed. After: `unknown`, three runs of the test passed. The reason is that of the first attempt that may have run; the rest of the allowance is not returned, as with other unknown outcomes.

--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -55,6 +55,8 @@
   left: Retries,
   tried: Vec<NodeId>,
   reroutes: usize,
+  /// Why an earlier attempt may have run; a later refusal does not change that.
+  doubt: Option<UnknownReason>,
 }
 
 impl<'a> Dispatch<'a> {
@@ -67,6 +69,7 @@
       left,
       tried: Vec::new(),
       reroutes: 0,
+      doubt: None,
     }
   }
 
@@ -92,8 +95,14 @@
         }
         Err(failure) => failure,
       };
+      if let CallFailure::Unknown { reason } = failure {
+        self.doubt.get_or_insert(reason);
+      }
       if !self.may_send_again(&failure) {
-        return Err(self.with_unused(failure));
+        return Err(match self.doubt {
+          Some(reason) => CallFailure::unknown(reason),
+          None => self.with_unused(failure),
+        });
       }
     }
   }
