Wait for the rosters of all data centres in the tests of keys

Seen in a run of the whole package: `a_key_runs_in_its_home_data_centre_only` got `not-run no-witnesses` for its first key. The wait sent one key through each node, and none of them needed to have its home in the second data centre, whose roster was not made yet. Now the stored roster names all running nodes of the data centre and 20 of its keys run in turn.

--- a/crates/cactusyoke/tests/common/cluster.rs
+++ b/crates/cactusyoke/tests/common/cluster.rs
@@ -29,6 +29,11 @@
     self.addresses.listener(node as u8 + 1, 7102)
   }
 
+  /// Data centre of a node, by its index.
+  pub fn centre(&self, node: usize) -> &str {
+    self.centres[node]
+  }
+
   /// Client of a node for operators, by its index.
   pub fn operator(&self, node: usize) -> Operator {
     let token = Some(TOKEN.parse().expect("the token is long enough"));
--- a/crates/cactusyoke/tests/keys.rs
+++ b/crates/cactusyoke/tests/keys.rs
@@ -27,10 +27,26 @@
     .capacity(20, time)
     .start()
     .await;
-  cluster.wait_keyed("/orders").await;
+  wait_settled(&cluster, "one").await;
   cluster
 }
 
+/// Waits until 20 keys of a data centre run in turn: its roster has been made and taken over.
+async fn wait_settled(cluster: &Cluster, centre: &str) {
+  let nodes = (0..cluster.nodes.len()).filter(|node| cluster.centre(*node) == centre);
+  wait_roster(cluster, centre, &nodes.collect::<Vec<_>>()).await;
+  eventually("20 keys run in turn", || async {
+    for number in 0..20 {
+      let key = format!("{centre}/{}", rand::random::<u64>());
+      if send(cluster, number % cluster.nodes.len(), &key).await != "answered" {
+        return false;
+      }
+    }
+    true
+  })
+  .await;
+}
+
 /// Sends one key, with the key as the tag of its runs, and returns the outcome.
 async fn send(cluster: &Cluster, node: usize, key: &str) -> String {
   outcome(&cluster.send_keyed(node, "/orders", key, key).await)
@@ -50,13 +66,14 @@
 }
 
 /// Waits until the stored roster names the running process of each of these nodes.
-async fn wait_roster(cluster: &Cluster, nodes: &[usize]) {
+async fn wait_roster(cluster: &Cluster, centre: &str, nodes: &[usize]) {
+  let stored = format!("roster/{centre}/0");
   eventually("the roster names the running processes", || async {
     for node in nodes {
       let Ok(status) = cluster.operator(*node).status().await else {
         return false;
       };
-      let stored = cluster.platform.value("roster/one/0").unwrap_or_default();
+      let stored = cluster.platform.value(&stored).unwrap_or_default();
       let roster: serde_json::Value = serde_json::from_slice(&stored).unwrap_or_default();
       if !roster["members"]
         .to_string()
@@ -144,7 +161,7 @@
   for node in 0..4 {
     cluster.nodes[node].restart();
     cluster.wait_serving().await;
-    wait_roster(&cluster, &[0, 1, 2, 3]).await;
+    wait_roster(&cluster, "one", &[0, 1, 2, 3]).await;
     let other = (node + 1) % 4;
     let outcomes = join_all(keys.iter().map(|key| send(&cluster, other, key))).await;
     for (key, outcome) in keys.iter().zip(outcomes) {
@@ -199,7 +216,7 @@
   cluster.platform.faults().lose_answers(2);
   cluster.nodes[0].restart();
   cluster.wait_serving().await;
-  wait_roster(&cluster, &[0, 1, 2, 3]).await;
+  wait_roster(&cluster, "one", &[0, 1, 2, 3]).await;
   for key in &keys {
     let outcome = send(&cluster, 2, key).await;
     assert_eq!(cluster.runs.of(key).started, 1, "{key}: {outcome}");
@@ -217,7 +234,8 @@
     .service("orders", 6, &[])
     .start()
     .await;
-  cluster.wait_keyed("/orders").await;
+  wait_settled(&cluster, "one").await;
+  wait_settled(&cluster, "two").await;
   cluster
 }
 
