--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -98,7 +98,9 @@
         let number = servers.len() as u8 + 1;
         let listeners = Listeners::new(addresses, number);
         let contact = Listeners::new(addresses, 1_u8).node;
-        let settings = listeners.settings(contact, platform.address(), 1).parse()?;
+        let settings = listeners
+          .settings(&[contact], platform.address(), 1)
+          .parse()?;
         servers.push(Server::start(settings, Arc::new(SystemClock)).await?);
         targets.push(listeners.callers);
         let config = Config {
--- a/crates/demo/src/measure/control_fleet.rs
+++ b/crates/demo/src/measure/control_fleet.rs
@@ -21,6 +21,9 @@
 /// Members of a group of witnesses at full scale.
 const GROUP: usize = 12;
 
+/// Contacts in the settings of each node.
+const CONTACTS: usize = 3;
+
 #[derive(Debug)]
 enum Node {
   Process(NodeProcess),
@@ -58,17 +61,20 @@
       .collect::<Vec<_>>();
     let groups = (usize::from(size) / GROUP).max(1);
     let (mut nodes, mut upstreams) = (Vec::new(), Vec::new());
+    let contacts = listeners.iter().take(CONTACTS).map(|first| first.node);
+    let contacts = contacts.collect::<Vec<_>>();
     for (index, own) in listeners.iter().enumerate() {
-      let contact = listeners[usize::from(index == 0)].node;
       nodes.push(match kind {
         NodeKind::Process => Node::Process(NodeProcess::start(
           *own,
-          contact,
+          &contacts,
           platform.address(),
           groups,
         )?),
         NodeKind::Task => {
-          let settings = own.settings(contact, platform.address(), groups).parse()?;
+          let settings = own
+            .settings(&contacts, platform.address(), groups)
+            .parse()?;
           Node::Task(Server::start(settings, Arc::new(SystemClock)).await?)
         }
       });
--- a/crates/demo/src/measure/latency.rs
+++ b/crates/demo/src/measure/latency.rs
@@ -64,8 +64,8 @@
       Listeners::new(addresses, 1_u8),
       Listeners::new(addresses, 2_u8),
     );
-    let beside = NodeProcess::start(first, first.node, platform.address(), 1)?;
-    let entry = NodeProcess::start(second, first.node, platform.address(), 1)?;
+    let beside = NodeProcess::start(first, &[first.node], platform.address(), 1)?;
+    let entry = NodeProcess::start(second, &[first.node], platform.address(), 1)?;
     let config = Config {
       slots: Slots(512),
       connections: Connections(1024),
--- a/crates/demo/src/measure/listeners.rs
+++ b/crates/demo/src/measure/listeners.rs
@@ -29,7 +29,7 @@
   /// Settings of the node, YAML.
   pub(crate) fn settings(
     &self,
-    contact: SocketAddr,
+    contacts: &[SocketAddr],
     platform: SocketAddr,
     key_groups: usize,
   ) -> String {
@@ -42,7 +42,7 @@
     } = self;
     format!(
       "node: {node}\ndata_centre: concord\n\
-       data_centres: {{concord: {{contacts: ['{contact}']}}}}\n\
+       data_centres: {{concord: {{contacts: {contacts:?}}}}}\n\
        callers: {callers}\negress: {egress}\nannounce: {announce}\noperators: {operators}\n\
        platform: {platform}\nkey_groups: {key_groups}\n"
     )
--- a/crates/demo/src/measure/node_process.rs
+++ b/crates/demo/src/measure/node_process.rs
@@ -29,12 +29,12 @@
   /// Starts the binary that was built beside this one.
   pub(crate) fn start(
     listeners: Listeners,
-    contact: SocketAddr,
+    contacts: &[SocketAddr],
     platform: SocketAddr,
     key_groups: usize,
   ) -> io::Result<Self> {
     let path = env::temp_dir().join(format!("cactusyoke-measure-{}.yaml", listeners.node.ip()));
-    fs::write(&path, listeners.settings(contact, platform, key_groups))?;
+    fs::write(&path, listeners.settings(contacts, platform, key_groups))?;
     let child = Command::new(binary()?)
       .args(["node", "--settings"])
       .arg(&path)
