--- /dev/null
+++ b/crates/cactusyoke/src/build.rs
@@ -0,0 +1,203 @@
+//! Builds the state of a node and starts its control loops.
+
+use {
+  crate::{
+    Core, Settings, StartError,
+    admission::Admission,
+    core::InFlight,
+    crashes::Crashes,
+    edges::Edges,
+    keyed::Keyed,
+    listeners::{Listeners, bind},
+    meters::Meters,
+    roster_keeper::RosterKeeper,
+    rosters::Rosters,
+    spread::{Spread, SpreadActor},
+    upstream_follower,
+  },
+  cactusyoke_decisions::{keys::Member, load::Ledgers, membership::MembersConfig},
+  cactusyoke_model::{Clock, Incarnation, NodeId},
+  cactusyoke_nodes::{Links, LinksConfig, Membership, MembershipConfig, MembershipHandle},
+  cactusyoke_operators::Metrics,
+  cactusyoke_platform::{Configuration, RetryLimits, Store, Watcher},
+  cactusyoke_upstreams::{Upstream, UpstreamConfig, Views, announce},
+  ractor::{Actor, ActorCell},
+  std::{
+    collections::BTreeSet,
+    fmt::Display,
+    net::SocketAddr,
+    sync::{
+      Arc, Mutex,
+      atomic::{AtomicBool, AtomicU64},
+    },
+    time::SystemTime,
+  },
+  tokio_util::sync::CancellationToken,
+};
+
+/// What a node is built from.
+pub(crate) struct Parts {
+  pub(crate) settings: Settings,
+  pub(crate) clock: Arc<dyn Clock>,
+  pub(crate) store: Arc<dyn Store>,
+  pub(crate) metrics: Arc<Metrics>,
+}
+
+/// Builds the state of a node; nothing is served yet.
+pub(crate) async fn build(
+  parts: Parts,
+  listeners: &Listeners,
+  stop: &CancellationToken,
+) -> Result<Arc<Core>, StartError> {
+  let Parts {
+    settings,
+    clock,
+    store,
+    metrics,
+  } = parts;
+  let incarnation = incarnation(clock.wall());
+  let (watcher, _task) = Watcher::start(Arc::clone(&store), Arc::clone(&clock))
+    .await
+    .map_err(|error| actor_error("watcher", &error))?;
+  let members = start_membership(&settings, incarnation, &clock, listeners).await?;
+  let links_config = LinksConfig::new(settings.node, incarnation, settings.centre.clone());
+  let links = Links::new(links_config);
+  let views = start_announcements(&clock, settings.announce, stop.clone()).await?;
+  let crashes = Arc::new(Crashes::new(Arc::clone(&clock)));
+  let reports = Arc::clone(&crashes);
+  let upstream_config = UpstreamConfig {
+    crashed: Arc::new(move |crash| reports.report(&crash)),
+    clock: Arc::clone(&clock),
+    ..UpstreamConfig::new(views.clone())
+  };
+  let admission = Admission::new(upstream_follower::idle_gate(&settings), Arc::clone(&clock));
+  let member = Member {
+    node: settings.node,
+    incarnation,
+  };
+  let rosters = Rosters::new(
+    member,
+    settings.centre.clone(),
+    settings.key_groups,
+    settings.keys,
+    Arc::clone(&store),
+  );
+  Ok(Arc::new(Core {
+    incarnation,
+    started: clock.now(),
+    centre_names: settings.centre_names(),
+    config: Arc::clone(watcher.config()),
+    configuration: Configuration::new(store, Arc::clone(&clock), RetryLimits::default()),
+    watcher,
+    members,
+    links,
+    views,
+    upstream: Upstream::new(upstream_config),
+    admission,
+    edges: Edges::new(clock.now()),
+    keyed: Keyed::new(rosters, settings.keys),
+    spread: Spread::default(),
+    meters: Meters::new(metrics),
+    draining: AtomicBool::new(false),
+    next_span: AtomicU64::new(rand::random()),
+    in_flight: InFlight::default(),
+    ledgers: Mutex::new(Ledgers::new()),
+    crashes,
+    clock,
+    settings,
+  }))
+}
+
+fn incarnation(wall: SystemTime) -> Incarnation {
+  let since = wall
+    .duration_since(SystemTime::UNIX_EPOCH)
+    .unwrap_or_default();
+  Incarnation(since.as_millis() as u64)
+}
+
+fn actor_error(name: &'static str, cause: &impl Display) -> StartError {
+  StartError::Actor {
+    name,
+    cause: cause.to_string(),
+  }
+}
+
+async fn start_membership(
+  settings: &Settings,
+  incarnation: Incarnation,
+  clock: &Arc<dyn Clock>,
+  listeners: &Listeners,
+) -> Result<MembershipHandle, StartError> {
+  let contacts = settings
+    .centres
+    .values()
+    .flat_map(|centre| centre.contacts.iter().copied())
+    .filter(|contact| *contact != settings.node)
+    .collect::<BTreeSet<NodeId>>();
+  let config = MembershipConfig {
+    node: settings.node,
+    bind: listeners.node.local_addr().unwrap_or(settings.node.0),
+    incarnation,
+    data_centre: settings.centre.clone(),
+    contacts: contacts.into_iter().collect(),
+    clock: Arc::clone(clock),
+    seed: rand::random(),
+    bytes_per_second: MembersConfig::BYTES_PER_SECOND,
+  };
+  Membership::start(config)
+    .await
+    .map_err(|error| actor_error("membership", &error))
+}
+
+async fn start_announcements(
+  clock: &Arc<dyn Clock>,
+  address: SocketAddr,
+  stop: CancellationToken,
+) -> Result<Views, StartError> {
+  let listener = bind("announce", address).await?;
+  let config = announce::AnnounceConfig {
+    clock: Arc::clone(clock),
+    ..Default::default()
+  };
+  announce::start(listener, config, stop)
+    .await
+    .map_err(|error| actor_error("announce", &error))
+}
+
+/// Starts the control loops.
+pub(crate) async fn start_loops(core: &Arc<Core>) -> Result<Vec<ActorCell>, StartError> {
+  let (spread, _task) = Actor::spawn(None, SpreadActor, Arc::clone(core))
+    .await
+    .map_err(|error| actor_error("spread", &error))?;
+  core.spread.set(spread.clone());
+  let (keeper, _task) = Actor::spawn(None, RosterKeeper, Arc::clone(core))
+    .await
+    .map_err(|error| actor_error("rosters", &error))?;
+  upstream_follower::start(core);
+  follow_revisions(core);
+  Ok(vec![spread.get_cell(), keeper.get_cell()])
+}
+
+/// Stops the control loops.
+pub(crate) fn stop_loops(loops: &[ActorCell]) {
+  for actor in loops {
+    actor.stop(None);
+  }
+}
+
+/// Passes adopted and reported revisions on to the spreading actor.
+fn follow_revisions(core: &Arc<Core>) {
+  let (follower, mut adopted) = (Arc::clone(core), core.watcher.adopted());
+  tokio::spawn(async move {
+    while adopted.changed().await.is_ok() {
+      let revision = *adopted.borrow_and_update();
+      follower.adopted(revision);
+    }
+  });
+  let (follower, mut newer) = (Arc::clone(core), core.members.newer_revisions());
+  tokio::spawn(async move {
+    while let Some((node, revision)) = newer.recv().await {
+      follower.spread.newer(node, revision);
+    }
+  });
+}
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod asks;
+mod build;
 mod command;
 mod control;
 mod core;
@@ -17,7 +18,9 @@
 mod gateway;
 mod instance;
 mod kept_answer;
+mod key_attempt;
 mod keyed;
+mod listeners;
 mod log;
 mod meters;
 mod operator_node;
