Count sent calls, queue waits and levels on the request path

The counters existed and nothing bumped them. The demonstration counts goodput by whole answers that end during the surge, since late answers of the baseline's backlog counted as goodput before.

--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -167,6 +167,9 @@
       return Err(CallFailure::not_run(NotRunReason::Connection));
     };
     let mut head = self.head.clone();
+    if let Some(calls) = self.core.meters.route(&self.head.route) {
+      calls.sent();
+    }
     let share = self.share();
     head.retries = share;
     let deadline = head.deadline;
@@ -223,6 +226,9 @@
   }
 
   fn answered(&self, node: NodeId, started: Instant, answer: Answer) -> Answer {
+    if let Some(calls) = self.core.meters.route(&self.head.route) {
+      calls.set_level(answer.report.level);
+    }
     let core = Arc::clone(self.core);
     let (service, route) = (self.head.service.clone(), self.head.route.clone());
     let (priority, report) = (self.head.priority, answer.report);
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -56,7 +56,11 @@
       return Err(CallFailure::not_run(NotRunReason::Draining));
     }
     let trial = self.crashes.admit(fingerprint, head.deadline).await?;
+    let queued = self.clock.now();
     let slot = self.admission.admit(head.priority, head.deadline).await?;
+    if let Some(calls) = self.meters.route(&head.route) {
+      calls.waited(self.clock.now().saturating_duration_since(queued));
+    }
     Ok(Admitted { slot, trial })
   }
 
--- a/crates/demo/src/outcome.rs
+++ b/crates/demo/src/outcome.rs
@@ -26,7 +26,7 @@
   pub failed: u64,
   /// Unknown, broken or given up.
   pub unknown: u64,
-  /// Requests answered whole in the surge, a second.
+  /// Requests whose whole answer ended during the surge, a second.
   pub goodput: f64,
   /// Time from the end of the surge until 99% are answered whole in each later window; `None` when
   /// that was not reached.
--- a/crates/demo/src/report.rs
+++ b/crates/demo/src/report.rs
@@ -13,7 +13,7 @@
     }
   }
   println!();
-  println!("goodput: requests answered whole, a second, of those sent during the surge");
+  println!("goodput: whole answers a second during the surge");
   println!("failed: answered with an error, such as when a call further down was shed");
   println!("recovery: time after the surge until 99% of requests are answered whole");
   println!(
