--- a/crates/demo/src/outcome.rs
+++ b/crates/demo/src/outcome.rs
@@ -84,8 +84,10 @@
   };
   let answered = count(&whole);
   let not_run = count(&|sample| sample.outcome == AttemptOutcome::NotRun);
-  let in_surge =
-    count(&|sample| whole(sample) && sample.scheduled >= surge.0 && sample.scheduled < surge.1);
+  let in_surge = count(&|sample| {
+    let ended = sample.scheduled + sample.latency;
+    whole(sample) && ended >= surge.0 && ended < surge.1
+  });
   let failed = count(&|sample| sample.outcome == AttemptOutcome::Answered { success: false });
   let sent = samples.len() as u64;
   ClassOutcome {
