Use the platform package's roster access in the node

The node built the key and read and wrote the roster itself beside platform::Rosters, which does the same and resolves a lost answer by a read. A write that stays in doubt still counts as lost.

--- a/crates/cactusyoke/src/roster_keeper.rs
+++ b/crates/cactusyoke/src/roster_keeper.rs
@@ -319,11 +319,7 @@
       None | Some(_) => return Some(StoreReply::Conflict(stored.map(|(roster, _)| roster))),
     };
     let value = serde_json::to_vec(roster).ok()?;
-    match rosters
-      .store
-      .put(&rosters.store_key(group), value.into(), expect)
-      .await
-    {
+    match rosters.stored.replace(group, value.into(), expect).await {
       Ok(_version) => Some(StoreReply::Written),
       Err(StoreError::TimedOut) => Some(StoreReply::Lost),
       Err(StoreError::Conflict { .. }) => {
--- a/crates/cactusyoke/src/rosters.rs
+++ b/crates/cactusyoke/src/rosters.rs
@@ -27,9 +27,9 @@
 /// Rosters and the witness of this node.
 pub(crate) struct Rosters {
   member: Member,
-  centre: DataCentre,
   groups: u32,
-  pub(crate) store: Arc<dyn Store>,
+  /// Rosters that the platform keeps.
+  pub(crate) stored: cactusyoke_platform::Rosters,
   known: ArcSwap<BTreeMap<u32, Roster>>,
   witness: Mutex<Witness>,
 }
@@ -53,9 +53,8 @@
     let witness = Mutex::new(Witness::new(member, limit));
     Self {
       member,
-      centre,
       groups,
-      store,
+      stored: cactusyoke_platform::Rosters::new(store, centre),
       known: ArcSwap::default(),
       witness,
     }
@@ -80,11 +79,6 @@
     (xxh3_64(key.as_str().as_bytes()) % u64::from(self.groups)) as u32
   }
 
-  /// Key under which the platform keeps the roster of a group.
-  pub(crate) fn store_key(&self, group: u32) -> String {
-    format!("roster/{}/{group}", self.centre)
-  }
-
   /// Roster of a group, as far as known.
   pub(crate) fn known(&self, group: u32) -> Option<Roster> {
     self.known.load().get(&group).cloned()
@@ -112,16 +106,15 @@
 
   /// Reads the roster of a group with its version from the platform.
   pub(crate) async fn read(&self, group: u32) -> Result<Option<(Roster, u64)>, StoreError> {
-    let found = self.store.get(&self.store_key(group)).await?;
-    Ok(found.and_then(|found| self.decode(group, &found)))
+    let found = self.stored.read(group).await?;
+    Ok(found.and_then(|found| Self::decode(group, &found)))
   }
 
-  fn decode(&self, group: u32, found: &Versioned) -> Option<(Roster, u64)> {
+  fn decode(group: u32, found: &Versioned) -> Option<(Roster, u64)> {
     match serde_json::from_slice(&found.value) {
       Ok(roster) => Some((roster, found.version)),
       Err(error) => {
-        let key = self.store_key(group);
-        tracing::error!(event = "roster_unreadable", key, %error);
+        tracing::error!(event = "roster_unreadable", group, %error);
         None
       }
     }
