--- a/crates/cactusyoke/src/admission.rs
+++ b/crates/cactusyoke/src/admission.rs
@@ -5,7 +5,7 @@
 
 use {
   cactusyoke_decisions::load::{Completion, Gate, GateAction, GateConfig, Offer},
-  cactusyoke_model::{CallFailure, Clock, Level, NotRunReason, Priority, Report, Retries, Slots},
+  cactusyoke_model::{CallFailure, Clock, Level, NotRunReason, Priority, Report, Slots},
   std::{
     collections::HashMap,
     fmt,
@@ -15,8 +15,8 @@
   tokio::sync::{Notify, oneshot},
 };
 
-/// Pause between two looks at the queue while calls wait in it.
-const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Longest sleep of the task that looks at the queue, after which it sees that the node stopped.
+const LONGEST_SLEEP: Duration = Duration::from_mins(1);
 
 type Decision = Result<(), NotRunReason>;
 
@@ -77,6 +77,17 @@
     }
   }
 
+  /// Refuses the calls that wait, since the upstream takes no more.
+  pub(crate) fn refuse_waiting(&self) {
+    let mut inner = self.lock();
+    let waiting = std::mem::take(&mut inner.waiting);
+    for (ticket, waiter) in waiting {
+      inner.gate.cancel(ticket);
+      // The waiting future cancels the ticket itself when it was dropped.
+      let _ = waiter.send(Err(NotRunReason::Draining));
+    }
+  }
+
   /// Resizes the gate.
   pub(crate) fn set_slots(&self, slots: Slots) {
     let now = self.clock.now();
@@ -94,6 +105,7 @@
   pub(crate) async fn admit(
     self: &Arc<Self>,
     priority: Priority,
+    inner_call: bool,
     deadline: Instant,
   ) -> Result<Slot, CallFailure> {
     let (ticket, waiter) = {
@@ -101,7 +113,11 @@
       let mut inner = self.lock();
       inner.last_ticket += 1;
       let ticket = inner.last_ticket;
-      let offer = inner.gate.offer(ticket, priority, deadline, now);
+      let offer = if inner_call {
+        inner.gate.offer_inner(ticket, priority, deadline, now)
+      } else {
+        inner.gate.offer(ticket, priority, deadline, now)
+      };
       let waiter = match offer {
         Offer::Start => None,
         Offer::Queued { evicted } => {
@@ -190,11 +206,15 @@
   }
 
   fn report(&self, now: Instant) -> Report {
+    let outlook = self.gate.outlook();
     Report {
       level: self.gate.level(now),
-      age: Duration::ZERO,
-      load: self.gate.load(),
-      unused: Retries::ZERO,
+      load: outlook.load,
+      queued: outlook.queued,
+      urgent: outlook.urgent,
+      room: outlook.room,
+      pace: outlook.pace,
+      ..Report::IDLE
     }
   }
 
@@ -258,20 +278,18 @@
 }
 
 async fn poll_queue(admission: std::sync::Weak<Admission>) {
-  loop {
-    let Some(current) = admission.upgrade() else {
-      return;
+  while let Some(current) = admission.upgrade() {
+    let now = current.clock.now();
+    let next = {
+      let mut inner = current.lock();
+      inner.poll(now);
+      inner
+        .gate
+        .next_poll()
+        .filter(|_at| !inner.waiting.is_empty())
     };
-    let idle = current.lock().waiting.is_empty();
-    if idle {
-      // Woken up once a minute to see that the node has stopped.
-      drop(tokio::time::timeout(Duration::from_mins(1), current.queued.notified()).await);
-    }
-    drop(current);
-    tokio::time::sleep(POLL_INTERVAL).await;
-    if let Some(current) = admission.upgrade() {
-      let now = current.clock.now();
-      current.lock().poll(now);
-    }
+    let sleep = next.map_or(LONGEST_SLEEP, |at| at.saturating_duration_since(now));
+    // A call that begins to wait may expire before those that the task knows of.
+    drop(tokio::time::timeout(sleep, current.queued.notified()).await);
   }
 }
--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -6,20 +6,27 @@
     admission::Admission,
     core::InFlight,
     crashes::Crashes,
+    directory::Directory,
     edges::Edges,
     keyed::Keyed,
     listeners::{Listeners, bind},
+    members::Members,
     meters::Meters,
     roster_keeper::RosterKeeper,
     rosters::Rosters,
+    runs::Runs,
     spread::{Spread, SpreadActor},
     upstream_follower,
   },
-  cactusyoke_decisions::{keys::Member, load::Ledgers, membership::MembersConfig},
+  cactusyoke_configuration::{Configuration, LeaseStore, RetryLimits, Store, Watcher},
+  cactusyoke_decisions::{
+    keys::Member,
+    load::Ledgers,
+    membership::{MembersConfig, Record},
+  },
   cactusyoke_model::{Clock, Incarnation, NodeId},
   cactusyoke_nodes::{Links, LinksConfig, Membership, MembershipConfig, MembershipHandle},
   cactusyoke_operators::Metrics,
-  cactusyoke_platform::{Configuration, RetryLimits, Store, Watcher},
   cactusyoke_upstreams::{Upstream, UpstreamConfig, Views, announce},
   ractor::{Actor, ActorCell},
   std::{
@@ -39,7 +46,7 @@
 pub(crate) struct Parts {
   pub(crate) settings: Settings,
   pub(crate) clock: Arc<dyn Clock>,
-  pub(crate) store: Arc<dyn Store>,
+  pub(crate) store: Arc<dyn LeaseStore>,
   pub(crate) metrics: Arc<Metrics>,
 }
 
@@ -56,18 +63,36 @@
     metrics,
   } = parts;
   let incarnation = incarnation(clock.wall());
+  let leases = Arc::clone(&store);
+  let store = store as Arc<dyn Store>;
   let (watcher, _task) = Watcher::start(Arc::clone(&store), Arc::clone(&clock))
     .await
     .map_err(|error| actor_error("watcher", &error))?;
-  let members = start_membership(&settings, incarnation, &clock, listeners).await?;
+  let members = if settings.interface.is_platform() {
+    let record = Record::new(settings.node, incarnation, settings.centre.clone());
+    Members::Directory(Directory::start(
+      record,
+      leases,
+      watcher.clone(),
+      Arc::clone(&clock),
+    ))
+  } else {
+    Members::Gossip(start_membership(&settings, incarnation, &clock, listeners).await?)
+  };
+  let names = settings.interface.header_names();
   let links_config = LinksConfig::new(settings.node, incarnation, settings.centre.clone());
   let links = Links::new(links_config);
-  let views = start_announcements(&clock, settings.announce, stop.clone()).await?;
+  let announcements =
+    settings
+      .interface
+      .announcements(&settings, watcher.config(), Arc::clone(&clock));
+  let views = start_announcements(announcements, settings.announce, stop.clone()).await?;
   let crashes = Arc::new(Crashes::new(Arc::clone(&clock)));
   let reports = Arc::clone(&crashes);
   let upstream_config = UpstreamConfig {
     crashed: Arc::new(move |crash| reports.report(&crash)),
     clock: Arc::clone(&clock),
+    names,
     ..UpstreamConfig::new(views.clone())
   };
   let admission = Admission::new(upstream_follower::idle_gate(&settings), Arc::clone(&clock));
@@ -94,7 +119,9 @@
     views,
     upstream: Upstream::new(upstream_config),
     admission,
-    edges: Edges::new(clock.now()),
+    names,
+    runs: Runs::default(),
+    edges: Edges::new(settings.budget, clock.now()),
     keyed: Keyed::new(rosters, settings.keys),
     spread: Spread::default(),
     meters: Meters::new(metrics),
@@ -150,15 +177,11 @@
 }
 
 async fn start_announcements(
-  clock: &Arc<dyn Clock>,
+  config: announce::AnnounceConfig,
   address: SocketAddr,
   stop: CancellationToken,
 ) -> Result<Views, StartError> {
   let listener = bind("announce", address).await?;
-  let config = announce::AnnounceConfig {
-    clock: Arc::clone(clock),
-    ..Default::default()
-  };
   announce::start(listener, config, stop)
     .await
     .map_err(|error| actor_error("announce", &error))
@@ -170,12 +193,17 @@
     .await
     .map_err(|error| actor_error("spread", &error))?;
   core.spread.set(spread.clone());
-  let (keeper, _task) = Actor::spawn(None, RosterKeeper, Arc::clone(core))
-    .await
-    .map_err(|error| actor_error("rosters", &error))?;
+  let mut loops = vec![spread.get_cell()];
+  // Without idempotency keys there are no witnesses.
+  if core.names.key.is_some() {
+    let (keeper, _task) = Actor::spawn(None, RosterKeeper, Arc::clone(core))
+      .await
+      .map_err(|error| actor_error("rosters", &error))?;
+    loops.push(keeper.get_cell());
+  }
   upstream_follower::start(core);
   follow_revisions(core);
-  Ok(vec![spread.get_cell(), keeper.get_cell()])
+  Ok(loops)
 }
 
 /// Stops the control loops.
@@ -194,7 +222,10 @@
       follower.adopted(revision);
     }
   });
-  let (follower, mut newer) = (Arc::clone(core), core.members.newer_revisions());
+  let Some(mut newer) = core.members.newer_revisions() else {
+    return;
+  };
+  let follower = Arc::clone(core);
   tokio::spawn(async move {
     while let Some((node, revision)) = newer.recv().await {
       follower.spread.newer(node, revision);
--- a/crates/cactusyoke/src/control.rs
+++ b/crates/cactusyoke/src/control.rs
@@ -2,12 +2,12 @@
 
 use {
   bytes::Bytes,
+  cactusyoke_configuration::ConfigUpdate,
   cactusyoke_decisions::{
     keys::{Member, Roster, RunId, WitnessReply, WitnessRequest},
     load::{Fingerprint, Notice},
   },
   cactusyoke_model::{IdempotencyKey, NodeId, Revision},
-  cactusyoke_platform::ConfigUpdate,
   serde::{Deserialize, Serialize, de::DeserializeOwned},
   std::{fmt, time::Duration},
 };
--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -2,16 +2,17 @@
 
 use {
   crate::{
-    Settings, admission::Admission, crashes::Crashes, edges::Edges, keyed::Keyed, meters::Meters,
-    spread::Spread,
+    Settings, admission::Admission, crashes::Crashes, edges::Edges, keyed::Keyed, members::Members,
+    meters::Meters, runs::Runs, spread::Spread,
   },
   arc_swap::ArcSwap,
+  cactusyoke_configuration::{Configuration, Watcher},
   cactusyoke_decisions::load::{Candidate, Ledgers},
+  cactusyoke_http::HeaderNames,
   cactusyoke_model::{
     CallFailure, Clock, Config, DataCentre, Incarnation, NodeId, NotRunReason, ServiceName,
   },
-  cactusyoke_nodes::{Links, MembershipHandle},
-  cactusyoke_platform::{Configuration, Watcher},
+  cactusyoke_nodes::Links,
   cactusyoke_upstreams::{Phase, Upstream, Views},
   std::{
     fmt,
@@ -27,6 +28,12 @@
 /// Longest time for which the node beside the upstream keeps a slot for the body of an answer.
 pub(crate) const LONGEST_BODY: Duration = Duration::from_hours(1);
 
+/// Least distance of another data centre, so that it differs from the node's own.
+const MIN_DISTANCE: Duration = Duration::from_micros(1);
+
+/// Distance of a data centre that the settings do not list.
+const UNKNOWN_DISTANCE: Duration = Duration::from_millis(100);
+
 /// State of one node.
 pub struct Core {
   pub(crate) settings: Settings,
@@ -37,7 +44,9 @@
   pub(crate) config: Arc<ArcSwap<Config>>,
   pub(crate) watcher: Watcher,
   pub(crate) configuration: Configuration,
-  pub(crate) members: MembershipHandle,
+  pub(crate) members: Members,
+  pub(crate) names: &'static HeaderNames,
+  pub(crate) runs: Runs,
   pub(crate) links: Links,
   pub(crate) views: Views,
   pub(crate) upstream: Upstream,
@@ -74,18 +83,31 @@
     )
   }
 
-  /// Instances of this data centre that serve `service`.
+  /// Known instances that serve `service`, the nearest first.
   pub(crate) fn candidates(&self, service: &ServiceName) -> Vec<Candidate> {
     let view = self.members.view();
-    view
+    let mut candidates = view
       .serving(service)
       .iter()
       .map(|member| Candidate {
         node: member.record.node,
         since: member.since,
         slots: member.record.slots,
+        distance: self.distance(&member.record.data_centre),
       })
-      .collect()
+      .collect::<Vec<Candidate>>();
+    candidates.sort_by_key(|candidate| candidate.distance);
+    candidates
+  }
+
+  /// One-way distance to a data centre; the longest known for one that the settings do not list.
+  fn distance(&self, centre: &DataCentre) -> Duration {
+    if *centre == self.settings.centre {
+      return Duration::ZERO;
+    }
+    let known = self.settings.centres.get(centre);
+    let distance = known.map_or(UNKNOWN_DISTANCE, |centre| centre.distance);
+    distance.max(MIN_DISTANCE)
   }
 
   /// Nodes of another data centre to try, in order.
@@ -101,11 +123,11 @@
     contacts
   }
 
-  /// Begins a root request; refused while the node drains.
+  /// Begins a root request; refused while the node drains, unless it serves callers on meanwhile.
   pub(crate) fn enter(&self) -> Result<Entered<'_>, CallFailure> {
     let entered = self.in_flight.enter();
     // Checked after the count was raised, so that a shutdown that starts now waits for it.
-    if self.draining.load(Ordering::SeqCst) {
+    if self.draining.load(Ordering::SeqCst) && self.settings.linger.is_zero() {
       return Err(CallFailure::not_run(NotRunReason::Draining));
     }
     Ok(entered)
--- /dev/null
+++ b/crates/cactusyoke/src/directory.rs
@@ -0,0 +1,309 @@
+//! The directory of nodes in the platform's store.
+//!
+//! Each node keeps one entry under a lease, and one watch of the store tells it the entries of the
+//! others and the operator's document.
+
+use {
+  arc_swap::ArcSwap,
+  bytes::Bytes,
+  cactusyoke_configuration::{
+    Event, Feed, FeedSink, Item, LeaseStore, Listing, Registration, StoreError, Watcher,
+  },
+  cactusyoke_decisions::membership::{LifeState, Member, Own, Record, Roll, Status},
+  cactusyoke_model::{Clock, Connections, DataCentre, Incarnation, NodeId, ServiceName, Slots},
+  cactusyoke_nodes::MembersView,
+  cactusyoke_platform::document,
+  serde::{Deserialize, Serialize},
+  std::{
+    fmt,
+    sync::{
+      Arc, Mutex, MutexGuard, PoisonError,
+      atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+  },
+  tokio::{
+    sync::{Notify, watch},
+    task::JoinHandle,
+    time::timeout,
+  },
+};
+
+/// First segment of the keys of entries.
+const PREFIX: &str = "node/";
+
+/// Time to live of an entry. A node that fails is found by its links long before; the lease only
+/// clears its entry away.
+const TTL: Duration = Duration::from_secs(4);
+
+/// Time to end the lease when the node stops.
+const LEAVE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Entry of one node, as it lies in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+  incarnation: Incarnation,
+  service: Option<ServiceName>,
+  life: LifeState,
+  slots: Slots,
+  connections: Connections,
+}
+
+impl From<&Record> for Entry {
+  fn from(record: &Record) -> Self {
+    Self {
+      incarnation: record.incarnation,
+      service: record.service.clone(),
+      life: record.life,
+      slots: record.slots,
+      connections: record.connections,
+    }
+  }
+}
+
+/// Nodes of all data centres, from the store.
+pub(crate) struct Directory {
+  /// Record of this node, with the time since which its upstream is as it says.
+  own: Mutex<(Record, Instant)>,
+  roll: Mutex<Roll>,
+  view: ArcSwap<MembersView>,
+  clock: Arc<dyn Clock>,
+  /// Value of the entry; `None` once the node leaves.
+  entry: Mutex<Option<watch::Sender<Bytes>>>,
+  /// The store has no entry of this node.
+  removed: Arc<Notify>,
+  key: String,
+  /// The last call to the store succeeded.
+  reached: AtomicBool,
+  watcher: Watcher,
+  tasks: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl fmt::Debug for Directory {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    f.debug_struct("Directory")
+      .field("key", &self.key)
+      .finish_non_exhaustive()
+  }
+}
+
+impl Directory {
+  /// Starts to keep the entry of this node and to follow the store.
+  pub(crate) fn start(
+    own: Record,
+    store: Arc<dyn LeaseStore>,
+    watcher: Watcher,
+    clock: Arc<dyn Clock>,
+  ) -> Arc<Self> {
+    let key = key(&own.data_centre, own.node);
+    let (entry, value) = watch::channel(encode(&own));
+    let removed = Arc::<Notify>::default();
+    let directory = Arc::new(Self {
+      view: ArcSwap::from_pointee(MembersView::new(own.clone(), Vec::new(), Vec::new())),
+      own: Mutex::new((own, clock.now())),
+      roll: Mutex::default(),
+      clock,
+      entry: Mutex::new(Some(entry)),
+      removed: Arc::clone(&removed),
+      key: key.clone(),
+      reached: AtomicBool::new(true),
+      watcher,
+      tasks: Mutex::default(),
+    });
+    directory.publish();
+    let registration = Registration::new(Arc::clone(&store), key, TTL).run(value, removed);
+    let feed = Feed::new(store, String::new()).run(Arc::clone(&directory) as Arc<dyn FeedSink>);
+    let tasks = vec![tokio::spawn(registration), tokio::spawn(feed)];
+    *directory.lock_tasks() = tasks;
+    directory
+  }
+
+  pub(crate) fn view(&self) -> Arc<MembersView> {
+    self.view.load_full()
+  }
+
+  pub(crate) fn set_own(&self, own: Own) {
+    let mut known = self.own.lock().unwrap_or_else(PoisonError::into_inner);
+    let (record, since) = &mut *known;
+    let life = record.life;
+    if record.set_own(own) {
+      if record.life != life {
+        *since = self.clock.now();
+      }
+      let value = encode(record);
+      drop(known);
+      if let Some(entry) = self.lock_entry().as_ref() {
+        entry.send_replace(value);
+      }
+      self.publish();
+    }
+  }
+
+  pub(crate) fn unreachable(&self, node: NodeId) {
+    let gone = self.lock_roll().unreachable(node);
+    if gone {
+      tracing::info!(event = "node_gone", %node, reason = "lapsed and not reached");
+      self.publish();
+    }
+  }
+
+  /// Removes the entry of this node.
+  pub(crate) async fn leave(&self) {
+    let mut tasks = std::mem::take(&mut *self.lock_tasks());
+    if let Some(feed) = tasks.pop() {
+      feed.abort();
+    }
+    // The registration ends its lease when the sender of its value is gone.
+    drop(self.lock_entry().take());
+    for registration in tasks {
+      if timeout(LEAVE_LIMIT, registration).await.is_err() {
+        tracing::info!(event = "entry_not_removed", key = self.key);
+      }
+    }
+  }
+
+  pub(crate) fn abort(&self) {
+    for task in self.lock_tasks().drain(..) {
+      task.abort();
+    }
+  }
+
+  fn lock_roll(&self) -> MutexGuard<'_, Roll> {
+    self.roll.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  fn lock_entry(&self) -> MutexGuard<'_, Option<watch::Sender<Bytes>>> {
+    self.entry.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  fn lock_tasks(&self) -> MutexGuard<'_, Vec<JoinHandle<()>>> {
+    self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Publishes the roll, with this node's own record as it is.
+  fn publish(&self) {
+    let (own, since) = self
+      .own
+      .lock()
+      .unwrap_or_else(PoisonError::into_inner)
+      .clone();
+    let mut members = self.lock_roll().members();
+    members.retain(|member| member.record.node != own.node);
+    let place = members.partition_point(|member| member.record.node < own.node);
+    let member = Member {
+      record: own.clone(),
+      status: Status::Alive,
+      since,
+    };
+    members.insert(place, member);
+    let view = MembersView::new(own, members, Vec::new());
+    self.view.store(Arc::new(view));
+  }
+
+  fn take(&self, item: &Item) -> bool {
+    if item.key == document::KEY {
+      self.configure(&item.value);
+      return false;
+    }
+    let Some((data_centre, node)) = parse_key(&item.key) else {
+      return false;
+    };
+    let Ok(entry) = postcard::from_bytes::<Entry>(&item.value) else {
+      tracing::warn!(event = "entry_unreadable", key = item.key);
+      return false;
+    };
+    let record = Record {
+      node,
+      incarnation: entry.incarnation,
+      data_centre,
+      service: entry.service,
+      life: entry.life,
+      slots: entry.slots,
+      connections: entry.connections,
+      version: item.version,
+    };
+    let now = self.clock.now();
+    self.lock_roll().put(record, item.version, now)
+  }
+
+  /// Offers the operator's document; an unusable one leaves the configuration as it is.
+  fn configure(&self, value: &Bytes) {
+    let snapshot = match document::read(value) {
+      Ok(snapshot) => snapshot,
+      Err(error) => {
+        tracing::warn!(event = "document_refused", %error);
+        return;
+      }
+    };
+    if snapshot.revision <= self.watcher.config().load().revision {
+      return;
+    }
+    let watcher = self.watcher.clone();
+    tokio::spawn(async move {
+      // The watcher logs what becomes of it.
+      drop(watcher.offer_full(snapshot).await);
+    });
+  }
+}
+
+impl FeedSink for Directory {
+  fn listed(&self, listing: &Listing) {
+    let mut changed = false;
+    for item in &listing.items {
+      changed |= self.take(item);
+    }
+    let listed = listing.items.iter().filter_map(|item| parse_key(&item.key));
+    let listed = listed.map(|(_, node)| node).collect::<Vec<_>>();
+    let now = self.clock.now();
+    changed |= self.lock_roll().keep_only(&listed, listing.at, now);
+    if !listing.items.iter().any(|item| item.key == self.key) {
+      self.removed.notify_one();
+    }
+    if changed {
+      self.publish();
+    }
+  }
+
+  fn changed(&self, event: &Event) {
+    let now = self.clock.now();
+    let changed = match event {
+      Event::Put(item) => self.take(item),
+      Event::Removed { key, .. } if *key == self.key => {
+        self.removed.notify_one();
+        false
+      }
+      Event::Removed { key, version } => match parse_key(key) {
+        Some((_, node)) => self.lock_roll().lapse(node, *version, now),
+        None => false,
+      },
+    };
+    if changed {
+      self.publish();
+    }
+  }
+
+  fn reached(&self, result: Result<(), &StoreError>) {
+    let before = self.reached.swap(result.is_ok(), Ordering::Relaxed);
+    match result {
+      Ok(()) if !before => tracing::info!(event = "store_reached"),
+      Err(error) if before => tracing::warn!(event = "store_lost", %error),
+      Ok(()) | Err(_) => {}
+    }
+  }
+}
+
+fn encode(record: &Record) -> Bytes {
+  // The entry is plain data, which always encodes.
+  postcard::to_stdvec(&Entry::from(record))
+    .unwrap_or_default()
+    .into()
+}
+
+fn key(data_centre: &DataCentre, node: NodeId) -> String {
+  format!("{PREFIX}{data_centre}/{node}")
+}
+
+fn parse_key(key: &str) -> Option<(DataCentre, NodeId)> {
+  let (data_centre, node) = key.strip_prefix(PREFIX)?.split_once('/')?;
+  Some((data_centre.parse().ok()?, node.parse().ok()?))
+}
--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -7,14 +7,17 @@
     replay::Replay,
     tracked::{BodyEnd, Tracked},
   },
-  cactusyoke_decisions::load::CallEnd,
+  cactusyoke_decisions::load::{CallEnd, Criteria},
   cactusyoke_model::{
-    Answer, Call, CallFailure, CallHead, DataCentre, NodeId, NotRunReason, Report, Retries,
-    UnknownReason,
+    Answer, Call, CallFailure, CallHead, DataCentre, NodeId, NotRunReason, Preset, Report, Retries,
+    Route, ServiceName, UnknownReason,
   },
   cactusyoke_nodes::Hop,
   http_body_util::BodyExt,
-  std::{sync::Arc, time::Instant},
+  std::{
+    sync::Arc,
+    time::{Duration, Instant},
+  },
   tokio::time::timeout_at,
 };
 
@@ -24,6 +27,33 @@
 /// call from visiting each of many instances that are leaving.
 const MAX_REROUTES: usize = 2;
 
+/// Time past the deadline for a refusal of another node, which says more than an unknown outcome.
+const GRACE: Duration = Duration::from_millis(20);
+
+/// What a route allows for its calls.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plan {
+  /// The call may go to another data centre.
+  spill: bool,
+  /// Share of retries on the edge, percent.
+  retry_ratio: u8,
+  /// Upstreams to which the call may be sent.
+  attempts: u32,
+  /// Time within which an answer is worth most.
+  target: Duration,
+}
+
+impl Plan {
+  pub(crate) fn of(route: &Route, preset: &Preset) -> Self {
+    Self {
+      spill: route.spill,
+      retry_ratio: preset.retry_ratio,
+      attempts: route.attempts,
+      target: route.target,
+    }
+  }
+}
+
 impl Core {
   /// Takes a call that another data centre has relayed to an instance of this one.
   ///
@@ -42,10 +72,13 @@
       .await
       .map_err(|_error| CallFailure::not_run(NotRunReason::Cancelled))?;
     let config = self.config.load_full();
-    let ratio = config.preset().map_or(0, |preset| preset.retry_ratio);
-    Dispatch::new(self, head, body, true)
-      .run_here(false, ratio)
-      .await
+    let plan = Plan {
+      spill: false,
+      retry_ratio: config.preset().map_or(0, |preset| preset.retry_ratio),
+      attempts: u32::from(head.retries.0) + 1,
+      target: Duration::MAX,
+    };
+    Dispatch::new(self, head, body, plan).run_here().await
   }
 }
 
@@ -54,46 +87,50 @@
   core: &'a Arc<Core>,
   head: CallHead,
   body: Replay,
+  plan: Plan,
   left: Retries,
-  /// The request enters here, so that shedding it wastes no work.
-  root: bool,
   tried: Vec<NodeId>,
   reroutes: usize,
+  /// Attempts that may have reached an upstream.
+  arrivals: u32,
   /// Why an earlier attempt may have run; a later refusal does not change that.
   doubt: Option<UnknownReason>,
 }
 
 impl<'a> Dispatch<'a> {
-  pub(crate) fn new(core: &'a Arc<Core>, head: CallHead, body: Replay, root: bool) -> Self {
+  pub(crate) fn new(core: &'a Arc<Core>, head: CallHead, body: Replay, plan: Plan) -> Self {
     let left = head.retries;
     Self {
       core,
       head,
       body,
+      plan,
       left,
-      root,
       tried: Vec::new(),
       reroutes: 0,
+      arrivals: 0,
       doubt: None,
     }
   }
 
   /// Sends the call until it is answered or may not be sent again.
-  pub(crate) async fn run(mut self, spill: bool, retry_ratio: u8) -> Result<Answer, CallFailure> {
+  pub(crate) async fn run(mut self) -> Result<Answer, CallFailure> {
     if let Some(home) = self.foreign_home() {
       return self.relay(&home, NotRunReason::HomeUnreachable).await;
     }
-    self.run_here(spill, retry_ratio).await
+    self.run_here().await
   }
 
-  /// Sends the call within this data centre, and to another one only where `spill` allows it.
-  async fn run_here(mut self, spill: bool, retry_ratio: u8) -> Result<Answer, CallFailure> {
+  /// Sends the call to an instance that this node knows, and relays it to another data centre only
+  /// where the plan allows it.
+  async fn run_here(mut self) -> Result<Answer, CallFailure> {
+    let now = self.core.clock.now();
     self
       .core
       .edges
-      .count_call(&self.head.route, retry_ratio, self.core.clock.now());
+      .count_call(&self.head, self.plan.retry_ratio, now);
     loop {
-      let failure = match self.attempt(spill).await {
+      let failure = match self.attempt().await {
         Ok(mut answer) => {
           answer.report.unused = Retries(answer.report.unused.0.saturating_add(self.left.0));
           return Ok(answer);
@@ -118,26 +155,14 @@
     (*home != self.core.settings.centre).then(|| home.clone())
   }
 
-  async fn attempt(&mut self, spill: bool) -> Result<Answer, CallFailure> {
+  async fn attempt(&mut self) -> Result<Answer, CallFailure> {
     let now = self.core.clock.now();
     if now >= self.head.deadline {
       return Err(CallFailure::not_run(NotRunReason::Deadline));
     }
-    let candidates = self.core.candidates(&self.head.service);
-    let edge = Edge {
-      service: &self.head.service,
-      route: &self.head.route,
-      priority: self.head.priority,
-    };
-    let picked = if self.root && !self.core.edges.admits(edge, now) {
-      Err(NotRunReason::Shed)
-    } else {
-      let node = self.core.edges.pick(edge, &candidates, &self.tried, now);
-      node.ok_or(NotRunReason::NoUpstream)
-    };
-    match picked {
+    match self.choose(now) {
       Ok(node) => self.send(node, now).await,
-      Err(reason) if spill && self.head.idempotent => match self.spill_target() {
+      Err(reason) if self.plan.spill && self.head.idempotent => match self.spill_target() {
         Some(centre) => self.relay(&centre, reason).await,
         None => Err(self.not_sent(reason)),
       },
@@ -145,6 +170,26 @@
     }
   }
 
+  /// Instance for the next attempt.
+  fn choose(&self, now: Instant) -> Result<NodeId, NotRunReason> {
+    let edge = Edge::of(&self.head);
+    if self.head.depth == 0 && !self.core.edges.admits(edge, now) {
+      return Err(NotRunReason::Shed);
+    }
+    let mut candidates = self.core.candidates(&self.head.service);
+    if !self.plan.spill {
+      candidates.retain(|candidate| candidate.distance.is_zero());
+    }
+    let criteria = Criteria {
+      avoid: &self.tried,
+      route: Some(&self.head.route),
+      target: self.plan.target,
+      inner: self.head.depth > 0,
+    };
+    let node = self.core.edges.pick(edge, &candidates, &criteria, now);
+    node.ok_or(NotRunReason::NoUpstream)
+  }
+
   fn not_sent(&self, reason: NotRunReason) -> CallFailure {
     let level = self
       .core
@@ -163,6 +208,8 @@
 
   async fn send(&mut self, node: NodeId, started: Instant) -> Result<Answer, CallFailure> {
     self.tried.push(node);
+    let service = self.head.service.clone();
+    let sent = SentCall::new(self.core, &service, node);
     let Some(body) = self.body.body() else {
       return Err(CallFailure::not_run(NotRunReason::Connection));
     };
@@ -172,18 +219,21 @@
     }
     let share = self.share();
     head.retries = share;
-    let deadline = head.deadline;
+    head.repeat |= self.arrivals > 0;
+    let limit = head.deadline + GRACE;
     let call = Call { head, body };
-    let sent = async {
+    let running = async {
       if node == self.core.settings.node {
-        self.core.run_here(call).await
+        // Most calls go to other nodes and need no room for this.
+        Box::pin(self.core.run_here(call)).await
       } else {
         self.core.links.call_with(node, call, Hop::Instance).await
       }
     };
-    let result = timeout_at(deadline.into(), sent)
+    let result = timeout_at(limit.into(), running)
       .await
       .unwrap_or(Err(CallFailure::unknown(UnknownReason::Deadline)));
+    sent.ended();
     match result {
       Ok(answer) => Ok(self.answered(node, started, answer)),
       Err(failure) => {
@@ -245,14 +295,8 @@
         route: &route,
         priority,
       };
-      core.edges.done(
-        edge,
-        node,
-        end,
-        Some(report),
-        now.duration_since(started),
-        now,
-      );
+      let latency = now.duration_since(started);
+      core.edges.done(edge, node, end, Some(report), latency, now);
     };
     let body = Tracked::new(answer.body, self.head.deadline, on_end).boxed_unsync();
     Answer { body, ..answer }
@@ -264,11 +308,14 @@
       CallFailure::NotRun { report, .. } => *report,
       CallFailure::Unknown { .. } => None,
     };
-    let edge = Edge {
-      service: &self.head.service,
-      route: &self.head.route,
-      priority: self.head.priority,
-    };
+    if let CallFailure::NotRun {
+      reason: NotRunReason::Connection,
+      ..
+    } = failure
+    {
+      self.core.members.unreachable(node);
+    }
+    let edge = Edge::of(&self.head);
     let latency = now.duration_since(started);
     self
       .core
@@ -282,30 +329,43 @@
       return false;
     }
     match failure {
-      CallFailure::NotRun {
-        reason: NotRunReason::Connection | NotRunReason::Draining,
-        ..
-      } => {
-        self.reroutes += 1;
-        self.reroutes <= MAX_REROUTES && !self.tried.is_empty() && self.untried_left()
-      }
-      CallFailure::NotRun { .. } => false,
-      CallFailure::Unknown { .. } => {
-        let allowed = self.head.idempotent
-          && self.left.0 > 0
-          && self.core.edges.try_retry(&self.head.route, now)
-          && self.left.take_one();
-        if allowed && let Some(calls) = self.core.meters.route(&self.head.route) {
-          calls.retried();
-        }
-        if allowed && !self.untried_left() {
-          self.tried.clear();
+      CallFailure::NotRun { reason, .. } => match reason {
+        NotRunReason::Connection | NotRunReason::Draining | NotRunReason::NoUpstream => {
+          self.may_reroute()
         }
-        allowed
-      }
+        NotRunReason::Refused => self.may_repeat(now),
+        _ => false,
+      },
+      CallFailure::Unknown { .. } => self.head.idempotent && self.may_repeat(now),
     }
   }
 
+  /// True when a call that reached no upstream may go to another instance.
+  fn may_reroute(&mut self) -> bool {
+    self.reroutes += 1;
+    self.reroutes <= MAX_REROUTES && !self.tried.is_empty() && self.untried_left()
+  }
+
+  /// True when a call that reached an upstream may be sent to a further one.
+  fn may_repeat(&mut self, now: Instant) -> bool {
+    self.arrivals += 1;
+    let nodes = self.core.members.view().live().count();
+    let allowed = self.arrivals < self.plan.attempts
+      && self.left.0 > 0
+      && self.core.edges.try_repeat(&self.head, nodes, now)
+      && self.left.take_one();
+    if !allowed {
+      return false;
+    }
+    if let Some(calls) = self.core.meters.route(&self.head.route) {
+      calls.retried();
+    }
+    if !self.untried_left() {
+      self.tried.clear();
+    }
+    true
+  }
+
   fn untried_left(&self) -> bool {
     let candidates = self.core.candidates(&self.head.service);
     candidates
@@ -365,3 +425,36 @@
     Err(CallFailure::not_run(unreachable))
   }
 }
+
+/// Call that was counted as sent to an instance. Dropped before its end, when its caller goes away,
+/// it is counted as cancelled; otherwise the sender's count of calls in flight would stay too high.
+struct SentCall<'a> {
+  core: &'a Core,
+  service: &'a ServiceName,
+  node: NodeId,
+  ended: bool,
+}
+
+impl<'a> SentCall<'a> {
+  const fn new(core: &'a Core, service: &'a ServiceName, node: NodeId) -> Self {
+    Self {
+      core,
+      service,
+      node,
+      ended: false,
+    }
+  }
+
+  /// The call has an outcome, which is recorded.
+  fn ended(mut self) {
+    self.ended = true;
+  }
+}
+
+impl Drop for SentCall<'_> {
+  fn drop(&mut self) {
+    if !self.ended {
+      self.core.edges.cancelled(self.service, self.node);
+    }
+  }
+}
--- a/crates/cactusyoke/src/edges.rs
+++ b/crates/cactusyoke/src/edges.rs
@@ -1,9 +1,13 @@
 //! What a sending node knows of the instances that it sends to.
 
 use {
-  cactusyoke_decisions::load::{CallEnd, Candidate, Completed, Levels, RetryRatio, Router},
+  cactusyoke_decisions::load::{
+    CallEnd, Candidate, Completed, Criteria, Levels, Outlook, RetryBounds, RetryBudget, RetryRatio,
+    Router, Shares,
+  },
   cactusyoke_model::{
-    CallFailure, Level, NodeId, NotRunReason, Priority, Report, RouteName, ServiceName,
+    CallFailure, CallHead, Level, NodeId, NotRunReason, Priority, Report, Route, RouteName,
+    ServiceName,
   },
   std::{
     collections::HashMap,
@@ -17,11 +21,14 @@
   levels: Levels,
   routers: HashMap<ServiceName, Router>,
   ratios: HashMap<RouteName, RetryRatio>,
+  budgets: HashMap<ServiceName, RetryBudget>,
+  shares: HashMap<RouteName, Shares>,
 }
 
 /// Levels and retry ratios by route, loads by instance.
 pub(crate) struct Edges {
   inner: Mutex<Inner>,
+  bounds: Option<RetryBounds>,
 }
 
 impl fmt::Debug for Edges {
@@ -38,16 +45,30 @@
   pub(crate) priority: Priority,
 }
 
+impl<'a> Edge<'a> {
+  pub(crate) fn of(head: &'a CallHead) -> Self {
+    Self {
+      service: &head.service,
+      route: &head.route,
+      priority: head.priority,
+    }
+  }
+}
+
 impl Edges {
-  pub(crate) fn new(now: Instant) -> Self {
+  /// Edges of a node; `bounds` are those of the budget for repeats that all nodes share.
+  pub(crate) fn new(bounds: Option<RetryBounds>, now: Instant) -> Self {
     let levels = Levels::new(now);
     let inner = Inner {
       levels,
       routers: HashMap::new(),
       ratios: HashMap::new(),
+      budgets: HashMap::new(),
+      shares: HashMap::new(),
     };
     Self {
       inner: Mutex::new(inner),
+      bounds,
     }
   }
 
@@ -59,17 +80,37 @@
     self.lock().levels.admits(edge.route, edge.priority, now)
   }
 
-  /// Chooses an instance that is not in `avoid`.
+  /// Records that the caller of a call to `node` went away.
+  pub(crate) fn cancelled(&self, service: &ServiceName, node: NodeId) {
+    if let Some(router) = self.lock().routers.get_mut(service) {
+      router.cancelled(node);
+    }
+  }
+
+  /// Service for the next request of a route, so that each backend gets its share.
+  pub(crate) fn backend(&self, route: &Route) -> ServiceName {
+    if let [only] = route.backends.as_slice() {
+      return only.service.clone();
+    }
+    let weights = route.backends.iter().map(|backend| backend.weight);
+    let weights = weights.collect::<Vec<u32>>();
+    let mut inner = self.lock();
+    let shares = inner.shares.entry(route.name.clone()).or_default();
+    let place = shares.next(&weights).unwrap_or(0);
+    route.backends[place].service.clone()
+  }
+
+  /// Chooses an instance.
   pub(crate) fn pick(
     &self,
     edge: Edge<'_>,
     candidates: &[Candidate],
-    avoid: &[NodeId],
+    criteria: &Criteria<'_>,
     now: Instant,
   ) -> Option<NodeId> {
     let mut inner = self.lock();
     let router = inner.routers.entry(edge.service.clone()).or_default();
-    let node = router.pick(candidates, avoid, &mut rand::rng(), now)?;
+    let node = router.pick(candidates, criteria, &mut rand::rng(), now)?;
     router.sent(node, now);
     Some(node)
   }
@@ -91,22 +132,32 @@
         .observe(edge.route, report.level, report.age, now);
     }
     if let Some(router) = inner.routers.get_mut(edge.service) {
-      let load = report.map(|report| report.load);
-      router.done(
-        node,
-        Completed {
-          outcome: end,
-          latency,
-          load,
-        },
-        now,
-      );
+      let done = Completed {
+        outcome: end,
+        latency,
+        waited: report.map_or(Duration::ZERO, |report| report.waited),
+        route: Some(edge.route.clone()),
+        outlook: report.filter(|report| report.load > 0).map(outlook),
+      };
+      router.done(node, &done, now);
     }
   }
 
-  /// Counts a call on the edge, for the ratio of retries.
-  pub(crate) fn count_call(&self, route: &RouteName, percent: u8, now: Instant) {
+  /// Counts a request that enters here, for the ratio and the budget of repeats.
+  pub(crate) fn count_call(&self, head: &CallHead, percent: u8, now: Instant) {
     let mut inner = self.lock();
+    if let Some(bounds) = self.bounds {
+      let budgets = &mut inner.budgets;
+      let budget = budgets
+        .entry(head.service.clone())
+        .or_insert_with(|| RetryBudget::new(bounds));
+      if head.repeat {
+        budget.repeat(now);
+      } else {
+        budget.call(now);
+      }
+    }
+    let route = &head.route;
     if let Some(ratio) = inner.ratios.get_mut(route) {
       ratio.on_call(now);
       return;
@@ -116,13 +167,17 @@
     inner.ratios.insert(route.clone(), ratio);
   }
 
-  /// Takes one retry from the ratio of the edge; false when it is used up.
-  pub(crate) fn try_retry(&self, route: &RouteName, now: Instant) -> bool {
-    self
-      .lock()
-      .ratios
-      .get_mut(route)
-      .is_some_and(|ratio| ratio.try_retry(now))
+  /// Takes one repeat from the ratio of the edge and from this node's part of the budget of all
+  /// `nodes`; false when one is used up.
+  pub(crate) fn try_repeat(&self, head: &CallHead, nodes: usize, now: Instant) -> bool {
+    let mut inner = self.lock();
+    let first = head.priority.rank().0 == 0;
+    let budget = inner.budgets.get_mut(&head.service);
+    if !budget.is_none_or(|budget| budget.try_repeat(nodes, first, now)) {
+      return false;
+    }
+    let ratio = inner.ratios.get_mut(&head.route);
+    ratio.is_some_and(|ratio| ratio.try_retry(now))
   }
 
   /// Level in force for a route.
@@ -139,7 +194,9 @@
 
   /// Drops the ratios, after another preset came into force.
   pub(crate) fn reset_ratios(&self) {
-    self.lock().ratios.clear();
+    let mut inner = self.lock();
+    inner.ratios.clear();
+    inner.shares.clear();
   }
 
   fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -151,10 +208,25 @@
 pub(crate) fn call_end(failure: &CallFailure) -> CallEnd {
   match failure {
     CallFailure::NotRun {
-      reason: NotRunReason::Connection,
+      reason: NotRunReason::Connection | NotRunReason::Draining | NotRunReason::NoUpstream,
       ..
-    }
-    | CallFailure::Unknown { .. } => CallEnd::Lost,
+    } => CallEnd::Away,
+    // The node beside the upstream sends it no more than its slots, so that it had room.
+    CallFailure::NotRun {
+      reason: NotRunReason::Refused,
+      ..
+    } => CallEnd::ServerError,
+    CallFailure::Unknown { .. } => CallEnd::Lost,
     CallFailure::NotRun { .. } => CallEnd::NotRun,
   }
 }
+
+fn outlook(report: Report) -> Outlook {
+  Outlook {
+    load: report.load,
+    queued: report.queued,
+    urgent: report.urgent,
+    room: report.room,
+    pace: report.pace,
+  }
+}
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -1,21 +1,27 @@
 //! Requests of callers and outgoing calls of the upstream, from HTTP to an outcome.
 
 use {
-  crate::{Core, dispatch::Dispatch, replay::Replay},
+  crate::{
+    Core,
+    dispatch::{Dispatch, Plan},
+    replay::Replay,
+    runs::Parent,
+  },
   cactusyoke_callers::{CallHandler, CallerRequest},
   cactusyoke_model::{
     Answer, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Report,
-    RequestId, Retries, Route,
+    RequestId, Retries, Route, SpanId,
   },
+  http::HeaderValue,
   std::{sync::Arc, time::Instant},
-  xxhash_rust::xxh3::xxh3_64,
+  xxhash_rust::xxh3::{xxh3_64, xxh3_128},
 };
 
 /// Handler of the listener for callers: each request is a root request.
 #[derive(Clone, Debug)]
 pub struct Gateway(pub(crate) Arc<Core>);
 
-/// Handler of the egress listener: calls belong to the call tree that their context names.
+/// Handler of the egress listener: calls belong to the call tree that their context or id names.
 #[derive(Clone, Debug)]
 pub struct Egress(pub(crate) Arc<Core>);
 
@@ -27,24 +33,48 @@
 
 impl CallHandler for Egress {
   async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
-    match request.context {
-      Some(context) => self.0.child_call(request, context).await,
+    match self.0.parent_of(&request) {
+      Some(parent) => self.0.child_call(request, parent).await,
       None => self.0.root_call(request).await,
     }
   }
 }
 
 impl Core {
+  /// The request that the upstream runs and that makes this call.
+  fn parent_of(&self, request: &CallerRequest) -> Option<Parent> {
+    if let Some(context) = request.context {
+      return Some(self.inherit(context));
+    }
+    self.runs.parent_of(request.id.as_ref()?)
+  }
+
+  fn inherit(&self, context: Context) -> Parent {
+    Parent {
+      root: context.root,
+      span: context.span,
+      priority: context.priority,
+      deadline: self.clock.now() + context.remaining,
+      depth: 1,
+      repeat: false,
+    }
+  }
+
   async fn root_call(self: &Arc<Self>, request: CallerRequest) -> Result<Answer, CallFailure> {
     let started = self.clock.now();
     let _guard = self.enter()?;
     let preset = self.preset()?;
     let route = find_route(&preset, &request)?;
-    let root = new_request();
-    let priority = Priority::new(route.rank, root);
-    let deadline = started + route.deadline;
-    let head = head_of(&request, route, root, priority, route.retries, deadline);
-    let result = self.send(&preset, route, head, request, true).await;
+    let root = root_of(&request);
+    let head = CallHead {
+      root,
+      priority: Priority::new(route.rank, root),
+      depth: 0,
+      repeat: false,
+      retries: route.retries,
+      ..self.head_of(&request, route, started)
+    };
+    let result = self.send(&preset, route, head, request).await;
     self.meters.outcome(&route.name, &result);
     result
   }
@@ -52,7 +82,7 @@
   async fn child_call(
     self: &Arc<Self>,
     request: CallerRequest,
-    context: Context,
+    parent: Parent,
   ) -> Result<Answer, CallFailure> {
     let started = self.clock.now();
     let preset = self.preset()?;
@@ -60,43 +90,76 @@
     let call = call_hash(&request);
     let retries = self
       .ledgers()
-      .begin_call(context.span, call)
+      .begin_call(parent.span, call)
       .map_err(CallFailure::not_run)?;
-    let deadline = started + context.remaining.min(route.deadline);
-    let head = head_of(
-      &request,
-      route,
-      context.root,
-      context.priority,
+    let head = self.head_of(&request, route, started);
+    let head = CallHead {
+      root: parent.root,
+      priority: parent.priority,
+      depth: parent.depth,
+      repeat: parent.repeat,
       retries,
-      deadline,
-    );
+      deadline: head.deadline.min(parent.deadline),
+      ..head
+    };
     let mut pending = PendingCall {
       core: self,
-      context,
+      span: parent.span,
       call,
       done: false,
     };
-    let result = self.send(&preset, route, head, request, false).await;
+    let result = self.send(&preset, route, head, request).await;
     pending.finish(&result);
     self.meters.outcome(&route.name, &result);
     result
   }
 
+  /// Head of a request without what it inherits or begins with.
+  fn head_of(&self, request: &CallerRequest, route: &Route, started: Instant) -> CallHead {
+    let mut headers = request.headers.clone();
+    if let Some(origin) = self.origin() {
+      headers.insert(&self.names.origin, origin);
+    }
+    let asked = request.remaining.unwrap_or(route.deadline);
+    CallHead {
+      root: RequestId(0),
+      route: route.name.clone(),
+      service: self.edges.backend(route),
+      method: request.method.clone(),
+      path: request.path.clone(),
+      headers,
+      priority: Priority::new(route.rank, RequestId(0)),
+      depth: 0,
+      repeat: false,
+      idempotent: route.idempotent,
+      // A key on an idempotent route has no effect: running it twice does no harm.
+      key: request.key.clone().filter(|_| !route.idempotent),
+      retries: Retries::ZERO,
+      deadline: started + asked.min(route.deadline),
+    }
+  }
+
+  /// Service from which requests that enter here come.
+  fn origin(&self) -> Option<HeaderValue> {
+    let service = match &self.settings.interface {
+      crate::Interface::Platform { service, .. } => service.clone(),
+      crate::Interface::Own => self.views.load().announcement.as_ref()?.service.clone(),
+    };
+    HeaderValue::from_str(service.as_str()).ok()
+  }
+
   async fn send(
     self: &Arc<Self>,
     preset: &Preset,
     route: &Route,
     head: CallHead,
     request: CallerRequest,
-    root: bool,
   ) -> Result<Answer, CallFailure> {
     let body = Replay::read(request.body)
       .await
       .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?;
-    Dispatch::new(self, head, body, root)
-      .run(route.spill, preset.retry_ratio)
-      .await
+    let plan = Plan::of(route, preset);
+    Dispatch::new(self, head, body, plan).run().await
   }
 
   fn preset(&self) -> Result<Arc<Preset>, CallFailure> {
@@ -111,39 +174,23 @@
 fn find_route<'a>(preset: &'a Preset, request: &CallerRequest) -> Result<&'a Route, CallFailure> {
   let path = request.path.split('?').next().unwrap_or_default();
   preset
-    .route(&request.method, path)
+    .route(&request.method, &request.host, path)
     .ok_or(CallFailure::not_run(NotRunReason::NoRoute))
 }
 
-fn head_of(
-  request: &CallerRequest,
-  route: &Route,
-  root: RequestId,
-  priority: Priority,
-  retries: Retries,
-  deadline: Instant,
-) -> CallHead {
-  CallHead {
-    root,
-    route: route.name.clone(),
-    service: route.service.clone(),
-    method: request.method.clone(),
-    path: request.path.clone(),
-    headers: request.headers.clone(),
-    priority,
-    idempotent: route.idempotent,
-    // A key on an idempotent route has no effect: running it twice does no harm.
-    key: request.key.clone().filter(|_| !route.idempotent),
-    retries,
-    deadline,
+/// Identity of a root request: from the id that its caller chose, or random.
+fn root_of(request: &CallerRequest) -> RequestId {
+  match &request.id {
+    Some(id) => RequestId(xxh3_128(id.as_bytes())),
+    None => RequestId::random(&mut rand::rng()),
   }
 }
 
-fn new_request() -> RequestId {
-  RequestId::random(&mut rand::rng())
-}
-
+/// What a repeat of the call by its upstream has in common with it.
 fn call_hash(request: &CallerRequest) -> u64 {
+  if let Some(id) = &request.id {
+    return xxh3_64(id.as_bytes());
+  }
   let mut text = Vec::with_capacity(request.path.len() + 8);
   text.extend_from_slice(request.method.as_str().as_bytes());
   text.push(b' ');
@@ -154,7 +201,7 @@
 /// Outgoing call of a span; counted as failed when it is cancelled.
 struct PendingCall<'a> {
   core: &'a Core,
-  context: Context,
+  span: SpanId,
   call: u64,
   done: bool,
 }
@@ -174,7 +221,7 @@
     self
       .core
       .ledgers()
-      .end_call(self.context.span, self.call, unused, failed, level);
+      .end_call(self.span, self.call, unused, failed, level);
   }
 }
 
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -7,15 +7,19 @@
     core::LONGEST_BODY,
     crashes::Trial,
     replay::Replay,
+    runs::{OpenRun, Parent},
     tracked::{BodyEnd, Tracked},
   },
   cactusyoke_decisions::load::{Completion, Fingerprint},
   cactusyoke_model::{
     Answer, BodyError, Call, CallFailure, CallHead, Context, Level, NotRunReason, Report, Retries,
-    SpanId, UnknownReason,
+    ServiceName, SpanId, UnknownReason,
   },
   http_body_util::BodyExt,
-  std::sync::{Arc, atomic::Ordering},
+  std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+  },
   tokio::time::timeout_at,
 };
 
@@ -24,6 +28,8 @@
 pub(crate) struct Admitted {
   slot: Slot,
   trial: Trial,
+  /// Wait in the queue.
+  waited: Duration,
 }
 
 impl Core {
@@ -55,13 +61,32 @@
     if self.is_draining() || !self.upstream_serving() {
       return Err(CallFailure::not_run(NotRunReason::Draining));
     }
+    if !self.serves(&head.service) {
+      return Err(CallFailure::not_run(NotRunReason::NoUpstream));
+    }
     let trial = self.crashes.admit(fingerprint, head.deadline).await?;
     let queued = self.clock.now();
-    let slot = self.admission.admit(head.priority, head.deadline).await?;
+    let inner = head.depth > 0;
+    let slot = self
+      .admission
+      .admit(head.priority, inner, head.deadline)
+      .await?;
+    let waited = self.clock.now().saturating_duration_since(queued);
     if let Some(calls) = self.meters.route(&head.route) {
-      calls.waited(self.clock.now().saturating_duration_since(queued));
+      calls.waited(waited);
     }
-    Ok(Admitted { slot, trial })
+    Ok(Admitted {
+      slot,
+      trial,
+      waited,
+    })
+  }
+
+  /// True when the upstream beside this node is of `service`. A sender may know an earlier one.
+  fn serves(&self, service: &ServiceName) -> bool {
+    let view = self.views.load();
+    let announced = view.announcement.as_ref();
+    announced.is_some_and(|announced| announced.service == *service)
   }
 
   /// Runs an admitted call; the slot is free once the answer's body has ended.
@@ -72,6 +97,7 @@
   ) -> Result<Answer, CallFailure> {
     let span = OpenSpan::open(self, &call.head);
     let id = span.id;
+    let run = self.open_run(&call.head, id);
     let deadline = call.head.deadline;
     let context = Context {
       root: call.head.root,
@@ -81,12 +107,13 @@
       retries: call.head.retries,
     };
     let running = self.upstream.call(call, context);
-    let result = timeout_at(deadline.into(), running)
+    let whole = async { read_ahead(running.await?).await };
+    let result = timeout_at(deadline.into(), whole)
       .await
       .unwrap_or(Err(CallFailure::unknown(UnknownReason::Deadline)));
     let (unused, below) = span.close();
     match result {
-      Ok(answer) => Ok(self.track(answer, id, admitted, unused, below)),
+      Ok(answer) => Ok(self.track(answer, id, run, admitted, unused, below)),
       Err(failure) => {
         let done = match failure {
           CallFailure::NotRun { .. } => Completion::Cancelled,
@@ -99,10 +126,25 @@
     }
   }
 
+  /// Notes that the upstream runs a request, for the calls that it makes.
+  fn open_run(&self, head: &CallHead, span: SpanId) -> Option<OpenRun> {
+    let id = head.headers.get(&self.names.request)?;
+    let parent = Parent {
+      root: head.root,
+      span,
+      priority: head.priority,
+      deadline: head.deadline,
+      depth: head.depth.saturating_add(1),
+      repeat: head.repeat,
+    };
+    Some(self.runs.open(id, parent))
+  }
+
   fn track(
     self: &Arc<Self>,
     answer: Answer,
     span: SpanId,
+    run: Option<OpenRun>,
     admitted: Admitted,
     unused: Retries,
     below: Level,
@@ -111,6 +153,7 @@
     let report = Report {
       level: here.level.min(below),
       unused,
+      waited: admitted.waited,
       ..here
     };
     let core = Arc::clone(self);
@@ -121,6 +164,7 @@
         BodyEnd::Whole | BodyEnd::Failed(_) => Completion::Failed,
         BodyEnd::Dropped => Completion::Cancelled,
       };
+      drop(run);
       admitted.slot.finish(done);
       let crashed = end == BodyEnd::Failed(BodyError::Cut) && core.crashes.take(span);
       core.end_trial(admitted.trial, crashed, done == Completion::Whole);
@@ -135,6 +179,22 @@
   }
 }
 
+/// Reads the body of an answer when it is small, so that one that is cut off is no answer and the
+/// call may be sent again.
+async fn read_ahead(answer: Answer) -> Result<Answer, CallFailure> {
+  let cut = |error| match error {
+    BodyError::Deadline => CallFailure::unknown(UnknownReason::Deadline),
+    BodyError::Cut | BodyError::Cancelled | BodyError::Length => {
+      CallFailure::unknown(UnknownReason::Connection)
+    }
+  };
+  let mut replay = Replay::read(answer.body).await.map_err(cut)?;
+  let body = replay
+    .body()
+    .ok_or(CallFailure::unknown(UnknownReason::Connection))?;
+  Ok(Answer { body, ..answer })
+}
+
 /// Ledger of one call in flight; closed also when the call is cancelled.
 struct OpenSpan<'a> {
   core: &'a Core,
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -12,22 +12,26 @@
 mod control;
 mod core;
 mod crashes;
+mod directory;
 mod dispatch;
 mod edges;
 mod exit;
 mod gateway;
 mod instance;
+mod interface;
 mod kept_answer;
 mod key_attempt;
 mod keyed;
 mod listeners;
 mod log;
+mod members;
 mod meters;
 mod operator_node;
 mod raw_settings;
 mod replay;
 mod roster_keeper;
 mod rosters;
+mod runs;
 mod server;
 mod settings;
 mod settings_error;
@@ -41,7 +45,8 @@
 pub use {
   command::Command,
   core::Core,
-  raw_settings::{RawCentre, RawLimits, RawSettings},
+  interface::{Interface, InterfaceName},
+  raw_settings::{RawCentre, RawLimits, RawRetryBudget, RawSettings},
   server::{Server, Unfinished},
   settings::{Centre, Settings},
   settings_error::SettingsError,
--- a/crates/cactusyoke/src/meters.rs
+++ b/crates/cactusyoke/src/meters.rs
@@ -30,7 +30,7 @@
       .map(|route| {
         (
           route.name.clone(),
-          self.metrics.calls(&route.service, &route.class),
+          self.metrics.calls(route.service(), &route.class),
         )
       })
       .collect();
--- a/crates/cactusyoke/src/operator_node.rs
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -2,6 +2,9 @@
 
 use {
   crate::{Core, status},
+  cactusyoke_configuration::{
+    AuditFilter, ChangeRequest, ConfigurationError, Intent, OfferResult, Record, RecordedEdit,
+  },
   cactusyoke_decisions::load::Fingerprint,
   cactusyoke_model::{ConfigDelta, PresetName, Revision},
   cactusyoke_operators::{
@@ -9,9 +12,6 @@
     PresetSummary, PresetView, PutRequest, QuarantineView, Reason, StatusView, Timestamp,
     UseRequest,
   },
-  cactusyoke_platform::{
-    AuditFilter, ChangeRequest, ConfigurationError, Intent, OfferResult, Record, RecordedEdit,
-  },
   std::sync::Arc,
 };
 
--- a/crates/cactusyoke/src/raw_settings.rs
+++ b/crates/cactusyoke/src/raw_settings.rs
@@ -1,5 +1,6 @@
 use {
-  cactusyoke_model::{ByteSize, DataCentre, NodeId},
+  crate::InterfaceName,
+  cactusyoke_model::{ByteSize, DataCentre, NodeId, ServiceName},
   serde::Deserialize,
   std::{collections::BTreeMap, net::SocketAddr},
 };
@@ -27,6 +28,27 @@
   pub token: Option<String>,
   /// Address of the platform's key-value service.
   pub platform: SocketAddr,
+  /// How callers, upstreams and operators speak to the node.
+  #[serde(default)]
+  pub interface: InterfaceName,
+  /// Service of the upstream beside the node.
+  #[serde(default)]
+  pub service: Option<ServiceName>,
+  /// Address of the upstream beside the node.
+  #[serde(default)]
+  pub upstream: Option<SocketAddr>,
+  /// Bound on repeats that all nodes share.
+  #[serde(default)]
+  pub retry_budget: Option<RawRetryBudget>,
+  /// Time without a renewal after which the upstream is gone, such as `5s`.
+  #[serde(default = "default_renewal")]
+  pub renewal: String,
+  /// Time for which callers are served on after the signal to stop, such as `3s`.
+  #[serde(default = "default_linger")]
+  pub linger: String,
+  /// Threads of the runtime.
+  #[serde(default = "default_threads")]
+  pub threads: usize,
   /// Bounds.
   #[serde(default)]
   pub limits: RawLimits,
@@ -46,6 +68,20 @@
   pub contacts: Vec<NodeId>,
   /// One-way distance, such as `500us`.
   pub distance: Option<String>,
+  /// Region; data centres of one region are taken to be near each other.
+  pub region: Option<String>,
+}
+
+/// Bound on repeats as written in YAML.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawRetryBudget {
+  /// Repeats for each request in the window.
+  pub ratio: f64,
+  /// Repeats in the window beside these, of all nodes together.
+  pub slack: f64,
+  /// Window, such as `10s`.
+  pub window: String,
 }
 
 /// Bounds as written in YAML.
@@ -73,6 +109,20 @@
   }
 }
 
+fn default_renewal() -> String {
+  "5s".into()
+}
+
+fn default_linger() -> String {
+  "0s".into()
+}
+
+/// A node shares its instance with an upstream, and with a thread for each of ten cores a call
+/// cost a tenth more processor time.
+fn default_threads() -> usize {
+  2
+}
+
 fn default_groups() -> u32 {
   1
 }
--- a/crates/cactusyoke/src/roster_keeper.rs
+++ b/crates/cactusyoke/src/roster_keeper.rs
@@ -8,11 +8,11 @@
     Core,
     control::{Ask, Reply},
   },
+  cactusyoke_configuration::{Expect, StoreError},
   cactusyoke_decisions::keys::{
     ChangeStep, Member, Roster, RosterChange, StoreReply, WitnessReply, WitnessRequest,
   },
   cactusyoke_model::{Incarnation, NodeId},
-  cactusyoke_platform::{Expect, StoreError},
   futures_util::stream::{FuturesUnordered, StreamExt},
   ractor::{Actor, ActorProcessingErr, ActorRef},
   std::{
--- a/crates/cactusyoke/src/rosters.rs
+++ b/crates/cactusyoke/src/rosters.rs
@@ -6,9 +6,9 @@
     control::{Ask, Reply},
   },
   arc_swap::ArcSwap,
+  cactusyoke_configuration::{Store, StoreError, Versioned},
   cactusyoke_decisions::keys::{Member, Roster, Witness, WitnessReply, WitnessRequest},
   cactusyoke_model::{DataCentre, IdempotencyKey, NodeId},
-  cactusyoke_platform::{Store, StoreError, Versioned},
   std::{
     collections::BTreeMap,
     fmt,
@@ -29,7 +29,7 @@
   member: Member,
   groups: u32,
   /// Rosters that the platform keeps.
-  pub(crate) stored: cactusyoke_platform::Rosters,
+  pub(crate) stored: cactusyoke_configuration::Rosters,
   known: ArcSwap<BTreeMap<u32, Roster>>,
   witness: Mutex<Witness>,
 }
@@ -54,7 +54,7 @@
     Self {
       member,
       groups,
-      stored: cactusyoke_platform::Rosters::new(store, centre),
+      stored: cactusyoke_configuration::Rosters::new(store, centre),
       known: ArcSwap::default(),
       witness,
     }
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -10,24 +10,33 @@
     upstream_follower,
   },
   cactusyoke_callers::Limits,
+  cactusyoke_configuration::ObservedStore,
   cactusyoke_model::Clock,
   cactusyoke_nodes::{Hop, Incoming, IncomingCall},
   cactusyoke_operators::{ListenerLimits, Metrics},
-  cactusyoke_platform::{HttpStore, ObservedStore, StoreLimits},
+  cactusyoke_platform::{KvStore, StoreLimits},
   cactusyoke_upstreams::egress,
   ractor::ActorCell,
   std::{
     fmt::{self, Display, Formatter},
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
+  },
+  tokio::{
+    net::TcpListener,
+    sync::mpsc,
+    task::JoinHandle,
+    time::{sleep, timeout},
   },
-  tokio::{net::TcpListener, sync::mpsc, task::JoinHandle, time::timeout},
   tokio_util::sync::CancellationToken,
 };
 
 /// Calls and control messages that wait for a task of their own.
 const INCOMING: usize = 1024;
 
+/// Time between two looks at the requests that the upstream still runs.
+const LINGER_STEP: Duration = Duration::from_millis(50);
+
 /// A running node.
 #[derive(Debug)]
 pub struct Server {
@@ -35,6 +44,7 @@
   loops: Vec<ActorCell>,
   work: Vec<JoinHandle<()>>,
   egress: JoinHandle<()>,
+  close_egress: CancellationToken,
   refuse_work: CancellationToken,
   stop: CancellationToken,
 }
@@ -69,7 +79,7 @@
     let refuse_work = stop.child_token();
     let metrics = Arc::new(Metrics::new(Arc::clone(&clock)));
     let counted = Arc::clone(&metrics);
-    let store = HttpStore::new(settings.platform, StoreLimits::default());
+    let store = KvStore::new(settings.platform, StoreLimits::default());
     let store = ObservedStore::new(Arc::new(store), move |kind, result| {
       counted.platform_call(kind, result);
     });
@@ -84,6 +94,7 @@
     let limits = Limits {
       connections: core.settings.connections as usize,
       body: core.settings.body,
+      names: core.names,
       ..Limits::default()
     };
     let gateway = Arc::new(Gateway(Arc::clone(&core)));
@@ -96,7 +107,8 @@
       )),
       spawn_links(&core, listeners.node, refuse_work.clone()),
     ];
-    let egress = spawn_egress(&core, listeners.egress, limits, stop.clone());
+    let close_egress = stop.child_token();
+    let egress = spawn_egress(&core, listeners.egress, limits, close_egress.clone());
     spawn_operators(&core, listeners.operators, stop.clone());
     tracing::info!(
       event = "started",
@@ -110,6 +122,7 @@
       loops,
       work,
       egress,
+      close_egress,
       refuse_work,
       stop,
     })
@@ -120,19 +133,33 @@
   pub async fn shut_down(self, limit: Duration) -> Result<(), Unfinished> {
     tracing::info!(event = "draining", calls = self.core.in_flight.count());
     self.core.set_draining(true);
+    let started = Instant::now();
+    self.linger(limit).await;
     self.refuse_work.cancel();
+    let mut egress = self.egress;
+    let platform = self.core.settings.interface.is_platform();
+    if platform {
+      // Its callers are those of the instance, too.
+      self.close_egress.cancel();
+    }
     let finish = async {
       for task in self.work {
         // A task that panicked has nothing in flight any more.
         drop(task.await);
       }
       self.core.in_flight.wait_empty().await;
+      if platform {
+        drop((&mut egress).await);
+      }
     };
-    let finished = timeout(limit, finish).await;
+    let left = limit.saturating_sub(started.elapsed());
+    let finished = timeout(left, finish).await;
     let calls = self.core.in_flight.count();
     self.stop.cancel();
     // The egress listener has no calls left once the calls of the upstream have ended.
-    drop(timeout(Duration::from_secs(1), self.egress).await);
+    if !egress.is_finished() {
+      drop(timeout(Duration::from_secs(1), egress).await);
+    }
     self.core.members.leave().await;
     self.core.watcher.stop();
     stop_loops(&self.loops);
@@ -144,6 +171,21 @@
     Ok(())
   }
 
+  /// Serves callers on until they have learnt that the node is not ready any more, and the calls of
+  /// the upstream while it still runs requests.
+  async fn linger(&self, limit: Duration) {
+    let linger = self.core.settings.linger;
+    if linger.is_zero() {
+      return;
+    }
+    sleep(linger).await;
+    let longest = (limit.saturating_sub(linger) / 2).min(limit);
+    let end = Instant::now() + longest;
+    while self.core.admission.status().in_flight > 0 && Instant::now() < end {
+      sleep(LINGER_STEP).await;
+    }
+  }
+
   /// Stops at once, as a failed process would.
   pub fn abort(self) {
     self.refuse_work.cancel();
@@ -184,8 +226,9 @@
   stop: CancellationToken,
 ) -> JoinHandle<()> {
   let handler = Arc::new(Egress(Arc::clone(core)));
+  let own = Some(core.settings.node.0.ip());
   tokio::spawn(async move {
-    if let Err(error) = egress::serve(listener, handler, limits, stop).await {
+    if let Err(error) = egress::serve(listener, handler, limits, own, stop).await {
       tracing::error!(event = "egress_failed", %error);
     }
   })
--- a/crates/cactusyoke/src/settings.rs
+++ b/crates/cactusyoke/src/settings.rs
@@ -1,7 +1,8 @@
 //! Settings of a node: YAML in, checked values out.
 
 use {
-  crate::{RawSettings, SettingsError},
+  crate::{Interface, InterfaceName, RawRetryBudget, RawSettings, SettingsError},
+  cactusyoke_decisions::load::RetryBounds,
   cactusyoke_model::{ByteSize, DataCentre, NodeId},
   cactusyoke_operators::Token,
   std::{
@@ -20,6 +21,15 @@
 /// Longest queue of calls that wait for the upstream.
 const MAX_QUEUE: usize = 100_000;
 
+/// Most threads of the runtime.
+const MAX_THREADS: usize = 64;
+
+/// Distance of another data centre of the region, where the settings give none.
+const OTHER_CENTRE: Duration = Duration::from_millis(1);
+
+/// Distance of a data centre of another region, where the settings give none.
+const OTHER_REGION: Duration = Duration::from_millis(30);
+
 /// What a node knows of one data centre.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Centre {
@@ -30,7 +40,7 @@
 }
 
 /// Checked settings of a node.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
   /// Address for other nodes, TCP and UDP.
   pub node: NodeId,
@@ -40,9 +50,9 @@
   pub centres: BTreeMap<DataCentre, Centre>,
   /// Listener for callers.
   pub callers: SocketAddr,
-  /// Listener for outgoing calls of the upstream; a loopback address.
+  /// Listener for outgoing calls of the upstream; a loopback address or the instance's own.
   pub egress: SocketAddr,
-  /// Listener for announcements of the upstream; a loopback address.
+  /// Listener for announcements of the upstream; a loopback address or the instance's own.
   pub announce: SocketAddr,
   /// Listener for operators.
   pub operators: SocketAddr,
@@ -50,6 +60,16 @@
   pub token: Option<Token>,
   /// Address of the platform's key-value service.
   pub platform: SocketAddr,
+  /// How callers, upstreams and operators speak to the node.
+  pub interface: Interface,
+  /// Bound on repeats that all nodes share; `None` for no bound beside those of presets.
+  pub budget: Option<RetryBounds>,
+  /// Time without a renewal after which the upstream is gone.
+  pub renewal: Duration,
+  /// Time for which callers are served on after the signal to stop.
+  pub linger: Duration,
+  /// Threads of the runtime.
+  pub threads: usize,
   /// Open connections on each listener.
   pub connections: u32,
   /// Largest body of a request.
@@ -94,7 +114,7 @@
   fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
     check_node(raw.node)?;
     for (field, address) in [("egress", raw.egress), ("announce", raw.announce)] {
-      if !address.ip().is_loopback() {
+      if !(address.ip().is_loopback() || address.ip() == raw.node.0.ip()) {
         return Err(SettingsError::NotLoopback(field, address));
       }
     }
@@ -114,11 +134,17 @@
       raw.key_groups as usize,
       MAX_KEY_GROUPS as usize,
     )?;
+    check_range("threads", raw.threads, MAX_THREADS)?;
+    let interface = interface(&raw)?;
+    let budget = raw.retry_budget.as_ref().map(check_budget).transpose()?;
     let mut centres = BTreeMap::new();
+    let region = raw.data_centres[&raw.data_centre].region.clone();
     for (name, centre) in raw.data_centres {
       let distance = match &centre.distance {
         Some(text) => time(&format!("data_centres.{name}.distance"), text)?,
-        None => Duration::ZERO,
+        None if name == raw.data_centre => Duration::ZERO,
+        None if centre.region == region => OTHER_CENTRE,
+        None => OTHER_REGION,
       };
       centres.insert(
         name,
@@ -141,6 +167,11 @@
         .map(|token| token.parse().map_err(SettingsError::Token))
         .transpose()?,
       platform: raw.platform,
+      interface,
+      budget,
+      renewal: time("renewal", &raw.renewal)?,
+      linger: time("linger", &raw.linger)?,
+      threads: raw.threads,
       connections: raw.limits.connections,
       body: raw.limits.body,
       queue: raw.limits.queue,
@@ -151,6 +182,30 @@
   }
 }
 
+fn interface(raw: &RawSettings) -> Result<Interface, SettingsError> {
+  if raw.interface == InterfaceName::Own {
+    return Ok(Interface::Own);
+  }
+  let service = raw.service.clone();
+  Ok(Interface::Platform {
+    service: service.ok_or(SettingsError::Missing("service"))?,
+    upstream: raw.upstream.ok_or(SettingsError::Missing("upstream"))?,
+  })
+}
+
+fn check_budget(raw: &RawRetryBudget) -> Result<RetryBounds, SettingsError> {
+  let window = time("retry_budget.window", &raw.window)?;
+  let amounts = [raw.ratio, raw.slack];
+  if window.is_zero() || amounts.iter().any(|amount| !(0.0..=1e6).contains(amount)) {
+    return Err(SettingsError::Budget);
+  }
+  Ok(RetryBounds {
+    ratio: raw.ratio,
+    slack: raw.slack,
+    window,
+  })
+}
+
 fn check_node(node: NodeId) -> Result<(), SettingsError> {
   if node.0.ip().is_unspecified() || node.0.port() == 0 {
     return Err(SettingsError::NodeAddress(node));
--- a/crates/cactusyoke/src/settings_error.rs
+++ b/crates/cactusyoke/src/settings_error.rs
@@ -29,6 +29,10 @@
   Time(String, String),
   /// The token is not usable.
   Token(TokenError),
+  /// The platform's interface needs a field.
+  Missing(&'static str),
+  /// The retry budget has a negative or an enormous part.
+  Budget,
   /// Error in a named file.
   InFile(String, Box<Self>),
 }
@@ -55,7 +59,7 @@
       ),
       Self::NotLoopback(field, address) => write!(
         f,
-        "`{field}` is `{address}`: use a loopback address, since only the upstream on this instance may reach it"
+        "`{field}` is `{address}`: use a loopback address or that of the instance, since only the upstream on this instance may reach it"
       ),
       Self::AddressTwice(field, address) => {
         write!(
@@ -79,6 +83,13 @@
         text.escape_debug()
       ),
       Self::Token(error) => write!(f, "`token`: {error}"),
+      Self::Missing(field) => write!(
+        f,
+        "`interface: platform` needs `{field}`: write that of the upstream beside the node"
+      ),
+      Self::Budget => f.write_str(
+        "`retry_budget` cannot be used: write `ratio` and `slack` from 0 to 1000000 and a `window` above 0s",
+      ),
       Self::InFile(path, error) => write!(f, "`{path}`: {error}"),
     }
   }
--- a/crates/cactusyoke/src/spread.rs
+++ b/crates/cactusyoke/src/spread.rs
@@ -10,10 +10,10 @@
     Core,
     control::{Ask, Reply},
   },
+  cactusyoke_configuration::{ConfigUpdate, OfferResult},
   cactusyoke_decisions::membership::Member,
   cactusyoke_model::{NodeId, Revision},
   cactusyoke_nodes::MembersView,
-  cactusyoke_platform::{ConfigUpdate, OfferResult},
   ractor::{Actor, ActorProcessingErr, ActorRef},
   rand::seq::IteratorRandom,
   std::{
@@ -102,7 +102,9 @@
     myself: ActorRef<Self::Msg>,
     args: Arc<Core>,
   ) -> Result<SpreadState, ActorProcessingErr> {
-    args.watcher.refresh();
+    if !args.settings.interface.is_platform() {
+      args.watcher.refresh();
+    }
     myself.send_interval(INTERVAL, || SpreadMessage::Choose);
     Ok(SpreadState {
       core: args,
@@ -138,7 +140,9 @@
       .map(|member| member.record.node)
       .collect::<Vec<NodeId>>();
     live.sort_by_cached_key(|node| Reverse(xxh3_64(format!("watch/{node}").as_bytes())));
-    let watching = live.iter().take(WATCHERS).any(|node| *node == own);
+    // On the platform the directory's watch brings the configuration as well.
+    let watching = !self.core.settings.interface.is_platform()
+      && live.iter().take(WATCHERS).any(|node| *node == own);
     if watching != self.watching {
       self.watching = watching;
       tracing::info!(event = "watching", watching);
--- a/crates/cactusyoke/src/status.rs
+++ b/crates/cactusyoke/src/status.rs
@@ -27,9 +27,10 @@
     metrics.limit.store(u64::from(gate.limit), Relaxed);
     metrics.in_flight.store(u64::from(gate.in_flight), Relaxed);
     metrics.queued.store(u64::from(gate.queued), Relaxed);
-    let (links, datagrams) = (self.links.stats(), self.members.stats());
-    let sent = links.control_out() + datagrams.bytes_out();
-    let received = links.control_in() + datagrams.bytes_in();
+    let links = self.links.stats();
+    let (datagrams_out, datagrams_in) = self.members.datagram_bytes();
+    let sent = links.control_out() + datagrams_out;
+    let received = links.control_in() + datagrams_in;
     metrics.control_sent.store(sent, Relaxed);
     metrics.control_received.store(received, Relaxed);
     let view = self.members.view();
--- a/crates/cactusyoke/src/subcommand/node.rs
+++ b/crates/cactusyoke/src/subcommand/node.rs
@@ -2,13 +2,12 @@
   crate::{Server, Settings, exit, log},
   cactusyoke_model::SystemClock,
   std::{path::Path, process::ExitCode, sync::Arc},
-  tokio::signal::unix::{SignalKind, signal},
+  tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+  },
 };
 
-/// Threads of the runtime. A node shares its instance with an upstream, and with a thread for each
-/// of ten cores a call cost a tenth more processor time.
-const WORKERS: usize = 2;
-
 /// Runs the node until it is told to stop.
 pub(crate) fn run(path: &Path) -> ExitCode {
   let settings = match Settings::load(path) {
@@ -16,17 +15,24 @@
     Err(error) => return exit::usage(&error),
   };
   log::init();
-  let runtime = match tokio::runtime::Builder::new_multi_thread()
-    .worker_threads(WORKERS)
-    .enable_all()
-    .build()
-  {
+  let runtime = match runtime(settings.threads).build() {
     Ok(runtime) => runtime,
     Err(error) => return exit::failure(&format!("cannot start the runtime: {error}")),
   };
   runtime.block_on(serve(settings))
 }
 
+/// Runtime with so many threads; a single one needs no hand-over of work.
+fn runtime(threads: usize) -> Builder {
+  let mut builder = if threads == 1 {
+    Builder::new_current_thread()
+  } else {
+    Builder::new_multi_thread()
+  };
+  builder.worker_threads(threads).enable_all();
+  builder
+}
+
 async fn serve(settings: Settings) -> ExitCode {
   let limit = settings.shutdown;
   let server = match Server::start(settings, Arc::new(SystemClock)).await {
--- a/crates/cactusyoke/src/upstream_follower.rs
+++ b/crates/cactusyoke/src/upstream_follower.rs
@@ -66,15 +66,16 @@
 impl Core {
   fn follow(&self, view: &UpstreamView, last: &mut Option<(Announcement, Phase)>) {
     publish(self);
+    if matches!(view.phase, Phase::Draining | Phase::Gone) {
+      self.admission.refuse_waiting();
+    }
     let Some(announcement) = &view.announcement else {
       return;
     };
     let restarted = match last {
       None => true,
       Some((known, phase)) => {
-        known.instance != announcement.instance
-          || known.address != announcement.address
-          || (*phase == Phase::Gone && view.phase != Phase::Gone)
+        !known.is_same_process(announcement) || (*phase == Phase::Gone && view.phase != Phase::Gone)
       }
     };
     let resized = last
--- a/crates/cactusyoke/tests/common/cluster_builder.rs
+++ b/crates/cactusyoke/tests/common/cluster_builder.rs
@@ -1,9 +1,8 @@
 use {
   super::{Cluster, NodeProcess, TOKEN},
+  cactusyoke_configuration::{ChangeRequest, Configuration, Intent, RetryLimits},
   cactusyoke_model::{ChangeId, Connections, Preset, Revision, Slots, SystemClock},
-  cactusyoke_platform::{
-    ChangeRequest, Configuration, HttpStore, Intent, RetryLimits, StoreLimits,
-  },
+  cactusyoke_platform::{KvStore, StoreLimits},
   cactusyoke_standins::{
     Addresses,
     platform::Platform,
@@ -177,7 +176,7 @@
 
 async fn put_in_force(platform: SocketAddr, yaml: &str) {
   let preset = yaml.parse::<Preset>().expect("the preset is correct");
-  let store = Arc::new(HttpStore::new(platform, StoreLimits::default()));
+  let store = Arc::new(KvStore::new(platform, StoreLimits::default()));
   let configuration = Configuration::new(store, Arc::new(SystemClock), RetryLimits::default());
   let edits = [
     Intent::Put(Box::new(preset.raw().clone())),
--- a/crates/cactusyoke/tests/operator_examples.rs
+++ b/crates/cactusyoke/tests/operator_examples.rs
@@ -27,11 +27,11 @@
 fn the_examples_protect_what_matters_most(file: &str, first: &str, last: &str) {
   let preset = read(file);
   assert!(file.ends_with(&format!("/{}.yaml", preset.name)));
-  let charge = preset.route(&Method::POST, first).unwrap();
+  let charge = preset.route(&Method::POST, "", first).unwrap();
   assert_eq!(charge.rank, ClassRank(0));
   assert!(!charge.idempotent);
   assert!(!charge.spill, "a charge stays in its home data centre");
-  let lookup = preset.route(&Method::GET, last).unwrap();
+  let lookup = preset.route(&Method::GET, "", last).unwrap();
   let lowest = preset.routes.iter().map(|route| route.rank).max().unwrap();
   assert_eq!(lookup.rank, lowest);
   assert!(lookup.idempotent);
@@ -53,7 +53,7 @@
       let routed = preset
         .routes
         .iter()
-        .any(|route| route.service.as_str() == *service);
+        .any(|route| route.service().as_str() == *service);
       assert!(routed, "{directory}/{name} has no route of {service}");
     }
   }
--- a/crates/cactusyoke/tests/operator_support/mod.rs
+++ b/crates/cactusyoke/tests/operator_support/mod.rs
@@ -11,7 +11,7 @@
   cactusyoke::subcommand::{CommandError, operator},
   cactusyoke_model::{RawPreset, SystemClock},
   cactusyoke_operators::{ListenerLimits, Metrics, serve},
-  cactusyoke_platform::{HttpStore, StoreLimits},
+  cactusyoke_platform::{KvStore, StoreLimits},
   cactusyoke_standins::platform::Platform,
   std::{
     env, fs,
@@ -51,7 +51,7 @@
         call: Duration::from_millis(200),
         ..StoreLimits::default()
       };
-      let store = Arc::new(HttpStore::new(platform.address(), limits));
+      let store = Arc::new(KvStore::new(platform.address(), limits));
       let node = Arc::new(TestNode::start(store).await);
       let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
       let address = listener.local_addr().unwrap();
--- a/crates/cactusyoke/tests/operator_support/test_node.rs
+++ b/crates/cactusyoke/tests/operator_support/test_node.rs
@@ -1,14 +1,14 @@
 use {
+  cactusyoke_configuration::{
+    AuditFilter, ChangeRequest, Configuration, ConfigurationError, Intent, Record, RecordedEdit,
+    RetryLimits, Store, Watcher,
+  },
   cactusyoke_model::{ConfigDelta, PresetName, Revision, SystemClock},
   cactusyoke_operators::{
     Accepted, AuditQuery, AuditRecord, ConfigView, ConflictView, Node, NodeError, NodeFuture,
     NodeStatus, PlatformView, PresetSummary, PresetView, PutRequest, QuarantineView, Reason,
     StatusView, Timestamp, UseRequest,
   },
-  cactusyoke_platform::{
-    AuditFilter, ChangeRequest, Configuration, ConfigurationError, Intent, Record, RecordedEdit,
-    RetryLimits, Store, Watcher,
-  },
   std::{
     sync::{
       Arc,
--- a/crates/platform/src/change_writer.rs
+++ b/crates/configuration/src/change_writer.rs
@@ -99,7 +99,11 @@
             self.seen = self.seen.max(current.unwrap_or(0));
           }
           StoreError::TimedOut => self.doubt = Some(version),
-          StoreError::Unavailable { .. } | StoreError::Quota | StoreError::TooLarge => {}
+          StoreError::Unavailable { .. }
+          | StoreError::Quota
+          | StoreError::TooLarge
+          | StoreError::Compacted
+          | StoreError::LeaseEnded => {}
         }
         Err(error.into())
       }
--- a/crates/platform/src/configuration_error.rs
+++ b/crates/configuration/src/configuration_error.rs
@@ -97,7 +97,9 @@
       StoreError::Conflict { .. }
       | StoreError::Unavailable { .. }
       | StoreError::TimedOut
-      | StoreError::Quota => Self::Unavailable(error.to_string()),
+      | StoreError::Quota
+      | StoreError::Compacted
+      | StoreError::LeaseEnded => Self::Unavailable(error.to_string()),
     }
   }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -1,9 +1,10 @@
-//! Client of the platform's key-value service and the configuration kept in it.
+//! What the platform's store keeps: the configuration with its audit trail, and the directory of
+//! nodes.
 //!
-//! The platform is the only place that keeps anything. [`Store`] is the interface to it and
-//! [`HttpStore`] the client that nodes use. A node stays able to work when no call to the platform
-//! succeeds, so every call has a time limit and every failure says whether a write may have taken
-//! effect.
+//! The platform is the only place that keeps anything. [`Store`] and [`LeaseStore`] are the
+//! interfaces to it; the client is in the package of the platform. A node stays able to work when
+//! no call to the platform succeeds, so every call has a time limit and every failure says whether
+//! a write may have taken effect.
 
 mod audit;
 mod audit_filter;
@@ -13,15 +14,16 @@
 mod configuration_error;
 mod contacts;
 mod content_hash;
+mod feed;
 mod head;
-mod http_store;
+mod lease_store;
 mod observed_store;
 mod offer_result;
 mod platform_status;
-mod pool;
 mod presets;
 mod reader;
 mod record;
+mod registration;
 mod replica;
 mod retry_limits;
 mod rosters;
@@ -37,17 +39,19 @@
 pub use configuration_error::ConfigurationError;
 pub use contacts::Contacts;
 pub use content_hash::ContentHash;
+pub use feed::{Feed, FeedSink};
 pub use head::{Head, PresetRef};
-pub use http_store::{HttpStore, StoreLimits};
+pub use lease_store::{Changes, Event, Item, Lease, LeaseId, LeaseStore, Listing};
 pub use observed_store::ObservedStore;
 pub use offer_result::OfferResult;
 pub use platform_status::PlatformStatus;
 pub use presets::Presets;
 pub use record::{Record, RecordedEdit};
+pub use registration::Registration;
 pub use retry_limits::RetryLimits;
 pub use rosters::Rosters;
 pub use snapshot::{ConfigUpdate, Snapshot};
-pub use store::{Expect, Lease, Store, StoreFuture, Versioned};
+pub use store::{Expect, Store, StoreFuture, Versioned};
 pub use store_error::StoreError;
 pub use watcher::Watcher;
 
@@ -56,7 +60,6 @@
   change_writer::ChangeWriter,
   configuration::{HEAD, corrupt, decode},
   head::{HEAD_CHANGES, MOVED},
-  pool::Pool,
   reader::{Reader, Reading},
   replica::Replica,
   watcher_actor::{Arguments, Shared, WatcherActor, WatcherMessage},
--- a/crates/platform/src/observed_store.rs
+++ b/crates/configuration/src/observed_store.rs
@@ -1,5 +1,7 @@
 use {
-  crate::{Expect, Lease, Store, StoreError, StoreFuture, Versioned},
+  crate::{
+    Changes, Expect, Lease, LeaseId, LeaseStore, Listing, Store, StoreError, StoreFuture, Versioned,
+  },
   bytes::Bytes,
   std::{
     fmt::{self, Debug, Formatter},
@@ -9,16 +11,17 @@
 };
 
 /// Store that reports each call by kind (`get`, `put`, `lease`, `watch`) and result (`ok`,
-/// `conflict`, `unavailable`, `timed-out`, `too-large`, `quota`), for metrics.
+/// `conflict`, `unavailable`, `timed-out`, `too-large`, `quota`, `compacted`, `lease-ended`), for
+/// metrics.
 pub struct ObservedStore {
-  store: Arc<dyn Store>,
+  store: Arc<dyn LeaseStore>,
   observe: Box<dyn Fn(&'static str, &'static str) + Send + Sync>,
 }
 
 impl ObservedStore {
   /// Observes the calls to `store`.
   pub fn new(
-    store: Arc<dyn Store>,
+    store: Arc<dyn LeaseStore>,
     observe: impl Fn(&'static str, &'static str) + Send + Sync + 'static,
   ) -> Self {
     Self {
@@ -55,10 +58,6 @@
     self.report("put", self.store.put(key, value, expect))
   }
 
-  fn lease<'a>(&'a self, key: &'a str, holder: &'a str, ttl: Duration) -> StoreFuture<'a, Lease> {
-    self.report("lease", self.store.lease(key, holder, ttl))
-  }
-
   fn watch<'a>(
     &'a self,
     key: &'a str,
@@ -69,6 +68,43 @@
   }
 }
 
+impl LeaseStore for ObservedStore {
+  fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Listing> {
+    self.report("get", self.store.list(prefix))
+  }
+
+  fn changes<'a>(
+    &'a self,
+    prefix: &'a str,
+    after: u64,
+    wait: Duration,
+  ) -> StoreFuture<'a, Changes> {
+    self.report("watch", self.store.changes(prefix, after, wait))
+  }
+
+  fn grant(&self, ttl: Duration) -> StoreFuture<'_, Lease> {
+    self.report("lease", self.store.grant(ttl))
+  }
+
+  fn renew(&self, lease: LeaseId) -> StoreFuture<'_, ()> {
+    self.report("lease", self.store.renew(lease))
+  }
+
+  fn end(&self, lease: LeaseId) -> StoreFuture<'_, ()> {
+    self.report("lease", self.store.end(lease))
+  }
+
+  fn put_leased<'a>(
+    &'a self,
+    key: &'a str,
+    value: Bytes,
+    expect: Expect,
+    lease: LeaseId,
+  ) -> StoreFuture<'a, u64> {
+    self.report("put", self.store.put_leased(key, value, expect, lease))
+  }
+}
+
 const fn name(error: Option<&StoreError>) -> &'static str {
   match error {
     None => "ok",
@@ -77,5 +113,7 @@
     Some(StoreError::TimedOut) => "timed-out",
     Some(StoreError::TooLarge) => "too-large",
     Some(StoreError::Quota) => "quota",
+    Some(StoreError::Compacted) => "compacted",
+    Some(StoreError::LeaseEnded) => "lease-ended",
   }
 }
--- a/crates/platform/src/rosters.rs
+++ b/crates/configuration/src/rosters.rs
@@ -24,7 +24,7 @@
   }
 
   /// Replaces the roster of a group and returns its version. A lost answer is resolved by a read:
-  /// the write took effect when the next version holds this value.
+  /// the write took effect when a later version holds this value.
   pub async fn replace(&self, group: u32, value: Bytes, expect: Expect) -> Result<u64, StoreError> {
     let key = self.key(group);
     match self.store.put(&key, value.clone(), expect).await {
@@ -37,7 +37,7 @@
       Expect::Any => return Err(StoreError::TimedOut),
     };
     match self.store.get(&key).await {
-      Ok(Some(found)) if found.version == before + 1 && found.value == value => Ok(found.version),
+      Ok(Some(found)) if found.version > before && found.value == value => Ok(found.version),
       Ok(Some(found)) if found.version > before => Err(StoreError::Conflict {
         current: Some(found.version),
       }),
--- a/crates/platform/src/store.rs
+++ b/crates/configuration/src/store.rs
@@ -27,21 +27,9 @@
   Any,
 }
 
-/// Answer to a request for a lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Lease {
-  /// The caller holds the lease until its time to live has passed on the platform's clock.
-  Granted,
-  /// Another holder has it.
-  Held {
-    /// Its holder.
-    holder: String,
-  },
-}
-
-/// Key-value service with compare-and-swap, leases and watches.
+/// Key-value service with compare-and-swap and watches.
 ///
-/// Keys are segments of `a-z`, `0-9`, `-`, `_` and `.`, separated by slashes.
+/// Keys are segments of printable ASCII, separated by slashes.
 pub trait Store: Debug + Send + Sync + 'static {
   /// Reads a key; `None` when it has no value.
   fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Versioned>>;
@@ -49,9 +37,6 @@
   /// Writes a key where it matches the expectation, and returns its new version.
   fn put<'a>(&'a self, key: &'a str, value: Bytes, expect: Expect) -> StoreFuture<'a, u64>;
 
-  /// Takes or renews a lease.
-  fn lease<'a>(&'a self, key: &'a str, holder: &'a str, ttl: Duration) -> StoreFuture<'a, Lease>;
-
   /// Waits for a version above `after`; `None` when there was none within `wait`.
   fn watch<'a>(
     &'a self,
--- a/crates/platform/src/store_error.rs
+++ b/crates/configuration/src/store_error.rs
@@ -22,6 +22,10 @@
   TooLarge,
   /// Too many calls in a short time; nothing was written.
   Quota,
+  /// The changes after the given version are no longer known.
+  Compacted,
+  /// The lease has ended; nothing was written.
+  LeaseEnded,
 }
 
 impl Display for StoreError {
@@ -41,6 +45,10 @@
         f.write_str("the value is larger than the platform accepts: split it or shorten it")
       }
       Self::Quota => f.write_str("the platform's call quota is used up: try again in a second"),
+      Self::Compacted => f.write_str(
+        "the platform no longer knows the changes since then: read everything again",
+      ),
+      Self::LeaseEnded => f.write_str("the lease has ended: take a new one"),
     }
   }
 }
--- a/crates/platform/tests/configuration.rs
+++ b/crates/configuration/tests/configuration.rs
@@ -3,10 +3,10 @@
 mod support;
 
 use {
-  cactusyoke_model::{PresetError, Revision, SystemClock},
-  cactusyoke_platform::{
+  cactusyoke_configuration::{
     AuditFilter, ChangeRequest, Configuration, ConfigurationError, Intent, RetryLimits,
   },
+  cactusyoke_model::{PresetError, Revision, SystemClock},
   cactusyoke_standins::platform::{Outage, Platform, Quotas},
   std::sync::Arc,
   support::{configuration, http_store, name, preset, put, request},
--- a/crates/platform/tests/histories.rs
+++ b/crates/configuration/tests/histories.rs
@@ -7,11 +7,11 @@
 mod support;
 
 use {
-  cactusyoke_model::{Config, Revision, SystemClock},
-  cactusyoke_platform::{
+  cactusyoke_configuration::{
     AuditFilter, ChangeRequest, ConfigUpdate, Configuration, ConfigurationError, Intent,
     OfferResult, Record, RetryLimits, Store, Watcher,
   },
+  cactusyoke_model::{Config, Revision, SystemClock},
   faulty_store::{FaultyStore, LONGEST_DELAY},
   proptest::prelude::*,
   std::{
--- a/crates/platform/tests/records.rs
+++ b/crates/configuration/tests/records.rs
@@ -4,8 +4,10 @@
 
 use {
   bytes::Bytes,
+  cactusyoke_configuration::{
+    Contacts, Expect, LeaseStore, ObservedStore, Rosters, Store, StoreError,
+  },
   cactusyoke_model::{DataCentre, NodeId},
-  cactusyoke_platform::{Contacts, Expect, ObservedStore, Rosters, Store, StoreError},
   cactusyoke_standins::platform::{Outage, Platform},
   std::{
     collections::BTreeSet,
@@ -85,7 +87,7 @@
   store.put("k", value.clone(), Expect::Absent).await.unwrap();
   store.put("k", value, Expect::Absent).await.unwrap_err();
   store.watch("k", 0, Duration::ZERO).await.unwrap();
-  store.lease("l", "a", Duration::ZERO).await.unwrap();
+  store.grant(Duration::from_secs(1)).await.unwrap();
   platform.faults().set_outage(Outage::Refuse);
   store.get("k").await.unwrap_err();
   assert_eq!(
--- a/crates/platform/tests/support/faulty_store.rs
+++ b/crates/configuration/tests/support/faulty_store.rs
@@ -1,6 +1,6 @@
 use {
   bytes::Bytes,
-  cactusyoke_platform::{Expect, Lease, Store, StoreError, StoreFuture, Versioned},
+  cactusyoke_configuration::{Expect, Store, StoreError, StoreFuture, Versioned},
   rand::{Rng, SeedableRng, rngs::StdRng},
   std::{
     collections::BTreeMap,
@@ -159,10 +159,6 @@
     })
   }
 
-  fn lease<'a>(&'a self, _: &'a str, _: &'a str, _: Duration) -> StoreFuture<'a, Lease> {
-    Box::pin(async { Err(refused()) })
-  }
-
   fn watch<'a>(
     &'a self,
     key: &'a str,
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/configuration/tests/support/mod.rs
@@ -6,10 +6,9 @@
 )]
 
 use {
+  cactusyoke_configuration::{ChangeRequest, Configuration, Intent, RetryLimits, Store},
   cactusyoke_model::{ChangeId, PresetName, RawPreset, Revision, SystemClock},
-  cactusyoke_platform::{
-    ChangeRequest, Configuration, HttpStore, Intent, RetryLimits, Store, StoreLimits,
-  },
+  cactusyoke_platform::{KvStore, StoreLimits},
   cactusyoke_standins::platform::Platform,
   std::{sync::Arc, time::Duration},
 };
@@ -50,8 +49,8 @@
   }
 }
 
-pub fn http_store(platform: &Platform) -> Arc<dyn Store> {
-  Arc::new(HttpStore::new(
+pub fn http_store(platform: &Platform) -> Arc<KvStore> {
+  Arc::new(KvStore::new(
     platform.address(),
     StoreLimits {
       call: Duration::from_millis(300),
--- a/crates/platform/tests/watcher.rs
+++ b/crates/configuration/tests/watcher.rs
@@ -3,10 +3,9 @@
 mod support;
 
 use {
+  cactusyoke_configuration::{ConfigUpdate, Configuration, Intent, OfferResult, Snapshot, Watcher},
   cactusyoke_model::{Revision, SystemClock},
-  cactusyoke_platform::{
-    ConfigUpdate, Configuration, HttpStore, Intent, OfferResult, Snapshot, StoreLimits, Watcher,
-  },
+  cactusyoke_platform::{KvStore, StoreLimits},
   cactusyoke_standins::platform::{Outage, Platform},
   std::{sync::Arc, time::Duration},
   support::{configuration, http_store, name, preset, put, request},
@@ -95,7 +94,7 @@
 #[tokio::test]
 async fn a_change_is_adopted_although_the_watch_went_silent() {
   let platform = Platform::start().await.unwrap();
-  let store = HttpStore::new(platform.address(), StoreLimits::default());
+  let store = KvStore::new(platform.address(), StoreLimits::default());
   let clock = Arc::new(SystemClock);
   let (watcher, _) = Watcher::start(Arc::new(store), clock).await.unwrap();
   let configuration = configuration(http_store(&platform));
@@ -211,7 +210,7 @@
   for number in 0..1_500 {
     let mut route = route.clone();
     route.name = format!("route-{number}").parse().unwrap();
-    route.service = format!("service-{}", number / 5).parse().unwrap();
+    route.service = Some(format!("service-{}", number / 5).parse().unwrap());
     route.path = format!("/service-{}/part-{number}", number / 5);
     large.routes.push(route);
   }
--- a/crates/decisions/examples/measure_load.rs
+++ b/crates/decisions/examples/measure_load.rs
@@ -4,7 +4,8 @@
 
 use {
   cactusyoke_decisions::load::{
-    CallEnd, Candidate, Completed, Completion, Gate, GateConfig, Levels, Offer, Router,
+    CallEnd, Candidate, Completed, Completion, Criteria, Gate, GateConfig, Levels, Offer, Outlook,
+    Router,
   },
   cactusyoke_model::{Level, NodeId, Priority, RouteName, Slots},
   rand::{SeedableRng, rngs::SmallRng},
@@ -90,6 +91,7 @@
       node: NodeId(SocketAddr::from((Ipv4Addr::LOCALHOST, port))),
       since,
       slots: Slots(25 + u32::from(port % 3) * 50),
+      distance: Duration::ZERO,
     })
     .collect::<Vec<Candidate>>();
   let mut router = Router::new();
@@ -97,16 +99,21 @@
   let done = Completed {
     outcome: CallEnd::Answered,
     latency: Duration::from_millis(10),
-    load: Some(12),
+    waited: Duration::ZERO,
+    route: None,
+    outlook: Some(Outlook {
+      load: 12,
+      ..Outlook::default()
+    }),
   };
   let timer = Instant::now();
   for call in 0..CALLS {
     let now = now + GAP * call;
     let node = router
-      .pick(&candidates, &[], &mut rng, now)
+      .pick(&candidates, &Criteria::ANY, &mut rng, now)
       .expect("a candidate");
     router.sent(node, now);
-    router.done(node, done, now);
+    router.done(node, &done, now);
   }
   report(
     &format!("routing among {count}, with its end"),
--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -5,6 +5,7 @@
 
 mod candidate;
 mod completion;
+mod criteria;
 mod end;
 mod fingerprint;
 mod gate;
@@ -14,17 +15,21 @@
 mod levels;
 mod limit;
 mod offer;
+mod outlook;
 mod peer;
 mod place;
 mod quarantine;
 mod queue;
 mod rate;
+mod retry_budget;
 mod retry_ratio;
 mod router;
+mod shares;
 mod threshold;
 
 pub use candidate::Candidate;
 pub use completion::Completion;
+pub use criteria::Criteria;
 pub use end::{CallEnd, Completed};
 pub use fingerprint::Fingerprint;
 pub use gate::Gate;
@@ -32,17 +37,20 @@
 pub use ledgers::Ledgers;
 pub use levels::Levels;
 pub use offer::{GateAction, Offer};
+pub use outlook::Outlook;
 pub use quarantine::{Notice, Quarantine};
 pub use queue::QueueOrder;
+pub use retry_budget::{RetryBounds, RetryBudget};
 pub use retry_ratio::RetryRatio;
 pub use router::Router;
+pub use shares::Shares;
 
 use {
   ledger::Ledger,
   limit::Limit,
   peer::Peer,
   place::Place,
-  queue::{Entry, Queue},
+  queue::{Entry, Line, Queue, Waits},
   rate::Rate,
   std::{
     collections::HashMap,
--- a/crates/decisions/src/load/candidate.rs
+++ b/crates/decisions/src/load/candidate.rs
@@ -1,6 +1,6 @@
 use {
   cactusyoke_model::{NodeId, Slots},
-  std::time::Instant,
+  std::time::{Duration, Instant},
 };
 
 /// Serving instance of a service that a call can be sent to.
@@ -12,4 +12,6 @@
   pub since: Instant,
   /// Announced slots.
   pub slots: Slots,
+  /// One-way distance to its data centre; zero for the sender's own.
+  pub distance: Duration,
 }
--- a/crates/decisions/src/load/end.rs
+++ b/crates/decisions/src/load/end.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {super::Outlook, cactusyoke_model::RouteName, std::time::Duration};
 
 /// How a call to another node ended, as its sender sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -9,17 +9,23 @@
   ServerError,
   /// Refused before it reached the upstream.
   NotRun,
+  /// The instance cannot be reached, or takes no calls.
+  Away,
   /// Connection lost, timed out or response cut.
   Lost,
 }
 
 /// Measurements of a finished call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Completed {
   /// Outcome.
   pub outcome: CallEnd,
   /// Time from sending to the end.
   pub latency: Duration,
-  /// Calls in flight and queued at the answering node, when it reported them.
-  pub load: Option<u32>,
+  /// Part of it in the queue of the answering node.
+  pub waited: Duration,
+  /// Route, since routes differ in their work.
+  pub route: Option<RouteName>,
+  /// Load of the answering node, when it reported it.
+  pub outlook: Option<Outlook>,
 }
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -1,7 +1,7 @@
 use {
   super::{
-    Completion, Entry, GateAction, GateConfig, Limit, Offer, Place, Queue, QueueOrder, Table,
-    Threshold, threshold::Pressure,
+    Completion, Entry, GateAction, GateConfig, Limit, Line, Offer, Outlook, Place, Queue,
+    QueueOrder, Table, Threshold, Waits, threshold::Pressure,
   },
   cactusyoke_model::{Level, NotRunReason, Priority, Slots},
   std::time::{Duration, Instant},
@@ -65,7 +65,7 @@
     }
   }
 
-  /// Offers a call. `ticket` identifies it and must not be in use at this gate.
+  /// Offers a new request. `ticket` identifies it and must not be in use at this gate.
   pub fn offer(
     &mut self,
     ticket: u64,
@@ -81,6 +81,27 @@
     if !self.threshold.enforced().admits(priority) {
       return Offer::Refused(NotRunReason::Shed);
     }
+    self.enter(ticket, Line::root(priority), deadline, now)
+  }
+
+  /// Offers a call of a request that upstreams above have worked on. It goes ahead of new requests
+  /// of its class and is not shed for load, which would throw that work away.
+  pub fn offer_inner(
+    &mut self,
+    ticket: u64,
+    priority: Priority,
+    deadline: Instant,
+    now: Instant,
+  ) -> Offer {
+    self.tick(now);
+    if self.tickets.contains_key(&ticket) {
+      return Offer::Refused(NotRunReason::BadRequest);
+    }
+    self.threshold.arrived(priority);
+    self.enter(ticket, Line::inner(priority), deadline, now)
+  }
+
+  fn enter(&mut self, ticket: u64, line: Line, deadline: Instant, now: Instant) -> Offer {
     let latest = now + self.limit.fastest();
     if deadline <= latest {
       return Offer::Refused(NotRunReason::Deadline);
@@ -89,19 +110,18 @@
       self.start(ticket, now, now);
       return Offer::Start;
     }
-    let class = Queue::class(priority);
-    if deadline <= latest + self.expected_wait(class) {
+    if deadline <= latest + self.expected_wait(line) {
       return Offer::Refused(NotRunReason::Deadline);
     }
     let mut evicted = None;
     if self.queue.len() >= self.bound {
-      let Some(entry) = self.queue.evict_below(class) else {
+      let Some(entry) = self.queue.evict_below(line) else {
         return Offer::Refused(NotRunReason::QueueFull);
       };
       self.tickets.remove(&entry.ticket);
       evicted = Some(entry.ticket);
     }
-    self.enqueue(class, ticket, deadline, now);
+    self.enqueue(line, ticket, deadline, now);
     Offer::Queued { evicted }
   }
 
@@ -119,11 +139,11 @@
 
   /// Removes a waiting call. False when the ticket does not wait.
   pub fn cancel(&mut self, ticket: u64) -> bool {
-    let Some(Place::Queued { class }) = self.tickets.get(&ticket).copied() else {
+    let Some(Place::Queued { line }) = self.tickets.get(&ticket).copied() else {
       return false;
     };
     self.tickets.remove(&ticket);
-    self.queue.remove(class, ticket)
+    self.queue.remove(line, ticket)
   }
 
   /// Appends what to do with waiting calls.
@@ -169,6 +189,18 @@
     self.in_flight + self.queued()
   }
 
+  /// What a sender can expect of the gate.
+  pub fn outlook(&self) -> Outlook {
+    let pace = |capacity: f64| Duration::from_secs_f64(1.0 / capacity);
+    Outlook {
+      load: self.load(),
+      queued: self.queued(),
+      urgent: self.queue.urgent() as u32,
+      room: self.limit.current().saturating_sub(self.load()),
+      pace: self.limit.capacity().map_or(Duration::ZERO, pace),
+    }
+  }
+
   /// Calls that may be in flight.
   pub fn limit(&self) -> u32 {
     self.limit.current()
@@ -209,10 +241,10 @@
     self.started += 1;
   }
 
-  fn enqueue(&mut self, class: usize, ticket: u64, deadline: Instant, now: Instant) {
-    self.tickets.insert(ticket, Place::Queued { class });
+  fn enqueue(&mut self, line: Line, ticket: u64, deadline: Instant, now: Instant) {
+    self.tickets.insert(ticket, Place::Queued { line });
     self.queue.push(
-      class,
+      line,
       Entry {
         ticket,
         queued: now,
@@ -220,12 +252,16 @@
       },
     );
     let latest = deadline.checked_sub(self.limit.fastest()).unwrap_or(now);
-    let expiry = latest.min(now + self.queue_wait);
+    let expiry = if line.is_inner() {
+      latest
+    } else {
+      latest.min(now + self.queue_wait)
+    };
     self.expiry = Some(self.expiry.map_or(expiry, |earliest| earliest.min(expiry)));
   }
 
-  fn expected_wait(&self, class: usize) -> Duration {
-    let ahead = self.queue.ahead(class) as f64;
+  fn expected_wait(&self, line: Line) -> Duration {
+    let ahead = self.queue.ahead(line) as f64;
     self.limit.capacity().map_or(Duration::ZERO, |capacity| {
       Duration::from_secs_f64(ahead / capacity)
     })
@@ -250,13 +286,16 @@
 
   /// Longest waits of the most important class and of the others. The most important one waits on
   /// while the level sheds the others only: it is about to get their slots, and is shed last.
-  fn waits(&self) -> [Duration; 2] {
+  fn waits(&self) -> Waits {
     let first = if self.threshold.sheds_lower_classes() {
       Duration::MAX
     } else {
       self.queue_wait
     };
-    [first, self.queue_wait]
+    Waits {
+      first,
+      others: self.queue_wait,
+    }
   }
 
   fn next_expiry(&self) -> Option<Instant> {
--- a/crates/decisions/src/load/peer.rs
+++ b/crates/decisions/src/load/peer.rs
@@ -1,5 +1,5 @@
 use {
-  super::{CallEnd, Completed},
+  super::{CallEnd, Completed, Outlook},
   std::time::{Duration, Instant},
 };
 
@@ -22,6 +22,11 @@
 /// First ejection; doubles with each further one.
 const EJECTION: Duration = Duration::from_secs(1);
 const MAX_EJECTION: Duration = Duration::from_secs(32);
+/// Time for which an instance that cannot be reached is left alone; doubles with each attempt.
+const AWAY: Duration = Duration::from_millis(250);
+const MAX_AWAY: Duration = Duration::from_secs(4);
+/// Age at which a report says nothing any more, so that a full instance is tried again.
+const REPORT_EXPIRY: f64 = 1.0;
 
 /// What a sender knows of one instance.
 #[derive(Clone, Debug)]
@@ -30,9 +35,13 @@
   /// Calls of other senders, as last reported.
   others: f64,
   reported: Instant,
+  outlook: Outlook,
+  /// Calls sent since the last report.
+  unreported: u32,
   penalty: f64,
   penalised: Instant,
-  latency: Option<f64>,
+  /// Latency relative to the mean of the same routes, smoothed.
+  slowness: Option<f64>,
   timed: Instant,
   consecutive: u32,
   calls: u32,
@@ -40,6 +49,10 @@
   counted: Instant,
   ejected: Option<(Instant, Instant)>,
   ejections: u32,
+  /// End of the time for which it counts as out of reach.
+  away: Option<Instant>,
+  /// Attempts in a row that did not reach it.
+  missed: u32,
 }
 
 impl Peer {
@@ -48,9 +61,17 @@
       in_flight: 0,
       others: 0.0,
       reported: now,
+      outlook: Outlook {
+        load: 0,
+        queued: 0,
+        urgent: 0,
+        room: u32::MAX,
+        pace: Duration::ZERO,
+      },
+      unreported: 0,
       penalty: 0.0,
       penalised: now,
-      latency: None,
+      slowness: None,
       timed: now,
       consecutive: 0,
       calls: 0,
@@ -58,22 +79,39 @@
       counted: now,
       ejected: None,
       ejections: 0,
+      away: None,
+      missed: 0,
     }
   }
 
   pub(super) const fn sent(&mut self) {
     self.in_flight += 1;
+    self.unreported += 1;
   }
 
-  pub(super) fn done(&mut self, done: Completed, now: Instant) {
+  pub(super) const fn cancelled(&mut self) {
     self.in_flight = self.in_flight.saturating_sub(1);
-    if let Some(load) = done.load {
+  }
+
+  /// Records the end of a call; `mean` is the mean time of its route, seconds.
+  pub(super) fn done(&mut self, done: &Completed, mean: Option<f64>, now: Instant) {
+    self.in_flight = self.in_flight.saturating_sub(1);
+    if let Some(outlook) = done.outlook {
       // The report counts the sender's own calls, too.
-      self.others = f64::from(load.saturating_sub(self.in_flight));
+      self.others = f64::from(outlook.load.saturating_sub(self.in_flight));
       self.reported = now;
+      self.outlook = outlook;
+      self.unreported = 0;
     }
+    if done.outcome == CallEnd::Away {
+      self.missed(now);
+      return;
+    }
+    self.missed = 0;
+    self.away = None;
     match done.outcome {
-      CallEnd::Answered => self.answered(done.latency, now),
+      CallEnd::Away => {}
+      CallEnd::Answered => self.answered(done.latency.saturating_sub(done.waited), mean, now),
       // A refusal says nothing about the upstream's health, but is as fast as a failure.
       CallEnd::NotRun => self.penalise(now),
       CallEnd::ServerError | CallEnd::Lost => {
@@ -93,6 +131,32 @@
       .map(|(since, _)| since)
   }
 
+  /// True while it counts as out of reach.
+  pub(super) fn is_away(&self, now: Instant) -> bool {
+    self.away.is_some_and(|until| until > now)
+  }
+
+  /// Wait in its queue that a call has to expect, as last reported.
+  pub(super) fn wait(&self, inner: bool, now: Instant) -> Duration {
+    let age = now.saturating_duration_since(self.reported).as_secs_f64();
+    if age >= REPORT_EXPIRY {
+      return Duration::ZERO;
+    }
+    let waiting = if inner {
+      self.outlook.urgent
+    } else {
+      self.outlook.queued
+    };
+    let ahead = (waiting + self.unreported + 1).saturating_sub(self.outlook.room);
+    self.outlook.pace * ahead
+  }
+
+  fn missed(&mut self, now: Instant) {
+    let time = AWAY * (1 << self.missed.min(5));
+    self.away = Some(now + time.min(MAX_AWAY));
+    self.missed += 1;
+  }
+
   /// End of the last ejection.
   pub(super) fn returned(&self) -> Option<Instant> {
     self.ejected.map(|(_, until)| until)
@@ -105,23 +169,25 @@
       + self.penalty * fading(self.penalised, PENALTY_HALF_LIFE, now)
   }
 
-  /// Latency relative to that of the service.
-  pub(super) fn slowness(&self, mean: f64, now: Instant) -> f64 {
-    let Some(latency) = self.latency else {
+  /// Latency relative to the other instances of the service.
+  pub(super) fn slowness(&self, now: Instant) -> f64 {
+    let Some(slowness) = self.slowness else {
       return 1.0;
     };
-    let excess = (latency / mean).clamp(0.5, 4.0) - 1.0;
+    let excess = slowness.clamp(0.5, 4.0) - 1.0;
     1.0 + excess * fading(self.timed, LATENCY_HALF_LIFE, now)
   }
 
-  fn answered(&mut self, latency: Duration, now: Instant) {
-    let seconds = latency.as_secs_f64();
-    self.latency = Some(
-      self
-        .latency
-        .map_or(seconds, |old| old + (seconds - old) * LATENCY_WEIGHT),
-    );
-    self.timed = now;
+  fn answered(&mut self, latency: Duration, mean: Option<f64>, now: Instant) {
+    if let Some(mean) = mean.filter(|mean| *mean > 0.0) {
+      let ratio = latency.as_secs_f64() / mean;
+      self.slowness = Some(
+        self
+          .slowness
+          .map_or(ratio, |old| old + (ratio - old) * LATENCY_WEIGHT),
+      );
+      self.timed = now;
+    }
     self.count(false, now);
     self.consecutive = 0;
     // A window without a new ejection halves the next one.
--- a/crates/decisions/src/load/place.rs
+++ b/crates/decisions/src/load/place.rs
@@ -1,8 +1,8 @@
-use std::time::Instant;
+use {super::Line, std::time::Instant};
 
 /// Where a ticket of a gate is.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Place {
-  Queued { class: usize },
+  Queued { line: Line },
   Running { since: Instant },
 }
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -7,6 +7,32 @@
 };
 
 const CLASSES: usize = ClassRank::MAX.0 as usize + 1;
+/// Lines of a class: calls of requests that have been worked on already, then new requests.
+const LINES: usize = 2;
+
+/// Line of the queue; lower ones start first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Line(usize);
+
+impl Line {
+  /// Line of a new request.
+  pub(super) fn root(priority: Priority) -> Self {
+    Self(Queue::class(priority) * LINES + 1)
+  }
+
+  /// Line of a call of a request that has been worked on already.
+  pub(super) fn inner(priority: Priority) -> Self {
+    Self(Queue::class(priority) * LINES)
+  }
+
+  pub(super) const fn is_inner(self) -> bool {
+    self.0.is_multiple_of(LINES)
+  }
+
+  const fn class(self) -> usize {
+    self.0 / LINES
+  }
+}
 
 /// Order in which waiting calls of one class start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -18,6 +44,26 @@
   NewestFirst,
 }
 
+/// Longest waits of new requests. Calls of requests that have been worked on wait until their
+/// deadline: shedding them would throw that work away.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waits {
+  /// Of the most important class.
+  pub(super) first: Duration,
+  /// Of the others.
+  pub(super) others: Duration,
+}
+
+impl Waits {
+  fn of(self, line: Line) -> Duration {
+    match line.class() {
+      _ if line.is_inner() => Duration::MAX,
+      0 => self.first,
+      _ => self.others,
+    }
+  }
+}
+
 /// Waiting call.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Entry {
@@ -26,12 +72,12 @@
   pub(super) deadline: Instant,
 }
 
-/// Bounded queue with one line for each class.
+/// Bounded queue with two lines for each class.
 #[derive(Debug)]
 pub(super) struct Queue {
   lines: Vec<VecDeque<Entry>>,
   /// One bit for each line that is not empty.
-  filled: u32,
+  filled: u64,
   len: usize,
   order: QueueOrder,
 }
@@ -39,7 +85,7 @@
 impl Queue {
   pub(super) fn new(order: QueueOrder) -> Self {
     Self {
-      lines: (0..CLASSES).map(|_| VecDeque::new()).collect(),
+      lines: (0..CLASSES * LINES).map(|_| VecDeque::new()).collect(),
       filled: 0,
       len: 0,
       order,
@@ -55,46 +101,54 @@
   }
 
   pub(super) fn class_len(&self, class: usize) -> usize {
-    self.lines[class].len()
+    self.lines[class * LINES..(class + 1) * LINES]
+      .iter()
+      .map(VecDeque::len)
+      .sum()
+  }
+
+  /// Waiting calls of requests that have been worked on already.
+  pub(super) fn urgent(&self) -> usize {
+    self.lines.iter().step_by(LINES).map(VecDeque::len).sum()
   }
 
   /// Calls that start before one that arrives now.
-  pub(super) fn ahead(&self, class: usize) -> usize {
-    let above = self.lines[..class].iter().map(VecDeque::len).sum();
+  pub(super) fn ahead(&self, line: Line) -> usize {
+    let above = self.lines[..line.0].iter().map(VecDeque::len).sum();
     match self.order {
-      QueueOrder::OldestFirst => above + self.lines[class].len(),
+      QueueOrder::OldestFirst => above + self.lines[line.0].len(),
       QueueOrder::NewestFirst => above,
     }
   }
 
-  pub(super) fn push(&mut self, class: usize, entry: Entry) {
-    self.lines[class].push_back(entry);
-    self.filled |= 1 << class;
+  pub(super) fn push(&mut self, line: Line, entry: Entry) {
+    self.lines[line.0].push_back(entry);
+    self.filled |= 1 << line.0;
     self.len += 1;
   }
 
   /// Next call to start.
   pub(super) fn pop(&mut self) -> Option<Entry> {
-    let class = self.filled.trailing_zeros() as usize;
-    let line = self.lines.get_mut(class)?;
+    let first = Line(self.filled.trailing_zeros() as usize);
+    let line = self.lines.get_mut(first.0)?;
     let entry = match self.order {
       QueueOrder::OldestFirst => line.pop_front(),
       QueueOrder::NewestFirst => line.pop_back(),
     };
-    self.removed(class, entry.is_some().into());
+    self.removed(first, entry.is_some().into());
     entry
   }
 
-  /// Removes the call that would start last, if its class is below the given one.
-  pub(super) fn evict_below(&mut self, class: usize) -> Option<Entry> {
+  /// Removes the call that would start last, if its line is below the given one.
+  pub(super) fn evict_below(&mut self, than: Line) -> Option<Entry> {
     if self.filled == 0 {
       return None;
     }
-    let last = self.filled.ilog2() as usize;
-    if last <= class {
+    let last = Line(self.filled.ilog2() as usize);
+    if last <= than {
       return None;
     }
-    let line = &mut self.lines[last];
+    let line = &mut self.lines[last.0];
     let entry = match self.order {
       QueueOrder::OldestFirst => line.pop_back(),
       QueueOrder::NewestFirst => line.pop_front(),
@@ -103,60 +157,61 @@
     entry
   }
 
-  pub(super) fn remove(&mut self, class: usize, ticket: u64) -> bool {
-    let line = &mut self.lines[class];
-    let Some(index) = line.iter().position(|entry| entry.ticket == ticket) else {
+  pub(super) fn remove(&mut self, line: Line, ticket: u64) -> bool {
+    let entries = &mut self.lines[line.0];
+    let Some(index) = entries.iter().position(|entry| entry.ticket == ticket) else {
       return false;
     };
-    line.remove(index);
-    self.removed(class, 1);
+    entries.remove(index);
+    self.removed(line, 1);
     true
   }
 
-  /// Removes each call that has waited for the longest wait of its class, or whose deadline comes before `latest`.
+  /// Removes each call that has waited for the longest wait of its line, or whose deadline comes
+  /// before `latest`.
   pub(super) fn expire(
     &mut self,
     now: Instant,
-    waits: [Duration; 2],
+    waits: Waits,
     latest: Instant,
     mut expired: impl FnMut(&Entry),
   ) {
     let mut rest = self.filled;
     while rest != 0 {
-      let class = rest.trailing_zeros() as usize;
+      let line = Line(rest.trailing_zeros() as usize);
       rest &= rest - 1;
-      let wait = waits[class.min(1)];
-      let before = self.lines[class].len();
-      self.lines[class].retain(|entry| {
+      let wait = waits.of(line);
+      let before = self.lines[line.0].len();
+      self.lines[line.0].retain(|entry| {
         let keep = now.saturating_duration_since(entry.queued) < wait && entry.deadline > latest;
         if !keep {
           expired(entry);
         }
         keep
       });
-      self.removed(class, before - self.lines[class].len());
+      self.removed(line, before - self.lines[line.0].len());
     }
   }
 
   /// Earliest time at which a waiting call expires.
-  pub(super) fn next_expiry(&self, waits: [Duration; 2], margin: Duration) -> Option<Instant> {
-    let expiry = |class: usize, entry: &Entry| {
+  pub(super) fn next_expiry(&self, waits: Waits, margin: Duration) -> Option<Instant> {
+    let expiry = |line: usize, entry: &Entry| {
       let latest = entry.deadline.checked_sub(margin).unwrap_or(entry.queued);
-      let waited = entry.queued.checked_add(waits[class.min(1)]);
+      let waited = entry.queued.checked_add(waits.of(Line(line)));
       waited.map_or(latest, |waited| waited.min(latest))
     };
     self
       .lines
       .iter()
       .enumerate()
-      .flat_map(|(class, line)| line.iter().map(move |entry| expiry(class, entry)))
+      .flat_map(|(place, line)| line.iter().map(move |entry| expiry(place, entry)))
       .min()
   }
 
-  fn removed(&mut self, class: usize, count: usize) {
+  fn removed(&mut self, line: Line, count: usize) {
     self.len -= count;
-    if self.lines[class].is_empty() {
-      self.filled &= !(1 << class);
+    if self.lines[line.0].is_empty() {
+      self.filled &= !(1 << line.0);
     }
   }
 }
--- a/crates/decisions/src/load/router.rs
+++ b/crates/decisions/src/load/router.rs
@@ -1,6 +1,6 @@
 use {
-  super::{CallEnd, Candidate, Completed, Peer, Table},
-  cactusyoke_model::NodeId,
+  super::{CallEnd, Candidate, Completed, Criteria, Peer, Table},
+  cactusyoke_model::{NodeId, RouteName},
   rand::Rng,
   std::time::{Duration, Instant},
 };
@@ -11,15 +11,28 @@
 const FIRST_SHARE: f64 = 0.1;
 /// Random draws before the candidates are gone through in order.
 const DRAWS: usize = 8;
-/// Smoothing of the service's latency.
-const LATENCY_WEIGHT: f64 = 0.01;
+/// Smoothing of the mean time of a route.
+const MEAN_WEIGHT: f64 = 0.01;
+/// Routes whose mean time is kept.
+const MAX_ROUTES: usize = 1024;
+/// Share of a call's target that it may wait at an instance of its own data centre before one of
+/// another is considered.
+const STAY_WAIT: f64 = 0.1;
+/// Share of the target that wait and work together may take there.
+const STAY_TIME: f64 = 0.5;
+/// Share of the target by which another data centre must be faster, since bytes between data
+/// centres cost money.
+const FAR_MARGIN: f64 = 0.05;
 
 /// Choice of an instance among those of one service.
+///
+/// Calls stay in their data centre while an instance there meets their target, and go to another
+/// one on measured wait and speed.
 #[derive(Debug, Default)]
 pub struct Router {
   peers: Table<NodeId, Peer>,
-  /// Smoothed latency of the service, seconds.
-  latency: Option<f64>,
+  /// Mean time of each route, seconds.
+  means: Table<Option<RouteName>, f64>,
 }
 
 impl Router {
@@ -28,17 +41,66 @@
     Self::default()
   }
 
-  /// Picks the less loaded of two random candidates. `None` when each one is to be avoided.
+  /// Picks an instance; `candidates` are in the order of their distance. `None` when each one is to be
+  /// avoided.
   pub fn pick(
     &self,
     candidates: &[Candidate],
-    avoid: &[NodeId],
+    criteria: &Criteria<'_>,
     rng: &mut impl Rng,
     now: Instant,
   ) -> Option<NodeId> {
+    let split = candidates.partition_point(|candidate| candidate.distance.is_zero());
+    let (near, far) = candidates.split_at(split);
+    let near = self.pick_among(near, criteria.avoid, rng, now);
+    if near.is_some_and(|near| self.is_comfortable(near, criteria, now)) {
+      return near.map(|near| near.node);
+    }
+    let far = self.pick_far(far, criteria.avoid, rng, now);
+    let picked = match (near, far) {
+      (Some(near), Some(far)) => {
+        let margin = criteria.target.as_secs_f64() * FAR_MARGIN;
+        if self.time(far, criteria, now) + margin < self.time(near, criteria, now) {
+          Some(far)
+        } else {
+          Some(near)
+        }
+      }
+      (near, far) => near.or(far),
+    };
+    // An ejected instance is better than none.
+    picked
+      .map(|candidate| candidate.node)
+      .or_else(|| last_resort(candidates, criteria.avoid))
+  }
+
+  /// One of the nearest of the other data centres that have a usable instance; `candidates` are in
+  /// the order of their distance.
+  fn pick_far<'a>(
+    &self,
+    candidates: &'a [Candidate],
+    avoid: &[NodeId],
+    rng: &mut impl Rng,
+    now: Instant,
+  ) -> Option<&'a Candidate> {
+    candidates
+      .chunk_by(|one, other| one.distance == other.distance)
+      .find_map(|tier| self.pick_among(tier, avoid, rng, now))
+  }
+
+  /// The less loaded of two random candidates.
+  fn pick_among<'a>(
+    &self,
+    candidates: &'a [Candidate],
+    avoid: &[NodeId],
+    rng: &mut impl Rng,
+    now: Instant,
+  ) -> Option<&'a Candidate> {
     let most = candidates.iter().map(|candidate| candidate.slots).max()?.0;
     let usable = |candidate: &Candidate| {
-      !avoid.contains(&candidate.node) && !self.is_ejected(candidate, candidates, now)
+      !avoid.contains(&candidate.node)
+        && !self.is_away(candidate, now)
+        && !self.is_ejected(candidate, candidates, now)
     };
     let mut draw = |other: Option<NodeId>| {
       for _ in 0..DRAWS {
@@ -56,22 +118,15 @@
         .chain(before)
         .find(|candidate| Some(candidate.node) != other && usable(candidate))
     };
-    let Some(one) = draw(None) else {
-      // An ejected instance is better than none.
-      return candidates
-        .iter()
-        .map(|candidate| candidate.node)
-        .find(|node| !avoid.contains(node));
-    };
+    let one = draw(None)?;
     let Some(two) = draw(Some(one.node)) else {
-      return Some(one.node);
+      return Some(one);
     };
-    let better = if self.score(two, now) < self.score(one, now) {
-      two
+    if self.score(two, now) < self.score(one, now) {
+      Some(two)
     } else {
-      one
-    };
-    Some(better.node)
+      Some(one)
+    }
   }
 
   /// Counts a call sent to an instance.
@@ -84,18 +139,27 @@
   }
 
   /// Records the end of a call. An instance that was forgotten meanwhile stays so.
-  pub fn done(&mut self, node: NodeId, done: Completed, now: Instant) {
+  pub fn done(&mut self, node: NodeId, done: &Completed, now: Instant) {
+    let mean = self.means.get(&done.route).copied();
     let Some(peer) = self.peers.get_mut(&node) else {
       return;
     };
-    peer.done(done, now);
-    if done.outcome == CallEnd::Answered {
-      let seconds = done.latency.as_secs_f64();
-      self.latency = Some(
-        self
-          .latency
-          .map_or(seconds, |old| old + (seconds - old) * LATENCY_WEIGHT),
-      );
+    peer.done(done, mean, now);
+    if done.outcome != CallEnd::Answered {
+      return;
+    }
+    let seconds = done.latency.saturating_sub(done.waited).as_secs_f64();
+    if let Some(mean) = self.means.get_mut(&done.route) {
+      *mean += (seconds - *mean) * MEAN_WEIGHT;
+    } else if self.means.len() < MAX_ROUTES {
+      self.means.insert(done.route.clone(), seconds);
+    }
+  }
+
+  /// Records that a call was given up by its caller, which says nothing about the instance.
+  pub fn cancelled(&mut self, node: NodeId) {
+    if let Some(peer) = self.peers.get_mut(&node) {
+      peer.cancelled();
     }
   }
 
@@ -104,6 +168,11 @@
     self.peers.remove(&node);
   }
 
+  fn is_away(&self, candidate: &Candidate, now: Instant) -> bool {
+    let peer = self.peers.get(&candidate.node);
+    peer.is_some_and(|peer| peer.is_away(now))
+  }
+
   /// True when the instance is ejected. Of the candidates at most half can be, those that were
   /// ejected first.
   fn is_ejected(&self, candidate: &Candidate, candidates: &[Candidate], now: Instant) -> bool {
@@ -118,6 +187,28 @@
     earlier < candidates.len() / 2
   }
 
+  /// True when an instance of the own data centre meets the target, so that no other is looked at.
+  fn is_comfortable(&self, candidate: &Candidate, criteria: &Criteria<'_>, now: Instant) -> bool {
+    let target = criteria.target.as_secs_f64();
+    let wait = self.wait(candidate, criteria, now);
+    wait <= target * STAY_WAIT && self.time(candidate, criteria, now) <= target * STAY_TIME
+  }
+
+  /// Expected wait in the queue of the instance, seconds.
+  fn wait(&self, candidate: &Candidate, criteria: &Criteria<'_>, now: Instant) -> f64 {
+    let peer = self.peers.get(&candidate.node);
+    peer.map_or(0.0, |peer| peer.wait(criteria.inner, now).as_secs_f64())
+  }
+
+  /// Expected time to the answer, seconds.
+  fn time(&self, candidate: &Candidate, criteria: &Criteria<'_>, now: Instant) -> f64 {
+    let mean = self.means.get(&criteria.route.cloned()).copied();
+    let peer = self.peers.get(&candidate.node);
+    let slowness = peer.map_or(1.0, |peer| peer.slowness(now));
+    let network = candidate.distance.as_secs_f64() * 2.0;
+    self.wait(candidate, criteria, now) + mean.unwrap_or(0.0) * slowness + network
+  }
+
   /// Expected relative wait; less is better.
   fn score(&self, candidate: &Candidate, now: Instant) -> f64 {
     let Some(peer) = self.peers.get(&candidate.node) else {
@@ -126,11 +217,18 @@
     let since = peer
       .returned()
       .map_or(candidate.since, |until| until.max(candidate.since));
-    let slowness = self.latency.map_or(1.0, |mean| peer.slowness(mean, now));
-    (peer.load(now) + 1.0) * slowness / weight(candidate, since, now)
+    (peer.load(now) + 1.0) * peer.slowness(now) / weight(candidate, since, now)
   }
 }
 
+/// Any instance that is not to be avoided.
+fn last_resort(candidates: &[Candidate], avoid: &[NodeId]) -> Option<NodeId> {
+  candidates
+    .iter()
+    .map(|candidate| candidate.node)
+    .find(|node| !avoid.contains(node))
+}
+
 /// Slots that an instance offers, fewer in its slow start.
 fn weight(candidate: &Candidate, since: Instant, now: Instant) -> f64 {
   let age = now.saturating_duration_since(since).as_secs_f64();
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -19,6 +19,7 @@
 mod prober;
 mod receive;
 mod record;
+mod roll;
 mod send;
 
 pub use {
@@ -29,6 +30,7 @@
   members::Members,
   members_config::MembersConfig,
   record::{LifeState, Own, Record},
+  roll::Roll,
 };
 use {
   budget::Budget,
--- a/crates/decisions/tests/policy/server.rs
+++ b/crates/decisions/tests/policy/server.rs
@@ -1,6 +1,6 @@
 use {
   cactusyoke_decisions::load::{
-    Completion, Gate, GateAction, GateConfig, Levels, Offer, QueueOrder, Router,
+    Completion, Gate, GateAction, GateConfig, Levels, Offer, Outlook, QueueOrder, Router,
   },
   cactusyoke_model::{Level, NotRunReason, Priority, Slots},
   std::{
@@ -86,10 +86,12 @@
     &mut self,
     ticket: u64,
     priority: Priority,
+    inner: bool,
     deadline: Instant,
     now: Instant,
   ) -> Offer {
     match &mut self.admission {
+      Admission::Adaptive(gate) if inner => gate.offer_inner(ticket, priority, deadline, now),
       Admission::Adaptive(gate) => gate.offer(ticket, priority, deadline, now),
       Admission::Fixed {
         slots,
@@ -141,9 +143,9 @@
     }
   }
 
-  pub fn load(&self) -> Option<u32> {
+  pub fn outlook(&self) -> Option<Outlook> {
     match &self.admission {
-      Admission::Adaptive(gate) => Some(gate.load()),
+      Admission::Adaptive(gate) => Some(gate.outlook()),
       Admission::Fixed { .. } => None,
     }
   }
--- a/crates/decisions/tests/policy/simulation.rs
+++ b/crates/decisions/tests/policy/simulation.rs
@@ -10,7 +10,9 @@
     server::{Policy, Server},
     summary::{Finished, Summary},
   },
-  cactusyoke_decisions::load::{CallEnd, Candidate, Completed, Completion, GateAction, Offer},
+  cactusyoke_decisions::load::{
+    CallEnd, Candidate, Completed, Completion, Criteria, GateAction, Offer,
+  },
   cactusyoke_model::{Level, NodeId, RouteName, Slots},
   rand::{Rng, SeedableRng, rngs::SmallRng},
   std::{
@@ -76,6 +78,7 @@
           // Long before the run, so that no slow start is simulated.
           since: start.checked_sub(Duration::from_mins(1)).unwrap_or(start),
           slots: Slots(deployment.chain[place].slots),
+          distance: Duration::ZERO,
         })
         .collect()
     });
@@ -168,7 +171,7 @@
     let candidates = &self.candidates[hop];
     let node = match self.policy {
       Policy::Adaptive(_) => self.servers[sender].routers[hop]
-        .pick(candidates, &[], &mut self.rng, self.now)
+        .pick(candidates, &Criteria::ANY, &mut self.rng, self.now)
         .expect("nothing is to be avoided"),
       _ => candidates[self.rng.random_range(0..candidates.len())].node,
     };
@@ -196,6 +199,7 @@
     let offer = self.servers[server].offer(
       ticket(request, hop),
       priority,
+      hop > 0,
       sent + TIME_AT_SERVERS,
       self.now,
     );
@@ -252,9 +256,11 @@
         CallEnd::NotRun
       },
       latency: self.now - self.requests[request].sent_to[hop],
-      load: self.servers[server].load(),
+      waited: Duration::ZERO,
+      route: None,
+      outlook: self.servers[server].outlook(),
     };
-    self.servers[sender].routers[hop].done(node(server), completed, self.now);
+    self.servers[sender].routers[hop].done(node(server), &completed, self.now);
     if hop == 0 {
       self.servers[sender]
         .levels
--- a/crates/decisions/tests/router.rs
+++ b/crates/decisions/tests/router.rs
@@ -1,7 +1,7 @@
 //! Choice of an instance.
 
 use {
-  cactusyoke_decisions::load::{CallEnd, Candidate, Completed, Router},
+  cactusyoke_decisions::load::{CallEnd, Candidate, Completed, Criteria, Router},
   cactusyoke_model::{NodeId, Slots},
   rand::{Rng, SeedableRng, rngs::SmallRng},
   std::{
@@ -21,6 +21,7 @@
     node: node(index),
     since,
     slots: Slots(*slots),
+    distance: Duration::ZERO,
   };
   slots.iter().enumerate().map(candidate).collect()
 }
@@ -45,13 +46,15 @@
         let done = Completed {
           outcome,
           latency,
-          load: None,
+          waited: Duration::ZERO,
+          route: None,
+          outlook: None,
         };
-        router.done(node(*index), done, now);
+        router.done(node(*index), &done, now);
       }
       *end > now
     });
-    let picked = router.pick(candidates, &[], &mut rng, now);
+    let picked = router.pick(candidates, &Criteria::ANY, &mut rng, now);
     let index = usize::from(picked.expect("a candidate").0.port());
     counts[index] += 1;
     router.sent(node(index), now);
@@ -108,7 +111,7 @@
   let mut rng = SmallRng::seed_from_u64(1);
   let mut picked = std::collections::BTreeSet::new();
   for _ in 0..1000 {
-    picked.extend(router.pick(&candidates, &[], &mut rng, later));
+    picked.extend(router.pick(&candidates, &Criteria::ANY, &mut rng, later));
   }
   // Two of five may be ejected; the worst of the other three loses each comparison.
   assert_eq!(picked.len(), 2, "{picked:?}");
@@ -154,10 +157,16 @@
   let now = Instant::now();
   let candidates = candidates(&[20; 3], now);
   let (router, mut rng) = (Router::new(), SmallRng::seed_from_u64(1));
-  let mut pick = |avoid: &[NodeId]| router.pick(&candidates, avoid, &mut rng, now);
+  let mut pick = |avoid: &[NodeId]| {
+    let criteria = Criteria {
+      avoid,
+      ..Criteria::ANY
+    };
+    router.pick(&candidates, &criteria, &mut rng, now)
+  };
   for _ in 0..100 {
     assert_eq!(pick(&[node(0), node(2)]), Some(node(1)));
   }
   assert_eq!(pick(&[node(0), node(1), node(2)]), None);
-  assert_eq!(router.pick(&[], &[], &mut rng, now), None);
+  assert_eq!(router.pick(&[], &Criteria::ANY, &mut rng, now), None);
 }
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -3,12 +3,13 @@
 use {
   crate::{Deployment, Service, baseline::Baseline, measure::Listeners},
   cactusyoke::{Server, SettingsError, StartError},
+  cactusyoke_configuration::{
+    ChangeRequest, Configuration, ConfigurationError, Intent, RetryLimits,
+  },
   cactusyoke_model::{
     ChangeId, Connections, NameError, Preset, PresetError, Revision, Slots, SystemClock,
   },
-  cactusyoke_platform::{
-    ChangeRequest, Configuration, ConfigurationError, HttpStore, Intent, RetryLimits, StoreLimits,
-  },
+  cactusyoke_platform::{KvStore, StoreLimits},
   cactusyoke_standins::{
     Addresses,
     platform::Platform,
@@ -172,7 +173,7 @@
 
 pub(crate) async fn put_in_force(platform: &Platform, yaml: &str) -> Result<(), FleetError> {
   let preset = yaml.parse::<Preset>()?;
-  let store = Arc::new(HttpStore::new(platform.address(), StoreLimits::default()));
+  let store = Arc::new(KvStore::new(platform.address(), StoreLimits::default()));
   let configuration = Configuration::new(store, Arc::new(SystemClock), RetryLimits::default());
   let request = |id, based_on, intent| ChangeRequest {
     id: ChangeId(id),
--- a/crates/demo/src/measure/control_preset.rs
+++ b/crates/demo/src/measure/control_preset.rs
@@ -1,9 +1,8 @@
 use {
   crate::FleetError,
+  cactusyoke_configuration::{ChangeRequest, Configuration, Intent, RetryLimits},
   cactusyoke_model::{ChangeId, Preset, RawPreset, Revision, SystemClock},
-  cactusyoke_platform::{
-    ChangeRequest, Configuration, HttpStore, Intent, RetryLimits, StoreLimits,
-  },
+  cactusyoke_platform::{KvStore, StoreLimits},
   cactusyoke_standins::platform::Platform,
   std::{fmt::Write, sync::Arc},
 };
@@ -29,7 +28,7 @@
       );
     }
     let preset = yaml.parse::<Preset>()?;
-    let store = Arc::new(HttpStore::new(platform.address(), StoreLimits::default()));
+    let store = Arc::new(KvStore::new(platform.address(), StoreLimits::default()));
     let configuration = Configuration::new(store, Arc::new(SystemClock), RetryLimits::default());
     let mut this = Self {
       configuration,
--- a/crates/http/src/caller_request.rs
+++ b/crates/http/src/caller_request.rs
@@ -1,12 +1,13 @@
 use {
-  crate::{Limits, ReceivedBody, Refusal, hop_headers::remove_hop_headers},
-  cactusyoke_model::{Body, CONTEXT_HEADER, Context, IdempotencyKey, KEY_HEADER, KeyError},
-  http::{HeaderMap, Method, Request, Version, header, request::Parts},
+  crate::{HeaderNames, Limits, ReceivedBody, Refusal, hop_headers::remove_hop_headers},
+  cactusyoke_model::{Body, Context, IdempotencyKey, KeyError},
+  http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Version, header, request::Parts},
   http_body_util::BodyExt,
   hyper::body::Incoming,
   std::{
     fmt,
     sync::{Arc, atomic::AtomicBool},
+    time::Duration,
   },
 };
 
@@ -16,8 +17,14 @@
   pub method: Method,
   /// Path and query.
   pub path: String,
-  /// HTTP headers without hop-by-hop ones and without the context.
+  /// Host that it names; empty when it names none.
+  pub host: String,
+  /// HTTP headers without hop-by-hop ones, the context, and those that nodes set themselves.
   pub headers: HeaderMap,
+  /// Id that its caller chose.
+  pub id: Option<HeaderValue>,
+  /// Time that its caller waits.
+  pub remaining: Option<Duration>,
   /// Body; ends with a [`cactusyoke_model::BodyError`] when it is not received whole.
   pub body: Body,
   /// Key under which the request runs at most once.
@@ -50,18 +57,34 @@
     let (parts, body) = request.into_parts();
     let body = ReceivedBody::new(body, limits.body, limits.idle, unread);
     check_head(&parts, &body, limits)?;
-    let key = read_key(&parts.headers)?;
-    let context = read_context(&parts.headers)?;
+    let names = limits.names;
+    let key = read_key(&parts.headers, names.key.as_ref())?;
+    let context = read_context(&parts.headers, names.context.as_ref())?;
     let path = parts.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str()).to_owned();
+    let host = read_host(&parts);
     let mut headers = parts.headers;
-    headers.remove(CONTEXT_HEADER);
+    let id = headers.get(&names.request).cloned();
+    let remaining = read_remaining(&headers, names);
+    if let Some(context) = &names.context {
+      headers.remove(context);
+    }
+    for name in [&names.deadline, &names.instance, &names.origin] {
+      headers.remove(name);
+    }
     headers.remove(header::EXPECT);
     remove_hop_headers(&mut headers);
+    if let Some(id) = &id {
+      // A `connection` header must not take it away.
+      headers.insert(&names.request, id.clone());
+    }
     Ok(Self {
       method: parts.method,
       path,
+      host,
       headers,
+      id,
+      remaining,
       body: body.boxed_unsync(),
       key,
       context,
@@ -96,26 +119,55 @@
   Ok(())
 }
 
-fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Refusal> {
-  let mut values = headers.get_all(KEY_HEADER).iter();
-  let Some(value) = values.next() else {
+fn read_host(parts: &Parts) -> String {
+  let named = parts.headers.get(header::HOST);
+  let host = named.and_then(|value| value.to_str().ok());
+  host
+    .or_else(|| parts.uri.host())
+    .unwrap_or_default()
+    .to_owned()
+}
+
+fn read_remaining(headers: &HeaderMap, names: &HeaderNames) -> Option<Duration> {
+  let text = headers.get(&names.deadline)?.to_str().ok()?;
+  text.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// The only value of a header; an error when there are several.
+fn single<'a>(
+  headers: &'a HeaderMap,
+  name: Option<&HeaderName>,
+  repeated: Refusal,
+) -> Result<Option<&'a HeaderValue>, Refusal> {
+  let Some(name) = name else {
     return Ok(None);
   };
-  if values.next().is_some() {
-    return Err(Refusal::RepeatedKey);
+  let mut values = headers.get_all(name).iter();
+  let value = values.next();
+  match values.next() {
+    Some(_) => Err(repeated),
+    None => Ok(value),
   }
+}
+
+fn read_key(
+  headers: &HeaderMap,
+  name: Option<&HeaderName>,
+) -> Result<Option<IdempotencyKey>, Refusal> {
+  let Some(value) = single(headers, name, Refusal::RepeatedKey)? else {
+    return Ok(None);
+  };
   let text = value.to_str().map_err(|_error| Refusal::Key(KeyError))?;
   text.parse().map(Some).map_err(Refusal::Key)
 }
 
-fn read_context(headers: &HeaderMap) -> Result<Option<Context>, Refusal> {
-  let mut values = headers.get_all(CONTEXT_HEADER).iter();
-  let Some(value) = values.next() else {
+fn read_context(
+  headers: &HeaderMap,
+  name: Option<&HeaderName>,
+) -> Result<Option<Context>, Refusal> {
+  let Some(value) = single(headers, name, Refusal::Context)? else {
     return Ok(None);
   };
-  if values.next().is_some() {
-    return Err(Refusal::Context);
-  }
   let text = value.to_str().map_err(|_error| Refusal::Context)?;
   text.parse().map(Some).map_err(|_error| Refusal::Context)
 }
--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -95,6 +95,11 @@
       soon,
       "no upstream of the service can be reached; send it again after the time in `retry-after`",
     ),
+    NotRunReason::Refused => (
+      unavailable,
+      soon,
+      "the upstream refused it without running it; send it again after the time in `retry-after`",
+    ),
     NotRunReason::NoRoute => (
       StatusCode::NOT_FOUND,
       None,
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -1,4 +1,4 @@
-use {cactusyoke_model::ByteSize, std::time::Duration};
+use {crate::HeaderNames, cactusyoke_model::ByteSize, std::time::Duration};
 
 /// Bounds of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
   pub body: ByteSize,
   /// Time that a caller may take to send a request head, or to make progress with a body.
   pub idle: Duration,
+  /// Names of the headers that it reads.
+  pub names: &'static HeaderNames,
 }
 
 impl Default for Limits {
@@ -23,6 +25,7 @@
       headers: 100,
       body: ByteSize(1 << 30),
       idle: Duration::from_secs(30),
+      names: HeaderNames::own(),
     }
   }
 }
--- a/crates/model/src/call.rs
+++ b/crates/model/src/call.rs
@@ -23,6 +23,10 @@
   pub headers: HeaderMap,
   /// Admission priority.
   pub priority: Priority,
+  /// Calls above it: zero for a root request.
+  pub depth: u8,
+  /// An earlier attempt may have run at an upstream, or the call is made by such a repeated run.
+  pub repeat: bool,
   /// May run more than once.
   pub idempotent: bool,
   /// Key under which the call runs at most once.
--- a/crates/model/src/failure.rs
+++ b/crates/model/src/failure.rs
@@ -77,6 +77,8 @@
     Draining => "draining",
     /// No upstream of the service can be reached.
     NoUpstream => "no-upstream",
+    /// The upstream itself refused it.
+    Refused => "refused",
     /// No route of the preset matches.
     NoRoute => "no-route",
     /// The node has no configuration yet.
--- a/crates/model/src/preset.rs
+++ b/crates/model/src/preset.rs
@@ -1,9 +1,16 @@
 //! Presets: what operators put in force.
 
 use {
-  crate::{ClassName, ClassRank, PresetError, PresetName, RawPreset, RawRoute, Route, RouteName},
+  crate::{
+    Backend, ByteSize, ClassName, ClassRank, Connections, PresetError, PresetName, RawCallers,
+    RawPreset, RawRoute, Route, RouteName, ServiceName,
+  },
   http::Method,
-  std::{collections::BTreeSet, str::FromStr, time::Duration},
+  std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    str::FromStr,
+    time::Duration,
+  },
 };
 
 const MIN_TIME: Duration = Duration::from_millis(1);
@@ -22,15 +29,51 @@
   pub queue_wait: Duration,
   /// Time for which idempotency keys are remembered.
   pub key_memory: Duration,
+  /// What operators know of services.
+  pub services: BTreeMap<ServiceName, ServiceFacts>,
+  /// Bounds on what callers may send; `None` for those of the listeners.
+  pub callers: Option<CallerBounds>,
   /// Routes, in the order in which they are tried.
   pub routes: Vec<Route>,
+  /// Places of the routes for each host, in order; routes for any host stand under each.
+  by_host: HashMap<String, Vec<usize>>,
+  /// Places of the routes for any host.
+  any_host: Vec<usize>,
   raw: RawPreset,
 }
 
+/// What operators know of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServiceFacts {
+  /// Connections that each upstream accepts.
+  pub connections: Option<Connections>,
+  /// Path on which an upstream tells its health.
+  pub health: Option<String>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerBounds {
+  /// Request line and headers of one request.
+  pub headers: ByteSize,
+  /// Body of one request.
+  pub body: ByteSize,
+  /// Time to send a request head.
+  pub head_time: Duration,
+  /// Time for which a connection may stay idle.
+  pub idle: Duration,
+}
+
 impl Preset {
-  /// First route that handles `method` on `path` (without the query).
-  pub fn route(&self, method: &Method, path: &str) -> Option<&Route> {
-    self.routes.iter().find(|route| route.matches(method, path))
+  /// First route that handles `method` on `host` and `path` (without the query).
+  pub fn route(&self, method: &Method, host: &str, path: &str) -> Option<&Route> {
+    let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+    let places = match self.by_host.get(&name.to_ascii_lowercase()) {
+      Some(places) => places,
+      None => &self.any_host,
+    };
+    let mut routes = places.iter().map(|place| &self.routes[*place]);
+    routes.find(|route| route.matches(method, host, path))
   }
 
   /// The preset as it was written.
@@ -64,18 +107,23 @@
         return Err(PresetError::DuplicateRoute(route.name.clone()));
       }
       let route = check_route(route, &raw.classes)?;
-      if let Some(earlier) = routes.iter().find(|earlier| covers(earlier, &route)) {
+      if let Some(earlier) = routes.iter().find(|earlier| earlier.covers(&route)) {
         return Err(PresetError::Unreachable(route.name, earlier.name.clone()));
       }
       routes.push(route);
     }
+    let (by_host, any_host) = index(&routes);
     Ok(Self {
       name: raw.name.clone(),
       classes: raw.classes.clone(),
       retry_ratio: raw.retry_ratio,
       queue_wait: time("queue_wait", &raw.queue_wait)?,
       key_memory: time("key_memory", &raw.key_memory)?,
+      services: services(&raw)?,
+      callers: raw.callers.as_ref().map(check_callers).transpose()?,
       routes,
+      by_host,
+      any_host,
       raw,
     })
   }
@@ -103,21 +151,94 @@
   if !raw.path.starts_with('/') || raw.path.contains(['?', '#']) {
     return Err(PresetError::Path(raw.name.clone(), raw.path.clone()));
   }
+  let deadline = time("deadline", &raw.deadline)?;
+  let target = match &raw.target {
+    Some(text) => time("target", text)?,
+    None => deadline,
+  };
+  let attempts = raw.attempts.unwrap_or(u32::MAX);
+  if attempts == 0 {
+    return Err(PresetError::Attempts(raw.name.clone()));
+  }
   Ok(Route {
     name: raw.name.clone(),
-    service: raw.service.clone(),
+    host: raw.host.clone(),
+    backends: backends(raw)?,
     methods: methods(raw)?,
     path: raw.path.clone(),
     class: raw.class.clone(),
     rank: ClassRank(rank as u8),
     idempotent: raw.idempotent,
-    deadline: time("deadline", &raw.deadline)?,
+    deadline,
+    target,
+    attempts,
     retries: raw.retries,
     spill: raw.spill,
   })
 }
 
+fn backends(raw: &RawRoute) -> Result<Vec<Backend>, PresetError> {
+  match (&raw.service, raw.backends.as_slice()) {
+    (Some(service), []) => Ok(vec![Backend {
+      service: service.clone(),
+      weight: 1,
+    }]),
+    (None, backends) if backends.iter().any(|backend| backend.weight > 0) => {
+      let used = backends.iter().filter(|backend| backend.weight > 0);
+      Ok(used.cloned().collect())
+    }
+    _ => Err(PresetError::Backends(raw.name.clone())),
+  }
+}
+
+fn services(raw: &RawPreset) -> Result<BTreeMap<ServiceName, ServiceFacts>, PresetError> {
+  let mut services = BTreeMap::new();
+  for service in &raw.services {
+    let facts = ServiceFacts {
+      connections: service.connections,
+      health: service.health.clone(),
+    };
+    if services.insert(service.name.clone(), facts).is_some() {
+      return Err(PresetError::DuplicateService(service.name.clone()));
+    }
+  }
+  Ok(services)
+}
+
+fn check_callers(raw: &RawCallers) -> Result<CallerBounds, PresetError> {
+  Ok(CallerBounds {
+    headers: raw.headers,
+    body: raw.body,
+    head_time: time("head_time", &raw.head_time)?,
+    idle: time("idle", &raw.idle)?,
+  })
+}
+
+/// Places of the routes by host, and of those for any host.
+fn index(routes: &[Route]) -> (HashMap<String, Vec<usize>>, Vec<usize>) {
+  let mut by_host = HashMap::<String, Vec<usize>>::new();
+  for host in routes.iter().filter_map(|route| route.host.as_ref()) {
+    by_host.entry(host.as_str().to_owned()).or_default();
+  }
+  let mut any_host = Vec::new();
+  for (place, route) in routes.iter().enumerate() {
+    if let Some(host) = &route.host {
+      let places = by_host.entry(host.as_str().to_owned()).or_default();
+      places.push(place);
+      continue;
+    }
+    any_host.push(place);
+    for places in by_host.values_mut() {
+      places.push(place);
+    }
+  }
+  (by_host, any_host)
+}
+
 fn methods(raw: &RawRoute) -> Result<Vec<Method>, PresetError> {
+  if raw.methods == ["*"] {
+    return Ok(Vec::new());
+  }
   if raw.methods.is_empty() {
     return Err(PresetError::Method(raw.name.clone(), String::new()));
   }
@@ -140,10 +261,3 @@
     Err(error())
   }
 }
-
-fn covers(earlier: &Route, later: &Route) -> bool {
-  later
-    .methods
-    .iter()
-    .all(|method| earlier.matches(method, &later.path))
-}
--- a/crates/model/src/preset_error.rs
+++ b/crates/model/src/preset_error.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{ClassName, ClassRank, PresetName, RouteName},
+  crate::{ClassName, ClassRank, PresetName, RouteName, ServiceName},
   std::fmt::{self, Display, Formatter},
 };
 
@@ -28,6 +28,12 @@
   Unreachable(RouteName, RouteName),
   /// The retry ratio is over 100.
   Ratio(u8),
+  /// A route names no service, or one service beside a list of them.
+  Backends(RouteName),
+  /// A route may be sent to no upstream.
+  Attempts(RouteName),
+  /// A service stands twice in the list.
+  DuplicateService(ServiceName),
   /// A patch was made for other content than the preset has.
   Base(PresetName),
 }
@@ -80,6 +86,18 @@
           "`retry_ratio` is {ratio}: write a percentage from 0 to 100"
         )
       }
+      Self::Backends(route) => write!(
+        f,
+        "route `{route}` needs either `service` or `backends` with a weight above 0: write one of them"
+      ),
+      Self::Attempts(route) => write!(
+        f,
+        "route `{route}` has 0 `attempts`: write the number of upstreams that a request may be sent to, 1 or more"
+      ),
+      Self::DuplicateService(service) => write!(
+        f,
+        "service `{service}` stands twice under `services`: keep one entry"
+      ),
       Self::Base(preset) => write!(
         f,
         "the patch of preset `{preset}` was made for other content: send the whole configuration"
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -15,6 +15,16 @@
   pub age: Duration,
   /// Calls in flight and queued at the answering node.
   pub load: u32,
+  /// Calls waiting there.
+  pub queued: u32,
+  /// Waiting calls of requests that have been worked on already, which go first.
+  pub urgent: u32,
+  /// Calls that it can start at once.
+  pub room: u32,
+  /// Time in which it completes one call when it is full; zero while that is not known.
+  pub pace: Duration,
+  /// Wait of the answered call in the queue.
+  pub waited: Duration,
   /// Retries of the allowance that were not spent.
   pub unused: Retries,
 }
@@ -25,6 +35,11 @@
     level: Level::ALL,
     age: Duration::ZERO,
     load: 0,
+    queued: 0,
+    urgent: 0,
+    room: 0,
+    pace: Duration::ZERO,
+    waited: Duration::ZERO,
     unused: Retries::ZERO,
   };
 }
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -1,17 +1,30 @@
 use {
-  crate::{ClassName, ClassRank, Retries, RouteName, ServiceName},
+  crate::{ClassName, ClassRank, HostName, Retries, RouteName, ServiceName},
   http::Method,
+  serde::{Deserialize, Serialize},
   std::time::Duration,
 };
 
-/// How the requests of one method and path are handled.
+/// Service that answers a part of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Backend {
+  /// Service.
+  pub service: ServiceName,
+  /// Its share, relative to the other backends.
+  pub weight: u32,
+}
+
+/// How the requests of one host, method and path are handled.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
   /// Name, unique in the preset.
   pub name: RouteName,
-  /// Service that answers.
-  pub service: ServiceName,
-  /// Methods; never empty.
+  /// Host that requests name; `None` for any.
+  pub host: Option<HostName>,
+  /// Services that answer, each its share; never empty.
+  pub backends: Vec<Backend>,
+  /// Methods; empty for any.
   pub methods: Vec<Method>,
   /// Path prefix, ending at a segment boundary.
   pub path: String,
@@ -23,6 +36,10 @@
   pub idempotent: bool,
   /// Time allowed for a root request.
   pub deadline: Duration,
+  /// Time within which an answer is worth most.
+  pub target: Duration,
+  /// Upstreams to which one request may be sent.
+  pub attempts: u32,
   /// Retry allowance of a root request.
   pub retries: Retries,
   /// May run in another data centre when this one has no capacity.
@@ -30,12 +47,32 @@
 }
 
 impl Route {
-  /// True when the route handles `method` on `path` (without the query).
-  pub fn matches(&self, method: &Method, path: &str) -> bool {
+  /// First service of the route.
+  pub fn service(&self) -> &ServiceName {
+    &self.backends[0].service
+  }
+
+  /// True when the route handles `method` on `host` and `path` (without the query).
+  pub fn matches(&self, method: &Method, host: &str, path: &str) -> bool {
     let Some(rest) = path.strip_prefix(self.path.as_str()) else {
       return false;
     };
     let boundary = rest.is_empty() || rest.starts_with('/') || self.path.ends_with('/');
-    boundary && self.methods.contains(method)
+    boundary
+      && (self.methods.is_empty() || self.methods.contains(method))
+      && self.host.as_ref().is_none_or(|name| name.matches(host))
+  }
+
+  /// True when the route takes every request that `later` would.
+  pub(crate) fn covers(&self, later: &Self) -> bool {
+    let host = later.host.as_ref().map_or("", HostName::as_str);
+    let takes = |method: &Method| self.matches(method, host, &later.path);
+    if self.host.is_some() && self.host != later.host {
+      return false;
+    }
+    if later.methods.is_empty() {
+      return self.methods.is_empty() && takes(&Method::GET);
+    }
+    later.methods.iter().all(takes)
   }
 }
--- a/crates/nodes/examples/links.rs
+++ b/crates/nodes/examples/links.rs
@@ -40,6 +40,8 @@
       path: path.into(),
       headers,
       priority: Priority(1),
+      depth: 0,
+      repeat: false,
       idempotent: true,
       key: None,
       retries: Retries(3),
--- a/crates/nodes/src/link/acceptor.rs
+++ b/crates/nodes/src/link/acceptor.rs
@@ -48,7 +48,7 @@
     open: Open<'_>,
     incoming: &mpsc::Sender<Incoming>,
   ) -> Result<(), FrameError> {
-    let (id, hop, end) = (open.stream, open.hop(), open.end);
+    let (id, hop, end) = (open.stream, open.hop, open.end);
     let head = open.into_head(Instant::now())?;
     let stream = Arc::new(Stream::new(id, self.config.window));
     let mut state = self.lock();
--- a/crates/nodes/src/wire/heads.rs
+++ b/crates/nodes/src/wire/heads.rs
@@ -36,8 +36,8 @@
 pub struct Open<'a> {
   /// Number of the call on this link.
   pub stream: u64,
-  /// To be relayed by the receiving node.
-  pub relay: bool,
+  /// Where the receiving node takes the call.
+  pub hop: Hop,
   /// The call has no body.
   pub end: bool,
   /// Root request.
@@ -55,6 +55,10 @@
   pub headers: Cow<'a, HeaderMap>,
   /// Admission priority.
   pub priority: u16,
+  /// Calls above it.
+  pub depth: u8,
+  /// An earlier attempt may have run.
+  pub repeat: bool,
   /// May run more than once.
   pub idempotent: bool,
   /// Idempotency key.
@@ -71,7 +75,7 @@
     let remaining = head.deadline.saturating_duration_since(now);
     Self {
       stream,
-      relay: hop == Hop::Relay,
+      hop,
       end,
       root: head.root.0,
       route: head.route.as_str(),
@@ -80,6 +84,8 @@
       path: &head.path,
       headers: Cow::Borrowed(&head.headers),
       priority: head.priority.0,
+      depth: head.depth,
+      repeat: head.repeat,
       idempotent: head.idempotent,
       key: head.key.as_ref().map(IdempotencyKey::as_str),
       retries: head.retries.0,
@@ -87,15 +93,6 @@
     }
   }
 
-  /// Where the receiving node takes the call.
-  pub fn hop(&self) -> Hop {
-    if self.relay {
-      Hop::Relay
-    } else {
-      Hop::Instance
-    }
-  }
-
   /// Checked head.
   pub fn into_head(self, now: Instant) -> Result<CallHead, FrameError> {
     let remaining = Duration::from_micros(self.remaining_us).min(MAX_REMAINING);
@@ -110,6 +107,8 @@
       path: self.path.into(),
       headers: self.headers.into_owned(),
       priority: Priority(self.priority),
+      depth: self.depth,
+      repeat: self.repeat,
       idempotent: self.idempotent,
       key: self
         .key
--- a/crates/nodes/tests/links_calls.rs
+++ b/crates/nodes/tests/links_calls.rs
@@ -112,6 +112,11 @@
       level: Level(0x0203),
       age: Duration::from_millis(5),
       load: 9,
+      queued: 4,
+      urgent: 1,
+      room: 3,
+      pace: Duration::from_micros(7),
+      waited: Duration::from_millis(2),
       unused: Retries(2),
     }),
   };
--- a/crates/nodes/tests/support/mod.rs
+++ b/crates/nodes/tests/support/mod.rs
@@ -41,6 +41,8 @@
     path: path.into(),
     headers,
     priority: Priority(0x0102),
+    depth: 0,
+    repeat: false,
     idempotent: false,
     key: Some("east/k1".parse().unwrap()),
     retries: Retries(3),
--- a/crates/nodes/tests/wire.rs
+++ b/crates/nodes/tests/wire.rs
@@ -50,7 +50,7 @@
     }),
     Frame::Open(Open {
       stream,
-      relay: true,
+      hop: cactusyoke_nodes::Hop::Relay,
       end: false,
       root: u128::from(stream) << 64,
       route: "r",
@@ -59,6 +59,8 @@
       path: text,
       headers: Cow::Borrowed(fields),
       priority: 3,
+      depth: 2,
+      repeat: true,
       idempotent: true,
       key: Some("k"),
       retries: 2,
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -26,13 +26,15 @@
 /// Kinds of calls to the platform.
 pub(crate) const PLATFORM_CALLS: [&str; 4] = ["get", "put", "lease", "watch"];
 /// Results of calls to the platform.
-pub(crate) const PLATFORM_RESULTS: [&str; 6] = [
+pub(crate) const PLATFORM_RESULTS: [&str; 8] = [
   "ok",
   "conflict",
   "unavailable",
   "timed-out",
   "too-large",
   "quota",
+  "compacted",
+  "lease-ended",
 ];
 /// Statuses of members.
 pub(crate) const MEMBER_STATUSES: [&str; 3] = ["alive", "suspected", "dead"];
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,14 +1,12 @@
 //! Stand-in of the platform's key-value service.
 //!
-//! Serves the protocol that `cactusyoke_platform::HttpStore` documents, on a loopback port and
-//! in the process of the test, with the quotas of the real service and faults that tests switch.
+//! Serves the platform's protocol on a loopback port, in the process of the test, with the quotas of the real service and faults that tests switch.
 
 mod calls;
+mod data;
 mod faults;
-mod history;
 mod quota;
 mod server;
-mod wire;
 
 pub use calls::Calls;
 pub use faults::{Faults, Outage};
@@ -17,8 +15,7 @@
 
 use {
   calls::Counters,
+  data::{Data, Refused},
   faults::Answered,
-  history::{Expectation, History},
   quota::Bucket,
-  wire::{Reply, expectation, number, parameter, reply},
 };
--- /dev/null
+++ b/crates/standins/src/platform/data.rs
@@ -0,0 +1,203 @@
+use {
+  bytes::Bytes,
+  cactusyoke_platform::wire::{Event, Item, TxnCall},
+  std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+  },
+  tokio::time::Instant,
+};
+
+/// Versions kept of each key, so that reads can serve an older one.
+const KEPT: usize = 32;
+
+/// Why a write does not take effect.
+#[derive(Clone, Debug)]
+pub(crate) enum Refused {
+  /// A condition does not hold; present state of the keys of the conditions.
+  Conflict(Vec<Item>),
+  /// There is no such lease.
+  NoLease,
+}
+
+#[derive(Clone, Debug)]
+struct Version {
+  revision: u64,
+  /// `None` for a removal.
+  value: Option<Bytes>,
+  created: u64,
+  lease: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+  ttl: Duration,
+  until: Instant,
+}
+
+/// Keys with their latest versions, changes in their order, and leases.
+#[derive(Debug, Default)]
+pub(crate) struct Data {
+  revision: u64,
+  keys: BTreeMap<String, VecDeque<Version>>,
+  log: Vec<Event>,
+  /// Changes up to this revision are forgotten.
+  compacted: u64,
+  leases: BTreeMap<u64, Lease>,
+  last_lease: u64,
+}
+
+impl Data {
+  pub(crate) const fn revision(&self) -> u64 {
+    self.revision
+  }
+
+  /// The item as it was `behind` writes to the key ago.
+  pub(crate) fn get(&self, key: &str, behind: usize) -> Option<Item> {
+    let versions = self.keys.get(key)?;
+    let index = versions.len().saturating_sub(1 + behind);
+    item(key, versions.get(index)?)
+  }
+
+  /// Items with a prefix, after a key.
+  pub(crate) fn range(&self, prefix: &str, after: Option<&str>, behind: usize) -> Vec<Item> {
+    let keys = self.keys.keys().filter(|key| key.starts_with(prefix));
+    keys
+      .filter(|key| after.is_none_or(|after| key.as_str() > after))
+      .filter_map(|key| self.get(key, behind))
+      .collect()
+  }
+
+  /// Changes of keys with a prefix after a revision; `None` when they are forgotten.
+  pub(crate) fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Event>> {
+    if after < self.compacted {
+      return None;
+    }
+    let newer = self.log.iter().filter(|event| event.revision > after);
+    let events = newer.filter(|event| event.key.starts_with(prefix));
+    Some(events.cloned().collect())
+  }
+
+  /// Forgets the changes so far.
+  pub(crate) fn compact(&mut self) {
+    self.compacted = self.revision;
+    self.log.clear();
+  }
+
+  pub(crate) fn write(&mut self, call: TxnCall) -> Result<u64, Refused> {
+    let holds = |key: &str, revision: u64| {
+      let found = self.get(key, 0).map_or(0, |item| item.revision);
+      found == revision
+    };
+    if !call
+      .expected
+      .iter()
+      .all(|one| holds(&one.key, one.revision))
+    {
+      let present = |key: &str| {
+        self.get(key, 0).unwrap_or(Item {
+          key: key.to_owned(),
+          value: Vec::new(),
+          revision: 0,
+          created_rev: 0,
+          lease_id: 0,
+        })
+      };
+      let items = call.expected.iter().map(|one| present(&one.key));
+      return Err(Refused::Conflict(items.collect()));
+    }
+    let leased = call.puts.iter().map(|put| put.lease_id);
+    if leased
+      .filter(|lease| *lease != 0)
+      .any(|lease| !self.leases.contains_key(&lease))
+    {
+      return Err(Refused::NoLease);
+    }
+    for put in call.puts {
+      self.set(&put.key, Some(put.value), put.lease_id);
+    }
+    for key in call.deletes {
+      self.set(&key, None, 0);
+    }
+    Ok(self.revision)
+  }
+
+  /// Removes a key without a call, as the platform may.
+  pub(crate) fn remove(&mut self, key: &str) {
+    self.set(key, None, 0);
+  }
+
+  pub(crate) fn grant(&mut self, ttl: Duration) -> u64 {
+    self.last_lease += 1;
+    let until = Instant::now() + ttl;
+    self.leases.insert(self.last_lease, Lease { ttl, until });
+    self.last_lease
+  }
+
+  /// The time to live of a renewed lease; `None` when it has ended.
+  pub(crate) fn keep(&mut self, lease: u64) -> Option<Duration> {
+    let lease = self.leases.get_mut(&lease)?;
+    lease.until = Instant::now() + lease.ttl;
+    Some(lease.ttl)
+  }
+
+  pub(crate) fn end(&mut self, lease: u64) {
+    if self.leases.remove(&lease).is_none() {
+      return;
+    }
+    let held = |versions: &VecDeque<Version>| {
+      let last = versions.back();
+      last.is_some_and(|last| last.lease == lease && last.value.is_some())
+    };
+    let keys = self.keys.iter().filter(|(_, versions)| held(versions));
+    for key in keys.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
+      self.set(&key, None, 0);
+    }
+  }
+
+  /// Ends the leases whose time has passed; true when there were any.
+  pub(crate) fn expire(&mut self) -> bool {
+    let now = Instant::now();
+    let ended = self.leases.iter().filter(|(_, lease)| lease.until <= now);
+    let ended = ended.map(|(id, _)| *id).collect::<Vec<u64>>();
+    for lease in &ended {
+      self.end(*lease);
+    }
+    !ended.is_empty()
+  }
+
+  fn set(&mut self, key: &str, value: Option<Bytes>, lease: u64) {
+    let present = self.get(key, 0);
+    if value.is_none() && present.is_none() {
+      return;
+    }
+    self.revision += 1;
+    let revision = self.revision;
+    self.log.push(Event {
+      key: key.to_owned(),
+      revision,
+      value: value.as_ref().map(|value| value.to_vec()),
+      deleted: value.is_none(),
+    });
+    let versions = self.keys.entry(key.to_owned()).or_default();
+    versions.push_back(Version {
+      revision,
+      value,
+      created: present.map_or(revision, |item| item.created_rev),
+      lease,
+    });
+    if versions.len() > KEPT {
+      versions.pop_front();
+    }
+  }
+}
+
+fn item(key: &str, version: &Version) -> Option<Item> {
+  Some(Item {
+    key: key.to_owned(),
+    value: version.value.as_ref()?.to_vec(),
+    revision: version.revision,
+    created_rev: version.created,
+    lease_id: version.lease,
+  })
+}
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -1,31 +1,38 @@
 use {
-  super::{
-    Answered, Bucket, Calls, Counters, Faults, History, Outage, Quotas, Reply, expectation, number,
-    parameter, reply,
-  },
+  super::{Answered, Bucket, Calls, Counters, Data, Faults, Outage, Quotas, Refused},
   bytes::Bytes,
-  http::{HeaderMap, Method, Request, StatusCode},
-  http_body_util::{BodyExt, Limited},
+  cactusyoke_platform::wire::{
+    self, ConflictReply, KeyQuery, LeaseCall, LeaseReply, Put, RangeQuery, RangeReply, TxnCall,
+    TxnReply, WatchQuery, WatchReply,
+  },
+  http::{Method, Request, Response, StatusCode},
+  http_body_util::{BodyExt, Full, Limited},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::rt::TokioIo,
+  serde::{Serialize, de::DeserializeOwned},
   std::{
-    collections::BTreeMap,
     future::pending,
     io::{self, Error},
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, PoisonError, atomic::Ordering::Relaxed},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering::Relaxed},
     time::Duration,
   },
   tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, interval, sleep, timeout_at},
   },
   tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
+type Reply = Response<Full<Bytes>>;
+
 /// Largest value, bytes.
 const MAX_VALUE: usize = 1 << 20;
+/// Largest body of a call, bytes: one value in base64 and its frame.
+const MAX_BODY: usize = MAX_VALUE / 3 * 4 + 4096;
+/// Items on a page.
+const PAGE: usize = 50;
 /// Time between looks at the outage switch while a watch waits or a call hangs.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -44,8 +51,7 @@
   calls: Counters,
   reads: Bucket,
   writes: Bucket,
-  history: Mutex<History>,
-  leases: Mutex<BTreeMap<String, (String, Instant)>>,
+  data: Mutex<Data>,
   written: watch::Sender<u64>,
 }
 
@@ -64,14 +70,14 @@
       calls: Counters::default(),
       reads: Bucket::new(quotas.reads),
       writes: Bucket::new(quotas.writes),
-      history: Mutex::default(),
-      leases: Mutex::default(),
+      data: Mutex::default(),
       written: watch::Sender::new(0),
     });
     let stop = CancellationToken::new();
     let tasks = TaskTracker::new();
     let accept = accept(listener, Arc::clone(&state), stop.clone(), tasks.clone());
     tasks.spawn(accept);
+    tasks.spawn(expire(Arc::clone(&state), stop.clone()));
     Ok(Self {
       address,
       state,
@@ -97,7 +103,41 @@
 
   /// The present value of a key, whatever the faults are.
   pub fn value(&self, key: &str) -> Option<Bytes> {
-    Some(self.state.history().get(key, 0)?.1)
+    Some(self.state.data().get(key, 0)?.value.into())
+  }
+
+  /// Writes a key as an operator or another writer would, whatever the faults are.
+  pub fn write(&self, key: &str, value: impl Into<Bytes>) {
+    let put = Put {
+      key: key.to_owned(),
+      value: value.into(),
+      lease_id: 0,
+    };
+    let call = TxnCall {
+      puts: vec![put],
+      ..TxnCall::default()
+    };
+    // A write without conditions takes effect.
+    drop(self.state.data().write(call));
+    self.state.announce();
+  }
+
+  /// Removes a key although its lease goes on.
+  pub fn remove(&self, key: &str) {
+    self.state.data().remove(key);
+    self.state.announce();
+  }
+
+  /// Forgets the changes so far.
+  pub fn compact(&self) {
+    self.state.data().compact();
+    self.state.announce();
+  }
+
+  /// Keys that begin with `prefix`.
+  pub fn keys(&self, prefix: &str) -> Vec<String> {
+    let items = self.state.data().range(prefix, None, 0);
+    items.into_iter().map(|item| item.key).collect()
   }
 
   /// Closes all connections and the listener.
@@ -115,8 +155,13 @@
 }
 
 impl State {
-  fn history(&self) -> std::sync::MutexGuard<'_, History> {
-    self.history.lock().unwrap_or_else(PoisonError::into_inner)
+  fn data(&self) -> MutexGuard<'_, Data> {
+    self.data.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Wakes the watches.
+  fn announce(&self) {
+    self.written.send_modify(|count| *count += 1);
   }
 
   async fn handle(&self, request: Request<Incoming>, opened: u64) -> Result<Reply, Error> {
@@ -125,113 +170,162 @@
     let (head, body) = request.into_parts();
     let path = head.uri.path();
     let query = head.uri.query().unwrap_or_default();
-    if let Some(key) = path.strip_prefix("/v1/kv/") {
-      return match (head.method, number(query, "after")) {
-        (Method::GET, Some(after)) => self.watch(key, after, query, opened).await,
-        (Method::GET, None) => Ok(self.get(key)),
-        (Method::PUT, _) => self.put(key, &head.headers, body).await,
-        _ => Ok(reply(StatusCode::METHOD_NOT_ALLOWED, None, Bytes::new())),
-      };
-    }
-    match path.strip_prefix("/v1/lease/") {
-      Some(key) if head.method == Method::PUT => Ok(self.lease(key, query)),
-      _ => Ok(reply(StatusCode::NOT_FOUND, None, Bytes::new())),
+    let lease = |prefix| path.strip_prefix(prefix)?.parse::<u64>().ok();
+    match (&head.method, path) {
+      (&Method::GET, wire::KEY) => Ok(self.get(query)),
+      (&Method::GET, wire::RANGE) => Ok(self.range(query)),
+      (&Method::GET, wire::WATCH) => self.watch(query, opened).await,
+      (&Method::POST, wire::TXN) => self.write(body).await,
+      (&Method::POST, wire::LEASE) => Ok(self.grant(body).await),
+      (&Method::POST, _) => Ok(lease(wire::KEEP).map_or_else(not_found, |id| self.keep(id))),
+      (&Method::DELETE, _) => Ok(lease(wire::LEASE_END).map_or_else(not_found, |id| self.end(id))),
+      _ => Ok(not_found()),
     }
   }
 
-  fn get(&self, key: &str) -> Reply {
+  fn get(&self, query: &str) -> Reply {
     self.calls.gets.fetch_add(1, Relaxed);
     if !self.reads.take() {
       return self.refuse();
     }
-    match self.history().get(key, self.faults.behind()) {
-      Some((version, value)) => reply(StatusCode::OK, Some(version), value),
-      None => reply(StatusCode::NOT_FOUND, None, Bytes::new()),
+    let Ok(query) = serde_urlencoded::from_str::<KeyQuery>(query) else {
+      return empty(StatusCode::BAD_REQUEST);
+    };
+    match self.data().get(&query.key, self.faults.behind()) {
+      Some(item) => json(StatusCode::OK, &item),
+      None => not_found(),
     }
   }
 
-  async fn watch(&self, key: &str, after: u64, query: &str, opened: u64) -> Result<Reply, Error> {
+  fn range(&self, query: &str) -> Reply {
+    self.calls.gets.fetch_add(1, Relaxed);
+    if !self.reads.take() {
+      return self.refuse();
+    }
+    let Ok(query) = serde_urlencoded::from_str::<RangeQuery>(query) else {
+      return empty(StatusCode::BAD_REQUEST);
+    };
+    let data = self.data();
+    let mut items = data.range(&query.prefix, query.after.as_deref(), self.faults.behind());
+    let has_more = items.len() > PAGE;
+    items.truncate(PAGE);
+    let reply = RangeReply {
+      items,
+      has_more,
+      at_rev: data.revision(),
+    };
+    json(StatusCode::OK, &reply)
+  }
+
+  async fn watch(&self, query: &str, opened: u64) -> Result<Reply, Error> {
     self.calls.watches.fetch_add(1, Relaxed);
     if !self.reads.take() {
       return Ok(self.refuse());
     }
-    let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0));
-    let end = Instant::now() + wait;
+    let Ok(query) = serde_urlencoded::from_str::<WatchQuery>(query) else {
+      return Ok(empty(StatusCode::BAD_REQUEST));
+    };
+    let end = Instant::now() + Duration::from_millis(query.wait_ms);
     let mut written = self.written.subscribe();
     loop {
       self.outage(opened).await?;
-      let behind = self.faults.behind();
-      let value = self.history().get(key, behind);
-      match value {
-        // A replica that lags does not know that the asker has seen more than it has.
-        Some((version, value)) if version > after || behind > 0 => {
-          return Ok(reply(StatusCode::OK, Some(version), value));
-        }
-        _ => {}
-      }
-      if Instant::now() >= end {
-        return Ok(reply(StatusCode::NOT_MODIFIED, None, Bytes::new()));
+      if let Some(reply) = self.changes(&query, Instant::now() >= end) {
+        return Ok(reply);
       }
       let _ = timeout_at(end.min(Instant::now() + TICK), written.changed()).await;
     }
   }
 
-  async fn put(&self, key: &str, headers: &HeaderMap, body: Incoming) -> Result<Reply, Error> {
+  /// Answer to a watch when there are changes or it ends.
+  fn changes(&self, query: &WatchQuery, ends: bool) -> Option<Reply> {
+    let data = self.data();
+    if self.faults.behind() > 0 {
+      // A replica that lags does not know of the asker's revision.
+      return Some(empty(StatusCode::GONE));
+    }
+    let Some(events) = data.changes(&query.prefix, query.after) else {
+      return Some(empty(StatusCode::GONE));
+    };
+    if events.is_empty() && !ends {
+      return None;
+    }
+    let reply = WatchReply {
+      events,
+      at_rev: data.revision().max(query.after),
+    };
+    Some(json(StatusCode::OK, &reply))
+  }
+
+  async fn write(&self, body: Incoming) -> Result<Reply, Error> {
     self.calls.puts.fetch_add(1, Relaxed);
     if !self.writes.take() {
       return Ok(self.refuse());
     }
-    let Ok(value) = Limited::new(body, MAX_VALUE).collect().await else {
-      return Ok(reply(StatusCode::PAYLOAD_TOO_LARGE, None, Bytes::new()));
+    let Some(call) = read::<TxnCall>(body).await else {
+      return Ok(empty(StatusCode::BAD_REQUEST));
     };
-    let Some(expected) = expectation(headers) else {
-      return Ok(reply(StatusCode::BAD_REQUEST, None, Bytes::new()));
-    };
-    let written = self.history().put(key, value.to_bytes(), expected);
-    let version = match written {
-      Ok(version) => version,
-      Err(current) => {
-        return Ok(reply(
-          StatusCode::PRECONDITION_FAILED,
-          current,
-          Bytes::new(),
-        ));
+    if call.puts.iter().any(|put| put.value.len() > MAX_VALUE) {
+      return Ok(empty(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    let written = self.data().write(call);
+    let revision = match written {
+      Ok(revision) => revision,
+      Err(Refused::Conflict(items)) => {
+        let reply = ConflictReply { items };
+        return Ok(json(StatusCode::PRECONDITION_FAILED, &reply));
       }
+      Err(Refused::NoLease) => return Ok(not_found()),
     };
-    self.written.send_modify(|count| *count += 1);
+    self.announce();
     match self.faults.answer() {
-      Answered::Sent => Ok(reply(StatusCode::OK, Some(version), Bytes::new())),
+      Answered::Sent => Ok(json(StatusCode::OK, &TxnReply { revision })),
       Answered::Lost => Err(Error::other("the answer is lost")),
     }
   }
 
-  fn lease(&self, key: &str, query: &str) -> Reply {
+  async fn grant(&self, body: Incoming) -> Reply {
     self.calls.leases.fetch_add(1, Relaxed);
     if !self.writes.take() {
       return self.refuse();
     }
-    let (Some(holder), Some(ttl)) = (parameter(query, "holder"), number(query, "ttl_ms")) else {
-      return reply(StatusCode::BAD_REQUEST, None, Bytes::new());
+    let Some(call) = read::<LeaseCall>(body).await else {
+      return empty(StatusCode::BAD_REQUEST);
     };
-    let now = Instant::now();
-    let mut leases = self.leases.lock().unwrap_or_else(PoisonError::into_inner);
-    match leases.get(key) {
-      Some((other, until)) if *until > now && other != holder => {
-        reply(StatusCode::CONFLICT, None, other.clone().into())
-      }
-      _ => {
-        leases.insert(
-          key.into(),
-          (holder.into(), now + Duration::from_millis(ttl)),
-        );
-        reply(StatusCode::OK, None, Bytes::new())
-      }
+    let lease_id = self.data().grant(call.ttl);
+    let reply = LeaseReply {
+      lease_id,
+      ttl: call.ttl,
+    };
+    json(StatusCode::OK, &reply)
+  }
+
+  fn keep(&self, lease: u64) -> Reply {
+    self.calls.leases.fetch_add(1, Relaxed);
+    if !self.reads.take() {
+      return self.refuse();
+    }
+    match self.data().keep(lease) {
+      Some(ttl) => json(
+        StatusCode::OK,
+        &LeaseReply {
+          lease_id: lease,
+          ttl,
+        },
+      ),
+      None => not_found(),
     }
   }
 
+  fn end(&self, lease: u64) -> Reply {
+    self.calls.leases.fetch_add(1, Relaxed);
+    self.data().end(lease);
+    self.announce();
+    json(StatusCode::OK, &())
+  }
+
   fn refuse(&self) -> Reply {
     self.calls.refused.fetch_add(1, Relaxed);
-    reply(StatusCode::TOO_MANY_REQUESTS, None, Bytes::new())
+    empty(StatusCode::TOO_MANY_REQUESTS)
   }
 
   /// Fails during an outage, at once or when it ends, and never returns on a silent connection.
@@ -252,6 +346,16 @@
   }
 }
 
+/// Ends leases whose time has passed, except during an outage.
+async fn expire(state: Arc<State>, stop: CancellationToken) {
+  let mut ticks = interval(TICK);
+  while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+    if state.faults.outage() == Outage::None && state.data().expire() {
+      state.announce();
+    }
+  }
+}
+
 async fn accept(
   listener: TcpListener,
   state: Arc<State>,
@@ -280,3 +384,25 @@
     () = stop.cancelled() => {}
   }
 }
+
+async fn read<T: DeserializeOwned>(body: Incoming) -> Option<T> {
+  let body = Limited::new(body, MAX_BODY).collect().await.ok()?;
+  serde_json::from_slice(&body.to_bytes()).ok()
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Reply {
+  let text = serde_json::to_vec(body).expect("plain data can be written");
+  let mut reply = Response::new(Full::new(Bytes::from(text)));
+  *reply.status_mut() = status;
+  reply
+}
+
+fn empty(status: StatusCode) -> Reply {
+  let mut reply = Response::new(Full::default());
+  *reply.status_mut() = status;
+  reply
+}
+
+fn not_found() -> Reply {
+  empty(StatusCode::NOT_FOUND)
+}
--- a/crates/upstreams/examples/added_latency.rs
+++ b/crates/upstreams/examples/added_latency.rs
@@ -62,6 +62,8 @@
       path: request.path,
       headers: request.headers,
       priority,
+      depth: 0,
+      repeat: false,
       idempotent: true,
       key: request.key,
       retries: Retries::ZERO,
@@ -207,6 +209,7 @@
       connections: Connections(200),
       cold_start: Duration::ZERO,
       instance: None,
+      born: None,
     }),
     hints: Hints::default(),
   });
--- a/crates/upstreams/src/announce.rs
+++ b/crates/upstreams/src/announce.rs
@@ -1,7 +1,8 @@
 //! Announcements of the upstream, and its life cycle.
 //!
-//! The upstream sends `PUT /announce` about every second, `POST /drain` to finish its work and
-//! `POST /leave` when it stops. An actor holds the life cycle and publishes
+//! In the product's own interface the upstream sends `PUT /announce` about every second,
+//! `POST /drain` to finish its work and `POST /leave` when it stops; a [`NoticeReader`] reads
+//! other forms of the same. An actor holds the life cycle and publishes
 //! [`crate::UpstreamView`].
 
 mod actor;
@@ -12,21 +13,23 @@
 mod life;
 mod lifecycle;
 mod message;
+mod notice;
 mod probe;
 
 pub(crate) use message::AnnounceMessage;
 pub use {
-  announce_config::AnnounceConfig,
+  announce_config::{AnnounceConfig, Check, HealthCheck},
   announce_error::AnnounceError,
   announcement::{Announcement, AnnouncementError},
   life::{Announced, Draining, Gone, Life, Serving, Warming},
   lifecycle::Lifecycle,
+  notice::{Notice, NoticeError, NoticeReader, OwnNotices},
 };
 
 use {
   crate::{UpstreamView, Views, loopback::loopback_address},
   actor::{AnnounceActor, AnnounceArguments},
-  cactusyoke_http::Limits,
+  cactusyoke_http::{HeaderNames, Limits},
   cactusyoke_model::ByteSize,
   handler::AnnounceHandler,
   ractor::Actor,
@@ -36,13 +39,16 @@
 };
 
 /// Bounds of the listener; one upstream uses it.
-const LIMITS: Limits = Limits {
-  connections: 16,
-  header_bytes: 8 * 1024,
-  headers: 64,
-  body: ByteSize(4096),
-  idle: Duration::from_secs(30),
-};
+fn limits() -> Limits {
+  Limits {
+    connections: 16,
+    header_bytes: 8 * 1024,
+    headers: 64,
+    body: ByteSize(4096),
+    idle: Duration::from_secs(30),
+    names: HeaderNames::own(),
+  }
+}
 
 /// Receives announcements until `shutdown` is cancelled.
 pub async fn start(
@@ -50,7 +56,8 @@
   config: AnnounceConfig,
   shutdown: CancellationToken,
 ) -> Result<Views, AnnounceError> {
-  let address = loopback_address(&listener)?;
+  let address = loopback_address(&listener, config.own)?;
+  let reader = Arc::clone(&config.reader);
   let views = Views::new(UpstreamView::absent(config.clock.now()));
   let arguments = AnnounceArguments {
     config,
@@ -61,10 +68,11 @@
   tracing::info!(%address, "receiving announcements");
   let handler = Arc::new(AnnounceHandler {
     actor: actor.clone(),
+    reader,
   });
   let views = views.with_actor(actor.clone());
   tokio::spawn(async move {
-    cactusyoke_http::serve(listener, handler, LIMITS, shutdown).await;
+    cactusyoke_http::serve(listener, handler, limits(), shutdown).await;
     actor.stop(None);
   });
   Ok(views)
--- a/crates/upstreams/src/announce/actor.rs
+++ b/crates/upstreams/src/announce/actor.rs
@@ -1,7 +1,7 @@
 use {
   crate::{
     Hints, Phase, UpstreamView, Views,
-    announce::{AnnounceConfig, AnnounceMessage, Lifecycle, probe},
+    announce::{AnnounceConfig, AnnounceMessage, Check, Lifecycle, Notice, probe},
   },
   ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort},
   std::{
@@ -14,6 +14,10 @@
 /// Time between two checks of renewals and cold starts.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Time between two checks of an announced upstream that did not pass. A check takes the upstream
+/// several milliseconds of a slot.
+const CHECK_PAUSE: Duration = Duration::from_millis(500);
+
 /// Actor that holds the life cycle of the upstream.
 #[derive(Debug)]
 pub(crate) struct AnnounceActor;
@@ -36,6 +40,8 @@
   started: Instant,
   warned: bool,
   connecting: bool,
+  /// Time of the last check that did not pass.
+  unreached: Option<Instant>,
   polling: bool,
   polled: Option<Instant>,
 }
@@ -60,6 +66,7 @@
       hints: Hints::default(),
       warned: false,
       connecting: false,
+      unreached: None,
       polling: false,
       polled: None,
     })
@@ -88,17 +95,9 @@
     let mut reply = None;
     let lifecycle = mem::take(&mut self.lifecycle);
     self.lifecycle = match message {
-      AnnounceMessage::Announce(announcement, port) => {
-        reply = Some(port);
-        lifecycle.announce(announcement, now)
-      }
-      AnnounceMessage::Drain(port) => {
-        reply = Some(port);
-        lifecycle.drain(now)
-      }
-      AnnounceMessage::Leave(port) => {
+      AnnounceMessage::Notice(notice, port) => {
         reply = Some(port);
-        lifecycle.leave(now)
+        notify(lifecycle, notice, now)
       }
       AnnounceMessage::Connected(address) => {
         self.connecting = false;
@@ -110,6 +109,7 @@
       }
       AnnounceMessage::Unreached => {
         self.connecting = false;
+        self.unreached = Some(now);
         lifecycle
       }
       AnnounceMessage::Hints(address, hints) => {
@@ -181,13 +181,22 @@
     let Lifecycle::Announced(life) = &self.lifecycle else {
       return;
     };
-    if mem::replace(&mut self.connecting, true) {
+    let now = self.config.clock.now();
+    let paused = self
+      .unreached
+      .is_some_and(|failed| now.saturating_duration_since(failed) < CHECK_PAUSE);
+    if paused || mem::replace(&mut self.connecting, true) {
       return;
     }
-    let address = life.announcement.address;
+    let announcement = life.announcement.clone();
+    let check = self.config.check.clone();
     let myself = myself.clone();
     tokio::spawn(async move {
-      send(&myself, probe::connect(address).await);
+      let found = match &check {
+        Check::Connect => probe::connect(announcement.address).await,
+        Check::Health(check) => probe::health(&announcement, check).await,
+      };
+      send(&myself, found);
     });
   }
 
@@ -197,9 +206,12 @@
       Phase::Warming | Phase::Serving | Phase::Draining => true,
       Phase::Announced | Phase::Gone => false,
     };
+    let Some(pause) = self.config.hints else {
+      return;
+    };
     let due = self
       .polled
-      .is_none_or(|polled| now.saturating_duration_since(polled) >= self.config.hints);
+      .is_none_or(|polled| now.saturating_duration_since(polled) >= pause);
     let Some(known) = self
       .lifecycle
       .announcement()
@@ -219,6 +231,24 @@
   }
 }
 
+fn notify(lifecycle: Lifecycle, notice: Notice, now: Instant) -> Lifecycle {
+  match notice {
+    Notice::Announce(announcement) => lifecycle.announce(announcement, now),
+    Notice::AnnounceDraining(announcement) => lifecycle.announce_draining(announcement, now),
+    Notice::Drain => lifecycle.drain(now),
+    Notice::Leave(None) => lifecycle.leave(now),
+    Notice::Leave(instance) => {
+      let known = lifecycle.announcement();
+      let leaves = known.is_some_and(|known| known.instance == instance);
+      if leaves {
+        lifecycle.leave(now)
+      } else {
+        lifecycle
+      }
+    }
+  }
+}
+
 fn send(actor: &ActorRef<AnnounceMessage>, message: AnnounceMessage) {
   if let Err(error) = actor.cast(message) {
     tracing::debug!(%error, "announce actor has stopped");
--- a/crates/upstreams/src/announce/announce_config.rs
+++ b/crates/upstreams/src/announce/announce_config.rs
@@ -1,9 +1,16 @@
 use {
-  cactusyoke_model::{Clock, SystemClock},
-  std::{sync::Arc, time::Duration},
+  crate::announce::{NoticeReader, OwnNotices},
+  cactusyoke_model::{Clock, ServiceName, SystemClock},
+  http::HeaderName,
+  std::{
+    fmt::{self, Debug, Formatter},
+    net::IpAddr,
+    sync::Arc,
+    time::Duration,
+  },
 };
 
-/// Times of the announcement protocol.
+/// Times and forms of the announcement protocol.
 #[derive(Clone, Debug)]
 pub struct AnnounceConfig {
   /// Source of time.
@@ -12,8 +19,44 @@
   pub renewal: Duration,
   /// A warning is logged when nothing has been announced this long after the start.
   pub first: Duration,
-  /// Time between two reads of `GET /health` and `GET /load`.
-  pub hints: Duration,
+  /// Time between two reads of `GET /health` and `GET /load`; `None` for an upstream without them.
+  pub hints: Option<Duration>,
+  /// Address of the instance, on which the listener may be beside a loopback address.
+  pub own: Option<IpAddr>,
+  /// Reads what the upstream sends.
+  pub reader: Arc<dyn NoticeReader>,
+  /// How an announced upstream is checked before its first call.
+  pub check: Check,
+}
+
+/// Check of an announced upstream before its first call.
+#[derive(Clone, Debug)]
+pub enum Check {
+  /// It accepts a connection.
+  Connect,
+  /// It says that it is healthy, and that it is the announced process. A late announcement of a
+  /// process that leaves would otherwise bring it calls again, after a restart of the node.
+  Health(HealthCheck),
+}
+
+/// Finds the path of the health by service.
+pub type HealthPath = Arc<dyn Fn(&ServiceName) -> Option<String> + Send + Sync>;
+
+/// Request for the health of an upstream.
+#[derive(Clone)]
+pub struct HealthCheck {
+  /// Path by service; `None` while it is not known.
+  pub path: HealthPath,
+  /// Header of the answer that names the process.
+  pub instance: HeaderName,
+}
+
+impl Debug for HealthCheck {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    f.debug_struct("HealthCheck")
+      .field("instance", &self.instance)
+      .finish_non_exhaustive()
+  }
 }
 
 impl Default for AnnounceConfig {
@@ -23,7 +66,10 @@
       renewal: Duration::from_secs(5),
       first: Duration::from_secs(10),
       // A probe costs the upstream up to 6 ms, so that two every two seconds take 0.6% of a slot.
-      hints: Duration::from_secs(2),
+      hints: Some(Duration::from_secs(2)),
+      own: None,
+      reader: Arc::new(OwnNotices),
+      check: Check::Connect,
     }
   }
 }
--- a/crates/upstreams/src/announce/announcement.rs
+++ b/crates/upstreams/src/announce/announcement.rs
@@ -1,5 +1,5 @@
 use {
-  cactusyoke_model::{Connections, NameError, ServiceName, Slots},
+  cactusyoke_model::{Connections, Incarnation, NameError, ServiceName, Slots},
   serde::Deserialize,
   std::{
     fmt::{self, Display, Formatter},
@@ -24,8 +24,29 @@
   pub connections: Connections,
   /// Time from its start until it runs at its usual speed.
   pub cold_start: Duration,
-  /// Identity of the process, different after each start; `None` when not given.
+  /// Identity of the process; `None` when not given.
   pub instance: Option<String>,
+  /// Start of the process, which tells two processes with one identity apart; `None` when the
+  /// identity is different after each start.
+  pub born: Option<Incarnation>,
+}
+
+impl Announcement {
+  /// True when both are of one process.
+  pub fn is_same_process(&self, other: &Self) -> bool {
+    self.service == other.service
+      && self.address == other.address
+      && self.instance == other.instance
+      && self.born == other.born
+  }
+
+  /// True when the process began before another one, as far as both say when they did.
+  pub fn is_older(&self, other: &Self) -> bool {
+    match (self.born, other.born) {
+      (Some(own), Some(other)) => own < other,
+      _ => false,
+    }
+  }
 }
 
 /// Announcement as it is sent.
@@ -133,6 +154,7 @@
       connections: Connections(raw.connections),
       cold_start: Duration::from_millis(raw.cold_start_ms),
       instance: raw.instance,
+      born: None,
     })
   }
 }
--- a/crates/upstreams/src/announce/handler.rs
+++ b/crates/upstreams/src/announce/handler.rs
@@ -1,13 +1,14 @@
 use {
   crate::{
     Phase,
-    announce::{AnnounceMessage, Announcement},
+    announce::{AnnounceMessage, Notice, NoticeError, NoticeReader},
   },
   cactusyoke_http::{CallHandler, CallerRequest},
   cactusyoke_model::{Answer, CallFailure, NotRunReason, Report, full_body},
-  http::{HeaderMap, HeaderValue, Method, StatusCode, header},
+  http::{HeaderMap, HeaderValue, StatusCode, header},
   http_body_util::BodyExt,
-  ractor::{ActorRef, RpcReplyPort},
+  ractor::ActorRef,
+  std::sync::Arc,
   tokio::sync::oneshot,
 };
 
@@ -15,70 +16,40 @@
 #[derive(Debug)]
 pub(crate) struct AnnounceHandler {
   pub(crate) actor: ActorRef<AnnounceMessage>,
+  pub(crate) reader: Arc<dyn NoticeReader>,
 }
 
 impl CallHandler for AnnounceHandler {
   async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
-    let path = request.path.split('?').next().unwrap_or_default();
-    match (path, &request.method) {
-      ("/announce", &Method::PUT) => self.announce(request).await,
-      ("/drain", &Method::POST) => self.step("/drain", AnnounceMessage::Drain).await,
-      ("/leave", &Method::POST) => self.step("/leave", AnnounceMessage::Leave).await,
-      ("/announce", _) => Ok(wrong_method("PUT")),
-      ("/drain" | "/leave", _) => Ok(wrong_method("POST")),
-      _ => Ok(text(
-        StatusCode::NOT_FOUND,
-        "send `PUT /announce`, `POST /drain` or `POST /leave`",
-      )),
-    }
-  }
-}
-
-impl AnnounceHandler {
-  async fn announce(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
     let body = request
       .body
       .collect()
       .await
       .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?
       .to_bytes();
-    match Announcement::from_json(&body) {
-      Err(error) => {
-        tracing::warn!(%error, "announcement refused");
-        Ok(text(StatusCode::BAD_REQUEST, &error.to_string()))
-      }
-      Ok(announcement) => {
-        let phase = self
-          .ask(|port| AnnounceMessage::Announce(announcement, port))
-          .await?;
-        Ok(accepted(phase))
-      }
-    }
-  }
-
-  async fn step(
-    &self,
-    path: &str,
-    message: fn(RpcReplyPort<Phase>) -> AnnounceMessage,
-  ) -> Result<Answer, CallFailure> {
-    match self.ask(message).await? {
-      Phase::Gone if path == "/drain" => Ok(text(
+    let path = request.path.split('?').next().unwrap_or_default();
+    let notice = match self.reader.read(&request.method, path, &body) {
+      Ok(notice) => notice,
+      Err(error) => return Ok(refused(&error)),
+    };
+    let drains = notice == Notice::Drain;
+    match self.tell(notice).await? {
+      Phase::Gone if drains => Ok(text(
         StatusCode::CONFLICT,
         "no upstream is announced: send `PUT /announce` first",
       )),
       phase => Ok(accepted(phase)),
     }
   }
+}
 
-  async fn ask(
-    &self,
-    message: impl FnOnce(RpcReplyPort<Phase>) -> AnnounceMessage,
-  ) -> Result<Phase, CallFailure> {
+impl AnnounceHandler {
+  async fn tell(&self, notice: Notice) -> Result<Phase, CallFailure> {
     let stopped = || CallFailure::not_run(NotRunReason::Draining);
     let (sender, receiver) = oneshot::channel();
     self
       .actor
-      .cast(message(sender.into()))
+      .cast(AnnounceMessage::Notice(notice, sender.into()))
       .map_err(|_error| stopped())?;
     receiver.await.map_err(|_error| stopped())
   }
@@ -93,15 +64,21 @@
   answer
 }
 
-fn wrong_method(allowed: &'static str) -> Answer {
-  let mut answer = text(
-    StatusCode::METHOD_NOT_ALLOWED,
-    &format!("the method is not supported here: use `{allowed}`"),
-  );
-  answer
-    .headers
-    .insert(header::ALLOW, HeaderValue::from_static(allowed));
-  answer
+fn refused(error: &NoticeError) -> Answer {
+  let line = error.to_string();
+  match error {
+    NoticeError::NoSuchRequest(_) => text(StatusCode::NOT_FOUND, &line),
+    NoticeError::Method(allowed) => {
+      let mut answer = text(StatusCode::METHOD_NOT_ALLOWED, &line);
+      let allowed = HeaderValue::from_static(allowed);
+      answer.headers.insert(header::ALLOW, allowed);
+      answer
+    }
+    NoticeError::Announcement(_) | NoticeError::Unreadable(_) => {
+      tracing::warn!(event = "announcement_refused", %error);
+      text(StatusCode::BAD_REQUEST, &line)
+    }
+  }
 }
 
 fn text(status: StatusCode, line: &str) -> Answer {
--- a/crates/upstreams/src/announce/lifecycle.rs
+++ b/crates/upstreams/src/announce/lifecycle.rs
@@ -12,6 +12,9 @@
   },
 };
 
+/// Time after its last renewal for which a process is known to have replaced older ones.
+const REPLACED_FOR: Duration = Duration::from_secs(4);
+
 /// The upstream in whichever state it is.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Lifecycle {
@@ -67,16 +70,32 @@
   }
 
   fn is_same_process(&self, announcement: &Announcement) -> bool {
-    self.announcement().is_some_and(|known| {
-      known.service == announcement.service
-        && known.address == announcement.address
-        && known.instance == announcement.instance
-    })
+    self
+      .announcement()
+      .is_some_and(|known| known.is_same_process(announcement))
   }
 
-  /// `PUT /announce`: a first announcement or a renewal. Renewals do not end a drain.
+  /// True when an announcement is a late one of a process that another has replaced. The clock of
+  /// an instance may go back, so that a process that is not heard any more replaces nothing.
+  fn is_replaced(&self, announcement: &Announcement, now: Instant) -> bool {
+    let renewed = match self {
+      Self::Absent | Self::Gone(_) => return false,
+      Self::Announced(life) => life.renewed,
+      Self::Warming(life) => life.renewed,
+      Self::Serving(life) => life.renewed,
+      Self::Draining(life) => life.renewed,
+    };
+    let heard = now.saturating_duration_since(renewed) < REPLACED_FOR;
+    let known = self.announcement();
+    heard && known.is_some_and(|known| announcement.is_older(known))
+  }
+
+  /// A first announcement or a renewal. Renewals do not end a drain.
   #[must_use]
   pub fn announce(self, announcement: Announcement, now: Instant) -> Self {
+    if self.is_replaced(&announcement, now) {
+      return self;
+    }
     if !self.is_same_process(&announcement) {
       return Self::Announced(Life::new(announcement, now));
     }
@@ -109,7 +128,21 @@
     if known { self.leave(now) } else { self }
   }
 
-  /// `POST /drain`.
+  /// An announcement of a process that drains.
+  #[must_use]
+  pub fn announce_draining(self, announcement: Announcement, now: Instant) -> Self {
+    if self.is_replaced(&announcement, now) {
+      return self;
+    }
+    match self {
+      Self::Draining(life) if life.announcement.is_same_process(&announcement) => {
+        Self::Draining(life.renew(announcement, now))
+      }
+      _ => Self::Draining(Life::new(announcement, now).drain(now)),
+    }
+  }
+
+  /// The announced process drains.
   #[must_use]
   pub fn drain(self, now: Instant) -> Self {
     match self {
@@ -120,7 +153,7 @@
     }
   }
 
-  /// `POST /leave`.
+  /// The process leaves, or was lost.
   #[must_use]
   pub fn leave(self, now: Instant) -> Self {
     match self {
--- a/crates/upstreams/src/announce/message.rs
+++ b/crates/upstreams/src/announce/message.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{Hints, Phase, announce::Announcement},
+  crate::{Hints, Phase, announce::Notice},
   ractor::RpcReplyPort,
   std::net::SocketAddr,
 };
@@ -7,12 +7,8 @@
 /// Messages of the announce actor.
 #[derive(Debug)]
 pub(crate) enum AnnounceMessage {
-  /// `PUT /announce`.
-  Announce(Announcement, RpcReplyPort<Phase>),
-  /// `POST /drain`.
-  Drain(RpcReplyPort<Phase>),
-  /// `POST /leave`.
-  Leave(RpcReplyPort<Phase>),
+  /// The upstream said something of itself.
+  Notice(Notice, RpcReplyPort<Phase>),
   /// The upstream accepted a connection.
   Connected(SocketAddr),
   /// The upstream refused a connection.
