--- a/crates/upstreams/src/announce/probe.rs
+++ b/crates/upstreams/src/announce/probe.rs
@@ -1,7 +1,10 @@
 //! Short connections to the upstream that carry no calls.
 
 use {
-  crate::{Hint, Hints, announce::AnnounceMessage},
+  crate::{
+    Hint, Hints,
+    announce::{AnnounceMessage, Announcement, HealthCheck},
+  },
   bytes::Bytes,
   cactusyoke_model::Clock,
   http::{Request, StatusCode, header},
@@ -42,6 +45,52 @@
   }
 }
 
+/// Asks an announced upstream for its health.
+pub(crate) async fn health(announcement: &Announcement, check: &HealthCheck) -> AnnounceMessage {
+  let Some(path) = (check.path)(&announcement.service) else {
+    return AnnounceMessage::Unreached;
+  };
+  let address = announcement.address;
+  let asked = timeout(LIMIT, ask_health(announcement, check, &path)).await;
+  match asked.unwrap_or_else(|elapsed| Err(elapsed.into())) {
+    Ok(true) => AnnounceMessage::Connected(address),
+    Ok(false) => {
+      tracing::info!(event = "upstream_not_healthy", %address);
+      AnnounceMessage::Unreached
+    }
+    Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+      AnnounceMessage::Refused(address)
+    }
+    Err(error) => {
+      tracing::info!(event = "upstream_not_reached", %address, %error);
+      AnnounceMessage::Unreached
+    }
+  }
+}
+
+/// True when the announced process says that it is healthy.
+async fn ask_health(
+  announcement: &Announcement,
+  check: &HealthCheck,
+  path: &str,
+) -> io::Result<bool> {
+  let stream = TcpStream::connect(announcement.address).await?;
+  let (mut sender, driver) = handshake(TokioIo::new(stream))
+    .await
+    .map_err(io::Error::other)?;
+  let driver = tokio::spawn(driver);
+  let request = Request::get(path)
+    .header(header::HOST, announcement.address.to_string())
+    .body(Empty::<Bytes>::new())
+    .map_err(io::Error::other)?;
+  let response = sender.send_request(request).await;
+  driver.abort();
+  let response = response.map_err(io::Error::other)?;
+  let named = response.headers().get(&check.instance);
+  let named = named.and_then(|value| value.to_str().ok());
+  Ok(response.status().is_success() && named == announcement.instance.as_deref())
+}
+
 /// Reads `GET /health` and `GET /load`; `None` when the upstream does not answer in time.
 pub(crate) async fn hints(address: SocketAddr, clock: &dyn Clock) -> Option<Hints> {
   timeout(LIMIT, read_hints(address, clock)).await.ok()?
--- a/crates/upstreams/src/call_run.rs
+++ b/crates/upstreams/src/call_run.rs
@@ -1,15 +1,23 @@
 use {
   crate::{AnswerBody, CallWatch, Crash, CrashPart, Expiry, Lease, SentBody},
-  cactusyoke_http::{CheckedBody, remove_hop_headers},
+  bytes::Bytes,
+  cactusyoke_http::{CheckedBody, HeaderNames, remove_hop_headers},
   cactusyoke_model::{
-    Answer, BodyError, CallFailure, CallHead, NotRunReason, Report, SpanId, UnknownReason,
+    Answer, BodyError, CallFailure, CallHead, Context, NotRunReason, Report, SpanId, UnknownReason,
   },
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header},
-  http_body_util::BodyExt,
+  http_body_util::{BodyExt, Limited},
   hyper::body::Incoming,
-  std::{future::poll_fn, pin::pin, sync::Arc, task::Poll},
+  std::{future::poll_fn, pin::pin, sync::Arc, task::Poll, time::Duration},
+  tokio::time::timeout,
 };
 
+/// Longest body of a refusal that is read, bytes; the connection is closed when it is longer.
+const MAX_REFUSAL: usize = 16 * 1024;
+
+/// Time to read the body of a refusal.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 /// One call on one connection.
 #[derive(Debug)]
 pub(crate) struct CallRun {
@@ -23,13 +31,14 @@
   pub(crate) async fn run(
     mut self,
     uri: Uri,
-    context: HeaderValue,
+    context: Context,
     body: CheckedBody,
   ) -> Result<Answer, CallFailure> {
+    let id = self.head.headers.get(&self.names().request).cloned();
     let mut request = Request::new(SentBody::new(body, Arc::clone(self.lease.state())));
     *request.method_mut() = self.head.method.clone();
     *request.uri_mut() = uri;
-    *request.headers_mut() = self.headers(context)?;
+    *request.headers_mut() = self.headers(&context)?;
     loop {
       let mut sending = pin!(self.lease.send(request));
       let state = Arc::clone(self.lease.state());
@@ -40,7 +49,7 @@
       })
       .await;
       let mut error = match sent {
-        Ok(Ok(response)) => return self.answer(response),
+        Ok(Ok(response)) => return self.answer(response, id.as_ref()).await,
         Ok(Err(error)) => error,
         Err(expiry) => return Err(self.expired(expiry)),
       };
@@ -59,22 +68,65 @@
     }
   }
 
-  fn headers(&mut self, context: HeaderValue) -> Result<HeaderMap, CallFailure> {
+  fn names(&self) -> &'static HeaderNames {
+    self.lease.pool().config().names
+  }
+
+  fn headers(&mut self, context: &Context) -> Result<HeaderMap, CallFailure> {
+    let bad_request = || CallFailure::not_run(NotRunReason::BadRequest);
+    let names = self.names();
     let mut headers = std::mem::take(&mut self.head.headers);
     remove_hop_headers(&mut headers);
-    headers.insert(cactusyoke_model::CONTEXT_HEADER, context);
+    if let Some(name) = &names.context {
+      let value = HeaderValue::from_maybe_shared(Bytes::from(context.to_string()));
+      headers.insert(name, value.map_err(|_error| bad_request())?);
+    }
+    let remaining = context.remaining.as_millis() as u64;
+    headers.insert(&names.deadline, HeaderValue::from(remaining));
+    if let Some(instance) = &self.lease.pool().announcement().instance {
+      let value = HeaderValue::try_from(instance).map_err(|_error| bad_request())?;
+      headers.insert(&names.instance, value);
+    }
     if !headers.contains_key(header::HOST) {
       let address = self.lease.pool().announcement().address.to_string();
-      let host = HeaderValue::try_from(address)
-        .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?;
+      let host = HeaderValue::try_from(address).map_err(|_error| bad_request())?;
       headers.insert(header::HOST, host);
     }
     Ok(headers)
   }
 
-  fn answer(mut self, response: Response<Incoming>) -> Result<Answer, CallFailure> {
+  async fn answer(
+    mut self,
+    response: Response<Incoming>,
+    id: Option<&HeaderValue>,
+  ) -> Result<Answer, CallFailure> {
     self.watch.progress();
-    if !has_end(&self.head.method, &response) {
+    let names = self.names();
+    if !is_answer_to(names, id, &response) {
+      tracing::warn!(
+        event = "answer_rejected",
+        service = %self.head.service,
+        route = %self.head.route,
+        status = %response.status(),
+        reason = "it does not belong to the request",
+      );
+      return Err(CallFailure::unknown(UnknownReason::BadAnswer));
+    }
+    if is_refusal(names, &response) {
+      return Err(self.refused(response).await);
+    }
+    if !is_trusted(names, &response) {
+      tracing::warn!(
+        event = "answer_rejected",
+        service = %self.head.service,
+        route = %self.head.route,
+        status = %response.status(),
+        reason = "it has no mark of the upstream, or a promise without proof",
+      );
+      return Err(CallFailure::unknown(UnknownReason::BadAnswer));
+    }
+    self.note_kept(response.headers());
+    if names.mark.is_none() && !has_end(&self.head.method, &response) {
       if self.lease.pool().report_once() {
         tracing::warn!(
         service = %self.head.service,
@@ -96,6 +148,29 @@
     })
   }
 
+  /// Reads the rest of a refusal, so that its connection can be used again.
+  async fn refused(self, response: Response<Incoming>) -> CallFailure {
+    let body = Limited::new(response.into_body(), MAX_REFUSAL).collect();
+    if matches!(timeout(REFUSAL_TIME, body).await, Ok(Ok(_))) {
+      self.lease.release();
+    }
+    CallFailure::not_run(NotRunReason::Refused)
+  }
+
+  /// Takes note of the time for which the upstream keeps idle connections open.
+  fn note_kept(&self, headers: &HeaderMap) {
+    let kept = headers
+      .get("keep-alive")
+      .and_then(|value| value.to_str().ok())
+      .into_iter()
+      .flat_map(|value| value.split(','))
+      .filter_map(|part| part.trim().strip_prefix("timeout="))
+      .find_map(|seconds| seconds.trim().parse().ok());
+    if let Some(seconds) = kept {
+      self.lease.pool().note_kept(Duration::from_secs(seconds));
+    }
+  }
+
   fn expired(&self, expiry: Expiry) -> CallFailure {
     let touched = self.lease.state().seal();
     match (expiry, touched) {
@@ -143,6 +218,41 @@
   }
 }
 
+/// True when the answer names the request, or need not.
+fn is_answer_to(
+  names: &HeaderNames,
+  id: Option<&HeaderValue>,
+  response: &Response<Incoming>,
+) -> bool {
+  match (response.headers().get(&names.request), id) {
+    (Some(echo), Some(id)) => echo == id,
+    (Some(_), None) => true,
+    (None, _) => names.mark.is_none(),
+  }
+}
+
+/// True when the upstream says that it did not run the request.
+fn is_refusal(names: &HeaderNames, response: &Response<Incoming>) -> bool {
+  response.headers().contains_key(&names.refused)
+    || response.status() == StatusCode::MISDIRECTED_REQUEST
+}
+
+/// True when the answer may be passed on as the upstream's. Statuses that promise that a request
+/// has not run are not, without the upstream's word for it.
+fn is_trusted(names: &HeaderNames, response: &Response<Incoming>) -> bool {
+  let Some(mark) = &names.mark else {
+    return true;
+  };
+  let status = response.status();
+  let promise = matches!(
+    status,
+    StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+  );
+  let marked = response.headers().contains_key(mark) || !status.is_success();
+  let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
+  marked && !promise && !encoded && !status.is_informational()
+}
+
 /// True when the end of the answer can be told from a lost connection.
 fn has_end(method: &Method, response: &Response<Incoming>) -> bool {
   let status = response.status();
--- a/crates/upstreams/src/egress.rs
+++ b/crates/upstreams/src/egress.rs
@@ -6,20 +6,21 @@
 use {
   crate::{LoopbackError, loopback::loopback_address},
   cactusyoke_http::{CallHandler, Limits},
-  std::sync::Arc,
+  std::{net::IpAddr, sync::Arc},
   tokio::net::TcpListener,
   tokio_util::sync::CancellationToken,
 };
 
-/// Serves the upstream's outgoing calls until `shutdown` is cancelled and what is in flight has
+/// Serves the upstream's outgoing calls, on a loopback address or `own`, until `shutdown` is cancelled and what is in flight has
 /// finished.
 pub async fn serve<H: CallHandler>(
   listener: TcpListener,
   handler: Arc<H>,
   limits: Limits,
+  own: Option<IpAddr>,
   shutdown: CancellationToken,
 ) -> Result<(), LoopbackError> {
-  let address = loopback_address(&listener)?;
+  let address = loopback_address(&listener, own)?;
   tracing::info!(%address, "serving outgoing calls");
   cactusyoke_http::serve(listener, handler, limits, shutdown).await;
   Ok(())
--- a/crates/upstreams/src/loopback.rs
+++ b/crates/upstreams/src/loopback.rs
@@ -2,7 +2,7 @@
   std::{
     fmt::{self, Display, Formatter},
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
   },
   tokio::net::TcpListener,
 };
@@ -10,7 +10,7 @@
 /// Why a listener for the upstream cannot be used.
 #[derive(Debug)]
 pub enum LoopbackError {
-  /// It is bound to an address that other machines reach.
+  /// It is bound to an address other than a loopback one or the instance's own.
   NotLoopback(SocketAddr),
   /// Its address cannot be read.
   Address(io::Error),
@@ -21,7 +21,7 @@
     match self {
       Self::NotLoopback(address) => write!(
         f,
-        "`{address}` can be reached from other machines: bind the listener to a loopback address such as `127.0.0.1`"
+        "`{address}` can be reached from other machines: bind the listener to a loopback address such as `127.0.0.1`, or to the address of the instance"
       ),
       Self::Address(error) => write!(f, "the address of the listener cannot be read: {error}"),
     }
@@ -30,10 +30,13 @@
 
 impl std::error::Error for LoopbackError {}
 
-/// Address of a listener that only this machine reaches.
-pub(crate) fn loopback_address(listener: &TcpListener) -> Result<SocketAddr, LoopbackError> {
+/// Address of a listener for the upstream: a loopback one, or `own`, the instance's.
+pub(crate) fn loopback_address(
+  listener: &TcpListener,
+  own: Option<IpAddr>,
+) -> Result<SocketAddr, LoopbackError> {
   let address = listener.local_addr().map_err(LoopbackError::Address)?;
-  if address.ip().is_loopback() {
+  if address.ip().is_loopback() || Some(address.ip()) == own {
     Ok(address)
   } else {
     Err(LoopbackError::NotLoopback(address))
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -11,9 +11,9 @@
     io,
     sync::{
       Arc, Mutex, MutexGuard,
-      atomic::{AtomicBool, AtomicUsize, Ordering},
+      atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
   },
   tokio::{
     net::TcpStream,
@@ -40,6 +40,8 @@
   open: Arc<Semaphore>,
   idle: Mutex<VecDeque<Idle>>,
   silence: Mutex<Silence>,
+  /// Time for which the upstream keeps idle connections open, milliseconds.
+  kept: AtomicU64,
   /// An answer without an end was reported; one line for each announced upstream is enough.
   reported: AtomicBool,
 }
@@ -63,6 +65,7 @@
       open: Arc::new(Semaphore::new(bound)),
       idle: Mutex::new(VecDeque::new()),
       silence,
+      kept: AtomicU64::new(u64::MAX),
       reported: AtomicBool::new(false),
     }
   }
@@ -153,6 +156,15 @@
       let Some(mut idle) = idle else {
         break;
       };
+      if self
+        .config
+        .clock
+        .now()
+        .saturating_duration_since(idle.since)
+        > self.idle_limit()
+      {
+        continue;
+      }
       // An upstream that answered without reading the whole request may never read the rest.
       let ready = timeout(self.config.connect, idle.sender.ready()).await;
       if matches!(ready, Ok(Ok(()))) {
@@ -179,6 +191,7 @@
         tracing::debug!(%address, %error, "upstream connection failed");
         if error.kind() == io::ErrorKind::ConnectionRefused {
           self.config.views.refused(address);
+          (self.config.refused)();
         }
         return Err(NotRunReason::Connection);
       }
@@ -217,6 +230,18 @@
     Ok(Lease::new(idle, Arc::clone(self), permit, false, deadline))
   }
 
+  /// Takes note of the time for which the upstream keeps idle connections open.
+  pub(crate) fn note_kept(&self, kept: Duration) {
+    self.kept.store(kept.as_millis() as u64, Ordering::Relaxed);
+  }
+
+  /// Time after which an idle connection is not used again: a part of the time for which the
+  /// upstream keeps it, so that it is not closed at the moment of its use.
+  fn idle_limit(&self) -> Duration {
+    let kept = Duration::from_millis(self.kept.load(Ordering::Relaxed));
+    self.config.idle.min(kept / 2)
+  }
+
   /// Keeps a connection for the next call.
   pub(crate) fn put_back(&self, mut connection: Idle, now: Instant) {
     connection.since = now;
@@ -225,7 +250,7 @@
       return;
     }
     idle.push_back(connection);
-    let limit = self.config.idle;
+    let limit = self.idle_limit();
     while idle
       .front()
       .is_some_and(|oldest| now.saturating_duration_since(oldest.since) > limit)
--- a/crates/upstreams/src/upstream.rs
+++ b/crates/upstreams/src/upstream.rs
@@ -1,10 +1,9 @@
 use {
   crate::{CallRun, CallWatch, Phase, Pool, UpstreamConfig, UpstreamView},
   arc_swap::ArcSwapOption,
-  bytes::Bytes,
   cactusyoke_http::CheckedBody,
   cactusyoke_model::{Answer, Call, CallFailure, Context, NotRunReason},
-  http::{HeaderValue, Uri},
+  http::Uri,
   std::sync::{Arc, Mutex},
   tokio::time::{Instant, timeout_at},
 };
@@ -53,8 +52,6 @@
         .min(deadline.saturating_duration_since(Instant::now())),
       ..context
     };
-    let header = HeaderValue::from_maybe_shared(Bytes::from(context.to_string()))
-      .map_err(|_error| bad_request())?;
     let body = CheckedBody::announced(body, &head.headers);
     let run = CallRun {
       watch: CallWatch::new(pool, head.route.clone(), deadline),
@@ -62,7 +59,7 @@
       span: context.span,
       lease,
     };
-    run.run(uri, header, body).await
+    run.run(uri, context, body).await
   }
 
   /// Pool of the announced upstream.
--- a/crates/upstreams/src/upstream_config.rs
+++ b/crates/upstreams/src/upstream_config.rs
@@ -1,5 +1,6 @@
 use {
   crate::{Crash, Views},
+  cactusyoke_http::HeaderNames,
   cactusyoke_model::{Clock, SystemClock},
   std::{
     fmt::{self, Debug, Formatter},
@@ -23,6 +24,10 @@
   pub idle: Duration,
   /// Called before the failure of the crashed call is returned, or its body ends.
   pub crashed: Arc<dyn Fn(Crash) + Send + Sync>,
+  /// Called when the upstream refused a connection.
+  pub refused: Arc<dyn Fn() + Send + Sync>,
+  /// Names of the headers that it reads and sets.
+  pub names: &'static HeaderNames,
 }
 
 impl UpstreamConfig {
@@ -36,6 +41,8 @@
       silence: Duration::from_secs(3),
       idle: Duration::from_secs(30),
       crashed: Arc::new(|_crash| {}),
+      refused: Arc::new(|| {}),
+      names: HeaderNames::own(),
     }
   }
 }
--- a/crates/upstreams/tests/egress.rs
+++ b/crates/upstreams/tests/egress.rs
@@ -46,6 +46,7 @@
     listener,
     handler,
     Limits::default(),
+    None,
     shutdown.clone(),
   ));
   let child = |parent: &str, path: &str| Child {
@@ -86,6 +87,7 @@
     listener,
     record,
     Limits::default(),
+    None,
     CancellationToken::new(),
   );
   let error = served.await.expect_err("not a loopback address");
--- a/crates/upstreams/tests/support/mod.rs
+++ b/crates/upstreams/tests/support/mod.rs
@@ -48,6 +48,7 @@
       connections: Connections(connections),
       cold_start: Duration::ZERO,
       instance: None,
+      born: None,
     }),
     hints: Hints::default(),
   })
@@ -83,6 +84,8 @@
     path: path.to_owned(),
     headers: HeaderMap::new(),
     priority,
+    depth: 0,
+    repeat: false,
     idempotent: false,
     key: None,
     retries: Retries::ZERO,
