Keep calls below admitted requests short, shed costly routes first, and use all data centres when one is crowded

Change: waits of such calls are tolerated up to a quarter of their running time; calls leave a crowded instance by part of the difference in use; load is counted in slots by half classes, and routes that need more work at the tightest service stand in the second half of their class, but for a protected part; the limit is 95% of exact slots, without trials; refusals by upstreams are repeated within the budget, mostly for the first class; a node that stops keeps its gate open while it lingers.

--- a/crates/cactusyoke/src/admission.rs
+++ b/crates/cactusyoke/src/admission.rs
@@ -145,6 +145,11 @@
     slot.wait(waiter).await
   }
 
+  /// Part of the slots in use, smoothed.
+  pub(crate) fn used(&self) -> f64 {
+    self.lock().gate.used()
+  }
+
   /// Load as measured now.
   pub(crate) fn status(&self) -> GateStatus {
     let now = self.clock.now();
@@ -212,6 +217,7 @@
       load: outlook.load,
       queued: outlook.queued,
       urgent: outlook.urgent,
+      used: outlook.used,
       room: outlook.room,
       pace: outlook.pace,
       ..Report::IDLE
--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -2,8 +2,8 @@
 
 use {
   crate::{
-    Settings, admission::Admission, crashes::Crashes, edges::Edges, keyed::Keyed, members::Members,
-    meters::Meters, runs::Runs, spread::Spread,
+    Settings, admission::Admission, crashes::Crashes, edges::Edges, event_rate::EventRate,
+    keyed::Keyed, members::Members, meters::Meters, runs::Runs, spread::Spread,
   },
   arc_swap::ArcSwap,
   cactusyoke_configuration::{Configuration, Watcher},
@@ -47,6 +47,8 @@
   pub(crate) members: Members,
   pub(crate) names: &'static HeaderNames,
   pub(crate) runs: Runs,
+  /// Rate of log lines on requests without an answer.
+  pub(crate) failures: EventRate,
   pub(crate) links: Links,
   pub(crate) views: Views,
   pub(crate) upstream: Upstream,
@@ -56,6 +58,8 @@
   pub(crate) spread: Spread,
   pub(crate) meters: Meters,
   pub(crate) draining: AtomicBool,
+  /// False once the node has been told to stop.
+  pub(crate) ready: AtomicBool,
   pub(crate) next_span: AtomicU64,
   pub(crate) in_flight: InFlight,
   pub(crate) ledgers: Mutex<Ledgers>,
--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -27,6 +27,9 @@
 /// call from visiting each of many instances that are leaving.
 const MAX_REROUTES: usize = 2;
 
+/// Times that one call is sent while upstreams refuse it.
+const MAX_REFUSALS: u32 = 6;
+
 /// Time past the deadline for a refusal of another node, which says more than an unknown outcome.
 const GRACE: Duration = Duration::from_millis(20);
 
@@ -93,6 +96,10 @@
   reroutes: usize,
   /// Attempts that may have reached an upstream.
   arrivals: u32,
+  /// Instances whose upstreams may have had the call.
+  used: Vec<NodeId>,
+  /// The call may go to no other instances.
+  only_used: bool,
   /// Why an earlier attempt may have run; a later refusal does not change that.
   doubt: Option<UnknownReason>,
 }
@@ -109,6 +116,8 @@
       tried: Vec::new(),
       reroutes: 0,
       arrivals: 0,
+      used: Vec::new(),
+      only_used: false,
       doubt: None,
     }
   }
@@ -177,6 +186,9 @@
       return Err(NotRunReason::Shed);
     }
     let mut candidates = self.core.candidates(&self.head.service);
+    if self.only_used {
+      candidates.retain(|candidate| self.used.contains(&candidate.node));
+    }
     if !self.plan.spill {
       candidates.retain(|candidate| candidate.distance.is_zero());
     }
@@ -241,6 +253,9 @@
           self.left = Retries(self.left.0.saturating_add(share.0));
         }
         self.failed(node, started, &failure);
+        if reached(&failure) && !self.used.contains(&node) {
+          self.used.push(node);
+        }
         Err(failure)
       }
     }
@@ -283,6 +298,7 @@
     let (service, route) = (self.head.service.clone(), self.head.route.clone());
     let (priority, report) = (self.head.priority, answer.report);
     let server_error = answer.status.is_server_error();
+    let root = self.head.depth == 0 && !server_error;
     let on_end = move |end: BodyEnd| {
       let now = core.clock.now();
       let end = match end {
@@ -296,6 +312,9 @@
         priority,
       };
       let latency = now.duration_since(started);
+      if root && end == CallEnd::Answered {
+        core.edges.note_cost(edge, &report, now);
+      }
       core.edges.done(edge, node, end, Some(report), latency, now);
     };
     let body = Tracked::new(answer.body, self.head.deadline, on_end).boxed_unsync();
@@ -333,10 +352,10 @@
         NotRunReason::Connection | NotRunReason::Draining | NotRunReason::NoUpstream => {
           self.may_reroute()
         }
-        NotRunReason::Refused => self.may_repeat(now),
+        NotRunReason::Refused => self.may_repeat(true, now),
         _ => false,
       },
-      CallFailure::Unknown { .. } => self.head.idempotent && self.may_repeat(now),
+      CallFailure::Unknown { .. } => self.head.idempotent && self.may_repeat(false, now),
     }
   }
 
@@ -346,11 +365,17 @@
     self.reroutes <= MAX_REROUTES && !self.tried.is_empty() && self.untried_left()
   }
 
-  /// True when a call that reached an upstream may be sent to a further one.
-  fn may_repeat(&mut self, now: Instant) -> bool {
+  /// True when a call that reached an upstream may be sent again. One that the upstream refused may
+  /// go to the same ones again when it may not be sent to further ones.
+  fn may_repeat(&mut self, refused: bool, now: Instant) -> bool {
     self.arrivals += 1;
     let nodes = self.core.members.view().live().count();
-    let allowed = self.arrivals < self.plan.attempts
+    let within = if refused {
+      self.arrivals < MAX_REFUSALS
+    } else {
+      self.arrivals < self.plan.attempts
+    };
+    let allowed = within
       && self.left.0 > 0
       && self.core.edges.try_repeat(&self.head, nodes, now)
       && self.left.take_one();
@@ -362,6 +387,10 @@
     }
     if !self.untried_left() {
       self.tried.clear();
+    } else if self.used.len() >= self.plan.attempts as usize {
+      // Only upstreams that had the call already.
+      self.tried.clear();
+      self.only_used = true;
     }
     true
   }
@@ -426,6 +455,18 @@
   }
 }
 
+/// True when a failed call may have reached an upstream.
+const fn reached(failure: &CallFailure) -> bool {
+  matches!(
+    failure,
+    CallFailure::Unknown { .. }
+      | CallFailure::NotRun {
+        reason: NotRunReason::Refused,
+        ..
+      }
+  )
+}
+
 /// Call that was counted as sent to an instance. Dropped before its end, when its caller goes away,
 /// it is counted as cancelled; otherwise the sender's count of calls in flight would stay too high.
 struct SentCall<'a> {
--- a/crates/cactusyoke/src/edges.rs
+++ b/crates/cactusyoke/src/edges.rs
@@ -2,12 +2,12 @@
 
 use {
   cactusyoke_decisions::load::{
-    CallEnd, Candidate, Completed, Criteria, Levels, Outlook, RetryBounds, RetryBudget, RetryRatio,
-    Router, Shares,
+    CallEnd, Candidate, Completed, Costs, Criteria, Levels, Outlook, RetryBounds, RetryBudget,
+    RetryRatio, Router, Shares,
   },
   cactusyoke_model::{
-    CallFailure, CallHead, Level, NodeId, NotRunReason, Priority, Report, Route, RouteName,
-    ServiceName,
+    CallFailure, CallHead, Level, NodeId, NotRunReason, Priority, Report, RequestId, Route,
+    RouteName, ServiceName,
   },
   std::{
     collections::HashMap,
@@ -23,6 +23,7 @@
   ratios: HashMap<RouteName, RetryRatio>,
   budgets: HashMap<ServiceName, RetryBudget>,
   shares: HashMap<RouteName, Shares>,
+  costs: Costs,
 }
 
 /// Levels and retry ratios by route, loads by instance.
@@ -65,6 +66,7 @@
       ratios: HashMap::new(),
       budgets: HashMap::new(),
       shares: HashMap::new(),
+      costs: Costs::new(),
     };
     Self {
       inner: Mutex::new(inner),
@@ -100,6 +102,19 @@
     route.backends[place].service.clone()
   }
 
+  /// Priority of a new request.
+  pub(crate) fn priority(&self, route: &Route, root: RequestId, now: Instant) -> Priority {
+    let inner = self.lock();
+    inner.costs.priority(&route.name, route.rank, root, now)
+  }
+
+  /// Takes note of what a root request cost the service with the least room below it.
+  pub(crate) fn note_cost(&self, edge: Edge<'_>, report: &Report, now: Instant) {
+    let rank = edge.priority.rank();
+    let mut inner = self.lock();
+    inner.costs.note(edge.route, rank, report.strain, now);
+  }
+
   /// Chooses an instance.
   pub(crate) fn pick(
     &self,
@@ -226,6 +241,7 @@
     load: report.load,
     queued: report.queued,
     urgent: report.urgent,
+    used: report.used,
     room: report.room,
     pace: report.pace,
   }
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -4,6 +4,7 @@
   crate::{
     Core,
     dispatch::{Dispatch, Plan},
+    event_rate::Verdict,
     replay::Replay,
     runs::Parent,
   },
@@ -68,14 +69,14 @@
     let root = root_of(&request);
     let head = CallHead {
       root,
-      priority: Priority::new(route.rank, root),
+      priority: self.edges.priority(route, root, started),
       depth: 0,
       repeat: false,
       retries: route.retries,
       ..self.head_of(&request, route, started)
     };
     let result = self.send(&preset, route, head, request).await;
-    self.meters.outcome(&route.name, &result);
+    self.conclude(route, 0, started, &result);
     result
   }
 
@@ -110,10 +111,40 @@
     };
     let result = self.send(&preset, route, head, request).await;
     pending.finish(&result);
-    self.meters.outcome(&route.name, &result);
+    self.conclude(route, parent.depth, started, &result);
     result
   }
 
+  /// Counts an outcome, and logs one without an answer.
+  fn conclude(
+    &self,
+    route: &Route,
+    depth: u8,
+    started: Instant,
+    result: &Result<Answer, CallFailure>,
+  ) {
+    self.meters.outcome(&route.name, result);
+    let (event, reason) = match result {
+      Ok(_) => return,
+      Err(CallFailure::NotRun { reason, .. }) => ("not_run", reason.as_str()),
+      Err(CallFailure::Unknown { reason }) => ("unknown", reason.as_str()),
+    };
+    let now = self.clock.now();
+    if let Verdict::Write { omitted } = self.failures.count(now) {
+      let waited_ms = now.saturating_duration_since(started).as_millis() as u64;
+      tracing::info!(
+        event,
+        reason,
+        route = %route.name,
+        service = %route.service(),
+        rank = %route.rank,
+        depth,
+        waited_ms,
+        omitted
+      );
+    }
+  }
+
   /// Head of a request without what it inherits or begins with.
   fn head_of(&self, request: &CallerRequest, route: &Route, started: Instant) -> CallHead {
     let mut headers = request.headers.clone();
@@ -213,6 +244,7 @@
       Err(CallFailure::NotRun { report, .. }) => (report.unwrap_or(Report::IDLE), true),
       Err(CallFailure::Unknown { .. }) => (Report::IDLE, true),
     };
+    self.core.ledgers().strained(self.span, report.strain);
     self.end(report.unused, failed, report.level);
   }
 
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -13,12 +13,12 @@
   cactusyoke_decisions::load::{Completion, Fingerprint},
   cactusyoke_model::{
     Answer, BodyError, Call, CallFailure, CallHead, Context, Level, NotRunReason, Report, Retries,
-    ServiceName, SpanId, UnknownReason,
+    ServiceName, SpanId, Strain, UnknownReason,
   },
   http_body_util::BodyExt,
   std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
   },
   tokio::time::timeout_at,
 };
@@ -30,6 +30,16 @@
   trial: Trial,
   /// Wait in the queue.
   waited: Duration,
+  /// Time of the admission.
+  started: Instant,
+}
+
+/// What the calls of a run report.
+#[derive(Clone, Copy, Debug)]
+struct Below {
+  unused: Retries,
+  level: Level,
+  strain: Strain,
 }
 
 impl Core {
@@ -71,7 +81,8 @@
       .admission
       .admit(head.priority, inner, head.deadline)
       .await?;
-    let waited = self.clock.now().saturating_duration_since(queued);
+    let started = self.clock.now();
+    let waited = started.saturating_duration_since(queued);
     if let Some(calls) = self.meters.route(&head.route) {
       calls.waited(waited);
     }
@@ -79,6 +90,17 @@
       slot,
       trial,
       waited,
+      started,
+    })
+  }
+
+  /// Strain of the upstream beside this node, by a call that began at `started`.
+  fn strain(&self, started: Instant) -> Strain {
+    let work = self.clock.now().saturating_duration_since(started);
+    let view = self.views.load();
+    let announced = view.announcement.as_ref();
+    announced.map_or(Strain::NONE, |announced| {
+      Strain::new(&announced.service, self.admission.used(), work)
     })
   }
 
@@ -111,9 +133,20 @@
     let result = timeout_at(deadline.into(), whole)
       .await
       .unwrap_or(Err(CallFailure::unknown(UnknownReason::Deadline)));
+    let strain = self.ledgers().strain(id);
     let (unused, below) = span.close();
     match result {
-      Ok(answer) => Ok(self.track(answer, id, run, admitted, unused, below)),
+      Ok(answer) => Ok(self.track(
+        answer,
+        id,
+        run,
+        admitted,
+        Below {
+          unused,
+          level: below,
+          strain,
+        },
+      )),
       Err(failure) => {
         let done = match failure {
           CallFailure::NotRun { .. } => Completion::Cancelled,
@@ -146,13 +179,13 @@
     span: SpanId,
     run: Option<OpenRun>,
     admitted: Admitted,
-    unused: Retries,
-    below: Level,
+    below: Below,
   ) -> Answer {
     let here = self.admission.report();
     let report = Report {
-      level: here.level.min(below),
-      unused,
+      level: here.level.min(below.level),
+      unused: below.unused,
+      strain: self.strain(admitted.started).join(below.strain),
       waited: admitted.waited,
       ..here
     };
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -15,6 +15,7 @@
 mod directory;
 mod dispatch;
 mod edges;
+mod event_rate;
 mod exit;
 mod gateway;
 mod instance;
--- a/crates/cactusyoke/src/operator_node.rs
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -12,7 +12,7 @@
     PresetSummary, PresetView, PutRequest, QuarantineView, Reason, StatusView, Timestamp,
     UseRequest,
   },
-  std::sync::Arc,
+  std::sync::{Arc, atomic::Ordering},
 };
 
 /// Node as operators see it.
@@ -25,7 +25,8 @@
   }
 
   fn ready(&self) -> bool {
-    !self.0.is_draining() && self.0.config.load().preset().is_some()
+    let running = self.0.ready.load(Ordering::SeqCst) && !self.0.is_draining();
+    running && self.0.config.load().preset().is_some()
   }
 
   fn config(&self) -> NodeFuture<'_, ConfigView> {
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -132,9 +132,15 @@
   /// `limit`.
   pub async fn shut_down(self, limit: Duration) -> Result<(), Unfinished> {
     tracing::info!(event = "draining", calls = self.core.in_flight.count());
-    self.core.set_draining(true);
+    self.core.ready.store(false, Ordering::SeqCst);
     let started = Instant::now();
-    self.linger(limit).await;
+    sleep(self.core.settings.linger).await;
+    // The upstream may go on without this node, so that it is used until the node goes.
+    self.core.set_draining(true);
+    self.core.admission.refuse_waiting();
+    self
+      .finish_runs(limit.saturating_sub(started.elapsed()))
+      .await;
     self.refuse_work.cancel();
     let mut egress = self.egress;
     let platform = self.core.settings.interface.is_platform();
@@ -171,16 +177,12 @@
     Ok(())
   }
 
-  /// Serves callers on until they have learnt that the node is not ready any more, and the calls of
-  /// the upstream while it still runs requests.
-  async fn linger(&self, limit: Duration) {
-    let linger = self.core.settings.linger;
-    if linger.is_zero() {
+  /// Serves the calls of the upstream while it still runs requests, for half of the time left.
+  async fn finish_runs(&self, left: Duration) {
+    if self.core.settings.linger.is_zero() {
       return;
     }
-    sleep(linger).await;
-    let longest = (limit.saturating_sub(linger) / 2).min(limit);
-    let end = Instant::now() + longest;
+    let end = Instant::now() + left / 2;
     while self.core.admission.status().in_flight > 0 && Instant::now() < end {
       sleep(LINGER_STEP).await;
     }
--- a/crates/cactusyoke/src/upstream_follower.rs
+++ b/crates/cactusyoke/src/upstream_follower.rs
@@ -14,6 +14,9 @@
 /// Longest wait in the queue before a preset is in force.
 const QUEUE_WAIT: Duration = Duration::from_millis(200);
 
+/// Part of the slots that is filled, percent.
+const USED_PERCENT: u32 = 95;
+
 /// Gate before the upstream has announced itself.
 pub(crate) fn idle_gate(settings: &Settings) -> GateConfig {
   GateConfig {
@@ -21,6 +24,7 @@
     queue: settings.queue,
     queue_wait: QUEUE_WAIT,
     cold_start: Duration::ZERO,
+    trials: true,
   }
 }
 
@@ -84,7 +88,7 @@
     if restarted && view.phase != Phase::Gone {
       self.admission.restart(self.gate(announcement));
     } else if resized {
-      self.admission.set_slots(announcement.slots);
+      self.admission.set_slots(self.usable(announcement.slots));
     }
     *last = Some((announcement.clone(), view.phase));
   }
@@ -92,11 +96,21 @@
   fn gate(&self, announcement: &Announcement) -> GateConfig {
     let preset = self.config.load().preset().cloned();
     GateConfig {
-      slots: announcement.slots,
+      slots: self.usable(announcement.slots),
       queue: self.settings.queue,
       queue_wait: preset.map_or(QUEUE_WAIT, |preset| preset.queue_wait),
       cold_start: announcement.cold_start,
+      trials: !self.settings.interface.is_platform(),
+    }
+  }
+
+  /// Slots that are filled. On the platform slots are exact, and upstreams slow down when all but a
+  /// few are in use.
+  fn usable(&self, slots: Slots) -> Slots {
+    if !self.settings.interface.is_platform() {
+      return slots;
     }
+    Slots((slots.0 * USED_PERCENT / 100).max(1))
   }
 
   /// Puts the adopted configuration in force on this node and spreads it.
--- a/crates/decisions/examples/measure_load.rs
+++ b/crates/decisions/examples/measure_load.rs
@@ -43,6 +43,7 @@
     queue: 240,
     queue_wait: Duration::from_millis(200),
     cold_start: Duration::ZERO,
+    trials: true,
   };
   let mut gate = Gate::new(config, now);
   let mut actions = Vec::new();
--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -5,6 +5,7 @@
 
 mod candidate;
 mod completion;
+mod costs;
 mod criteria;
 mod end;
 mod fingerprint;
@@ -29,6 +30,7 @@
 
 pub use candidate::Candidate;
 pub use completion::Completion;
+pub use costs::Costs;
 pub use criteria::Criteria;
 pub use end::{CallEnd, Completed};
 pub use fingerprint::Fingerprint;
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -1,7 +1,8 @@
 use {
   super::{
     Completion, Entry, GateAction, GateConfig, Limit, Line, Offer, Outlook, Place, Queue,
-    QueueOrder, Table, Threshold, Waits, threshold::Pressure,
+    QueueOrder, Table, Threshold, Waits,
+    threshold::{HALVES, Pressure},
   },
   cactusyoke_model::{Level, NotRunReason, Priority, Slots},
   std::time::{Duration, Instant},
@@ -16,6 +17,13 @@
 const MAX_INTERVAL: Duration = Duration::from_millis(250);
 /// Share of the longest wait that is tolerated before the level falls.
 const TARGET_SHARE: f64 = 0.5;
+/// Wait of calls of requests that have been worked on, in multiples of the time that they run, that
+/// is tolerated. A request makes several of them one after the other, so that their waits add up.
+const INNER_TARGET: f64 = 0.25;
+/// Smoothing of the time that the calls of half a class run.
+const TIME_WEIGHT: f64 = 0.05;
+/// Smoothing of the utilisation, at each interval.
+const USED_WEIGHT: f64 = 0.1;
 /// Time without any event after which earlier load says nothing.
 const STALE: Duration = Duration::from_secs(1);
 
@@ -29,6 +37,10 @@
   in_flight: u32,
   limit: Limit,
   threshold: Threshold,
+  /// Time that new requests run by half class, smoothed, seconds; zero while it is not known.
+  times: [f64; HALVES],
+  /// Utilisation of the limit, smoothed.
+  used: f64,
   ticked: Instant,
   /// Start of the level's interval.
   levelled: Instant,
@@ -37,6 +49,9 @@
   /// Calls started since the last tick and the sum of their waits.
   started: u32,
   waited: Duration,
+  /// The same for calls of requests that have been worked on.
+  inner_started: u32,
+  inner_waited: Duration,
   last_wait: Duration,
 }
 
@@ -54,13 +69,17 @@
       queue: Queue::new(order),
       tickets: Table::default(),
       in_flight: 0,
-      limit: Limit::new(config.slots, config.cold_start, now),
+      limit: Limit::new(config.slots, config.cold_start, config.trials, now),
       threshold: Threshold::new(),
+      times: [0.0; HALVES],
+      used: 0.0,
       ticked: now,
       levelled: now,
       expiry: None,
       started: 0,
       waited: Duration::ZERO,
+      inner_started: 0,
+      inner_waited: Duration::ZERO,
       last_wait: Duration::ZERO,
     }
   }
@@ -81,7 +100,7 @@
     if !self.threshold.enforced().admits(priority) {
       return Offer::Refused(NotRunReason::Shed);
     }
-    self.enter(ticket, Line::root(priority), deadline, now)
+    self.enter(ticket, priority, Line::root(priority), deadline, now)
   }
 
   /// Offers a call of a request that upstreams above have worked on. It goes ahead of new requests
@@ -98,16 +117,24 @@
       return Offer::Refused(NotRunReason::BadRequest);
     }
     self.threshold.arrived(priority);
-    self.enter(ticket, Line::inner(priority), deadline, now)
+    self.enter(ticket, priority, Line::inner(priority), deadline, now)
   }
 
-  fn enter(&mut self, ticket: u64, line: Line, deadline: Instant, now: Instant) -> Offer {
+  fn enter(
+    &mut self,
+    ticket: u64,
+    priority: Priority,
+    line: Line,
+    deadline: Instant,
+    now: Instant,
+  ) -> Offer {
+    let half = priority.half().min(HALVES - 1);
     let latest = now + self.limit.fastest();
     if deadline <= latest {
       return Offer::Refused(NotRunReason::Deadline);
     }
     if self.queue.len() == 0 && self.in_flight < self.limit.current() {
-      self.start(ticket, now, now);
+      self.start(ticket, half, line, now, now);
       return Offer::Start;
     }
     if deadline <= latest + self.expected_wait(line) {
@@ -121,19 +148,28 @@
       self.tickets.remove(&entry.ticket);
       evicted = Some(entry.ticket);
     }
-    self.enqueue(line, ticket, deadline, now);
+    self.enqueue(line, ticket, half, deadline, now);
     Offer::Queued { evicted }
   }
 
   /// Ends a call that was started. Other tickets are ignored.
   pub fn finish(&mut self, ticket: u64, done: Completion, now: Instant) {
-    let Some(Place::Running { since }) = self.tickets.get(&ticket).copied() else {
+    let Some(Place::Running { half, since }) = self.tickets.get(&ticket).copied() else {
       return;
     };
     self.tickets.remove(&ticket);
     self.limit.observe(self.in_flight, now);
     self.in_flight -= 1;
     self.limit.completed(since, done, now);
+    if done == Completion::Whole {
+      let time = now.saturating_duration_since(since).as_secs_f64();
+      let known = &mut self.times[half];
+      *known = if *known == 0.0 {
+        time
+      } else {
+        *known + (time - *known) * TIME_WEIGHT
+      };
+    }
     self.tick(now);
   }
 
@@ -153,7 +189,7 @@
       self.expire(now, actions);
     }
     while self.in_flight < self.limit.current() {
-      let Some(entry) = self.queue.pop() else {
+      let Some((line, entry)) = self.queue.pop() else {
         break;
       };
       if entry.deadline <= now + self.limit.fastest() {
@@ -161,7 +197,7 @@
         actions.push(GateAction::Drop(entry.ticket, NotRunReason::Deadline));
         continue;
       }
-      self.start(entry.ticket, entry.queued, now);
+      self.start(entry.ticket, entry.half, line, entry.queued, now);
       actions.push(GateAction::Start(entry.ticket));
     }
     if self.queue.len() == 0 {
@@ -196,11 +232,17 @@
       load: self.load(),
       queued: self.queued(),
       urgent: self.queue.urgent() as u32,
+      used: (self.used.clamp(0.0, 1.0) * 255.0) as u8,
       room: self.limit.current().saturating_sub(self.load()),
       pace: self.limit.capacity().map_or(Duration::ZERO, pace),
     }
   }
 
+  /// Part of the slots in use, smoothed over about a second.
+  pub const fn used(&self) -> f64 {
+    self.used
+  }
+
   /// Calls that may be in flight.
   pub fn limit(&self) -> u32 {
     self.limit.current()
@@ -232,21 +274,28 @@
     self.expiry = self.next_expiry();
   }
 
-  fn start(&mut self, ticket: u64, queued: Instant, now: Instant) {
+  fn start(&mut self, ticket: u64, half: usize, line: Line, queued: Instant, now: Instant) {
     self.limit.observe(self.in_flight, now);
     self.in_flight += 1;
-    self.tickets.insert(ticket, Place::Running { since: now });
+    self
+      .tickets
+      .insert(ticket, Place::Running { half, since: now });
     self.last_wait = now.saturating_duration_since(queued);
     self.waited += self.last_wait;
     self.started += 1;
+    if line.is_inner() {
+      self.inner_waited += self.last_wait;
+      self.inner_started += 1;
+    }
   }
 
-  fn enqueue(&mut self, line: Line, ticket: u64, deadline: Instant, now: Instant) {
+  fn enqueue(&mut self, line: Line, ticket: u64, half: usize, deadline: Instant, now: Instant) {
     self.tickets.insert(ticket, Place::Queued { line });
     self.queue.push(
       line,
       Entry {
         ticket,
+        half,
         queued: now,
         deadline,
       },
@@ -310,6 +359,7 @@
     self.ticked = now;
     self.limit.observe(self.in_flight, now);
     self.limit.tick(now);
+    self.used += (self.limit.utilisation() - self.used) * USED_WEIGHT;
     if elapsed >= STALE && self.queue.len() == 0 {
       self.threshold.reset();
     }
@@ -321,15 +371,32 @@
       return;
     }
     self.levelled = now;
+    let longest = self.queue_wait.as_secs_f64() * TARGET_SHARE;
+    let (wait, target) = if self.inner_started > 0 {
+      let wait = mean(self.inner_waited, self.inner_started);
+      let running = f64::from(self.limit.current()) / capacity;
+      (wait, (running * INNER_TARGET).min(longest))
+    } else {
+      (mean(self.waited, self.started), longest)
+    };
     self.threshold.tick(&Pressure {
       elapsed: elapsed.as_secs_f64(),
       utilisation: self.limit.utilisation(),
-      capacity,
-      wait: self.waited.as_secs_f64() / f64::from(self.started.max(1)),
-      target: self.queue_wait.as_secs_f64() * TARGET_SHARE,
+      slots: f64::from(self.limit.current()),
+      mean: f64::from(self.limit.current()) / capacity,
+      times: &self.times,
+      wait,
+      target,
       queue: &self.queue,
     });
     self.started = 0;
     self.waited = Duration::ZERO;
+    self.inner_started = 0;
+    self.inner_waited = Duration::ZERO;
   }
 }
+
+/// Mean wait, seconds.
+fn mean(waited: Duration, started: u32) -> f64 {
+  waited.as_secs_f64() / f64::from(started.max(1))
+}
--- a/crates/decisions/src/load/gate_config.rs
+++ b/crates/decisions/src/load/gate_config.rs
@@ -11,4 +11,7 @@
   pub queue_wait: Duration,
   /// Time over which the limit ramps up to the slots; zero for a warm upstream.
   pub cold_start: Duration,
+  /// Lower limits than the slots are tried when latency rises. Not for upstreams whose slots are
+  /// known to be right.
+  pub trials: bool,
 }
--- a/crates/decisions/src/load/ledger.rs
+++ b/crates/decisions/src/load/ledger.rs
@@ -1,4 +1,4 @@
-use cactusyoke_model::{Level, NotRunReason, Retries};
+use cactusyoke_model::{Level, NotRunReason, Retries, Strain};
 
 /// Distinct outgoing calls recorded for one span. Past it, each further call counts as a repeat.
 const MAX_CALLS: usize = 64;
@@ -22,6 +22,8 @@
   open: bool,
   /// Strictest level seen below.
   level: Level,
+  /// Where the calls met the least room.
+  strain: Strain,
   calls: Vec<Record>,
 }
 
@@ -33,6 +35,7 @@
       left: retries,
       open: true,
       level: Level::ALL,
+      strain: Strain::NONE,
       calls: spare.calls,
     }
   }
@@ -43,6 +46,7 @@
       left: Retries::ZERO,
       open: false,
       level: Level::ALL,
+      strain: Strain::NONE,
       calls: Vec::new(),
     }
   }
@@ -51,6 +55,14 @@
     self.open
   }
 
+  pub(super) fn strained(&mut self, strain: Strain) {
+    self.strain = self.strain.join(strain);
+  }
+
+  pub(super) const fn strain(&self) -> Strain {
+    self.strain
+  }
+
   /// Closes the ledger. What is lent at this time is spent.
   pub(super) fn close(&mut self) -> (Retries, Level) {
     self.open = false;
--- a/crates/decisions/src/load/ledgers.rs
+++ b/crates/decisions/src/load/ledgers.rs
@@ -1,6 +1,6 @@
 use {
   super::{Ledger, Table},
-  cactusyoke_model::{Level, NotRunReason, RequestId, Retries, SpanId},
+  cactusyoke_model::{Level, NotRunReason, RequestId, Retries, SpanId, Strain},
   std::collections::VecDeque,
 };
 
@@ -79,6 +79,18 @@
     }
   }
 
+  /// Notes where an outgoing call of a span met the least room.
+  pub fn strained(&mut self, span: SpanId, strain: Strain) {
+    if let Some(ledger) = self.known.get_mut(&span) {
+      ledger.strained(strain);
+    }
+  }
+
+  /// Where the outgoing calls of a span met the least room.
+  pub fn strain(&self, span: SpanId) -> Strain {
+    self.known.get(&span).map_or(Strain::NONE, Ledger::strain)
+  }
+
   /// Closes a span, when the head of its response is sent. Returns the unused retries and the
   /// strictest level seen below, or `None` for a span that is not open.
   pub fn close(&mut self, span: SpanId) -> Option<(Retries, Level)> {
--- a/crates/decisions/src/load/limit.rs
+++ b/crates/decisions/src/load/limit.rs
@@ -54,6 +54,8 @@
   current: f64,
   start: Instant,
   cold_start: Duration,
+  /// Lower limits are tried.
+  trials: bool,
   /// Time integral of calls in flight since the last tick, call seconds.
   area: f64,
   observed: Instant,
@@ -75,13 +77,14 @@
 }
 
 impl Limit {
-  pub(super) fn new(slots: Slots, cold_start: Duration, now: Instant) -> Self {
+  pub(super) fn new(slots: Slots, cold_start: Duration, trials: bool, now: Instant) -> Self {
     let mut limit = Self {
       slots: f64::from(slots.0),
       learned: f64::from(slots.0),
       current: 0.0,
       start: now,
       cold_start,
+      trials,
       area: 0.0,
       observed: now,
       ticked: now,
@@ -188,7 +191,7 @@
     self.area = 0.0;
     self.completed = 0;
     self.rotate_fastest(now);
-    if self.samples >= SAMPLES {
+    if self.trials && self.samples >= SAMPLES {
       self.adapt(self.sampled / f64::from(self.samples), now);
       self.samples = 0;
       self.sampled = 0.0;
--- a/crates/decisions/src/load/peer.rs
+++ b/crates/decisions/src/load/peer.rs
@@ -65,6 +65,7 @@
         load: 0,
         queued: 0,
         urgent: 0,
+        used: 0,
         room: u32::MAX,
         pace: Duration::ZERO,
       },
@@ -151,6 +152,15 @@
     self.outlook.pace * ahead
   }
 
+  /// Part of its slots in use, as last reported.
+  pub(super) fn used(&self, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(self.reported).as_secs_f64();
+    if age >= REPORT_EXPIRY {
+      return 0.0;
+    }
+    f64::from(self.outlook.used) / 255.0
+  }
+
   fn missed(&mut self, now: Instant) {
     let time = AWAY * (1 << self.missed.min(5));
     self.away = Some(now + time.min(MAX_AWAY));
--- a/crates/decisions/src/load/place.rs
+++ b/crates/decisions/src/load/place.rs
@@ -4,5 +4,5 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Place {
   Queued { line: Line },
-  Running { since: Instant },
+  Running { half: usize, since: Instant },
 }
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -68,6 +68,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Entry {
   pub(super) ticket: u64,
+  /// Half class.
+  pub(super) half: usize,
   pub(super) queued: Instant,
   pub(super) deadline: Instant,
 }
@@ -128,7 +130,7 @@
   }
 
   /// Next call to start.
-  pub(super) fn pop(&mut self) -> Option<Entry> {
+  pub(super) fn pop(&mut self) -> Option<(Line, Entry)> {
     let first = Line(self.filled.trailing_zeros() as usize);
     let line = self.lines.get_mut(first.0)?;
     let entry = match self.order {
@@ -136,7 +138,7 @@
       QueueOrder::NewestFirst => line.pop_back(),
     };
     self.removed(first, entry.is_some().into());
-    entry
+    Some((first, entry?))
   }
 
   /// Removes the call that would start last, if its line is below the given one.
--- a/crates/decisions/src/load/retry_budget.rs
+++ b/crates/decisions/src/load/retry_budget.rs
@@ -6,7 +6,7 @@
 /// Parts of the window that leave it one after the other.
 const PARTS: u32 = 20;
 /// Share of the budget that calls of any rank may use; the rest is for the most important one.
-const SHARED: f64 = 0.7;
+const SHARED: f64 = 0.35;
 
 /// Bounds of a retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/decisions/src/load/router.rs
+++ b/crates/decisions/src/load/router.rs
@@ -23,6 +23,14 @@
 /// Share of the target by which another data centre must be faster, since bytes between data
 /// centres cost money.
 const FAR_MARGIN: f64 = 0.05;
+/// Part of the slots in use above which an instance is crowded: it is about to shed new requests.
+const CROWDED: f64 = 0.85;
+/// Part of the difference in use by which calls leave a crowded instance, so that the others fill
+/// up gradually.
+const LEAVING: f64 = 0.5;
+/// Multiple of the usual time that a call of a request that has been worked on may take in its data
+/// centre: such calls follow each other, and together they use up the time of their request.
+const INNER_STAY: f64 = 1.25;
 
 /// Choice of an instance among those of one service.
 ///
@@ -53,13 +61,23 @@
     let split = candidates.partition_point(|candidate| candidate.distance.is_zero());
     let (near, far) = candidates.split_at(split);
     let near = self.pick_among(near, criteria.avoid, rng, now);
-    if near.is_some_and(|near| self.is_comfortable(near, criteria, now)) {
+    let comfortable = near.is_some_and(|near| self.is_comfortable(near, criteria, now));
+    let crowded = near.is_some_and(|near| self.used(near, now) > CROWDED);
+    if comfortable && !crowded {
       return near.map(|near| near.node);
     }
     let far = self.pick_far(far, criteria.avoid, rng, now);
     let picked = match (near, far) {
+      (Some(near), Some(far)) if comfortable => {
+        let room = self.used(near, now) - self.used(far, now);
+        if rng.random::<f64>() < room * LEAVING {
+          Some(far)
+        } else {
+          Some(near)
+        }
+      }
       (Some(near), Some(far)) => {
-        let margin = criteria.target.as_secs_f64() * FAR_MARGIN;
+        let margin = self.margin(criteria);
         if self.time(far, criteria, now) + margin < self.time(near, criteria, now) {
           Some(far)
         } else {
@@ -190,8 +208,23 @@
   /// True when an instance of the own data centre meets the target, so that no other is looked at.
   fn is_comfortable(&self, candidate: &Candidate, criteria: &Criteria<'_>, now: Instant) -> bool {
     let target = criteria.target.as_secs_f64();
+    let time = self.time(candidate, criteria, now);
+    let usual = self.means.get(&criteria.route.cloned()).copied();
+    if criteria.inner && usual.is_some_and(|usual| time > usual * INNER_STAY) {
+      return false;
+    }
     let wait = self.wait(candidate, criteria, now);
-    wait <= target * STAY_WAIT && self.time(candidate, criteria, now) <= target * STAY_TIME
+    wait <= target * STAY_WAIT && time <= target * STAY_TIME
+  }
+
+  /// Time by which another data centre must be faster, seconds.
+  fn margin(&self, criteria: &Criteria<'_>) -> f64 {
+    let margin = criteria.target.as_secs_f64() * FAR_MARGIN;
+    let usual = self.means.get(&criteria.route.cloned()).copied();
+    match usual.filter(|_usual| criteria.inner) {
+      Some(usual) => margin.min(usual * (INNER_STAY - 1.0)),
+      None => margin,
+    }
   }
 
   /// Expected wait in the queue of the instance, seconds.
@@ -200,6 +233,12 @@
     peer.map_or(0.0, |peer| peer.wait(criteria.inner, now).as_secs_f64())
   }
 
+  /// Part of the slots of the instance in use.
+  fn used(&self, candidate: &Candidate, now: Instant) -> f64 {
+    let peer = self.peers.get(&candidate.node);
+    peer.map_or(0.0, |peer| peer.used(now))
+  }
+
   /// Expected time to the answer, seconds.
   fn time(&self, candidate: &Candidate, criteria: &Criteria<'_>, now: Instant) -> f64 {
     let mean = self.means.get(&criteria.route.cloned()).copied();
--- a/crates/decisions/src/load/threshold.rs
+++ b/crates/decisions/src/load/threshold.rs
@@ -3,9 +3,12 @@
   cactusyoke_model::{ClassRank, Level, Priority},
 };
 
-const CLASSES: usize = ClassRank::MAX.0 as usize + 1;
-/// Sub-levels of a class.
-const STEPS: f64 = 256.0;
+/// Half classes.
+pub(super) const HALVES: usize = (ClassRank::MAX.0 as usize + 1) * 2;
+/// Sub-levels of half a class.
+const STEPS: f64 = 128.0;
+/// Mask of the sub-levels of half a class.
+const SUB_LEVELS: u16 = 0x7f;
 /// Standard deviations past which a change of the arrivals is taken to be real. At 3, about one
 /// chance change in each few seconds lowered the level.
 const SIGNIFICANT: f64 = 4.0;
@@ -27,8 +30,12 @@
   pub(super) elapsed: f64,
   /// Calls in flight relative to the limit.
   pub(super) utilisation: f64,
-  /// Calls per second.
-  pub(super) capacity: f64,
+  /// Calls that may run at once.
+  pub(super) slots: f64,
+  /// Mean time that a call runs, seconds.
+  pub(super) mean: f64,
+  /// The same by half class; zero while it is not known.
+  pub(super) times: &'a [f64; HALVES],
   /// Mean wait of the calls that started, seconds.
   pub(super) wait: f64,
   /// Wait that is tolerated, seconds.
@@ -36,7 +43,7 @@
   pub(super) queue: &'a Queue,
 }
 
-/// Arrivals of one class.
+/// Arrivals of half a class.
 #[derive(Clone, Copy, Debug)]
 struct Arrivals {
   /// Arrivals of the interval.
@@ -50,18 +57,19 @@
 
 /// Admission level of a gate.
 ///
-/// Sub-levels are hashes and so uniform within a class. The threshold is therefore found by
-/// interpolation inside a class, and the rate of a class that senders admit in part follows from
-/// the arrivals and the highest sub-level among them.
+/// Sub-levels are hashes and so uniform within half a class. The threshold is therefore found by
+/// interpolation inside it, and the rate of a half that senders admit in part follows from the
+/// arrivals and the highest sub-level among them. Halves differ in the time that their calls run,
+/// so that what they take is counted in slots.
 #[derive(Debug)]
 pub(super) struct Threshold {
   /// Sub-levels admitted, counted from the most important; infinite to admit everything.
   position: f64,
   /// Earlier positions, newest first.
   history: [f64; GRACE],
-  arrivals: [Arrivals; CLASSES],
-  /// Classes seen.
-  classes: usize,
+  arrivals: [Arrivals; HALVES],
+  /// Half classes seen.
+  halves: usize,
   /// Next rise, sub-levels.
   step: f64,
 }
@@ -77,8 +85,8 @@
     Self {
       position: f64::INFINITY,
       history: [f64::INFINITY; GRACE],
-      arrivals: [none; CLASSES],
-      classes: 0,
+      arrivals: [none; HALVES],
+      halves: 0,
       step: 1.0,
     }
   }
@@ -97,15 +105,15 @@
 
   /// True when the most important class is admitted whole and others are not.
   pub(super) const fn sheds_lower_classes(&self) -> bool {
-    self.position >= STEPS && self.position.is_finite()
+    self.position >= STEPS * 2.0 && self.position.is_finite()
   }
 
   pub(super) fn arrived(&mut self, priority: Priority) {
-    let class = Queue::class(priority);
-    self.classes = self.classes.max(class + 1);
-    let arrivals = &mut self.arrivals[class];
+    let half = priority.half().min(HALVES - 1);
+    self.halves = self.halves.max(half + 1);
+    let arrivals = &mut self.arrivals[half];
     arrivals.count += 1;
-    arrivals.highest = arrivals.highest.max(priority.0 as u8);
+    arrivals.highest = arrivals.highest.max((priority.0 & SUB_LEVELS) as u8);
   }
 
   /// Admits everything, after a time without traffic.
@@ -114,14 +122,14 @@
   }
 
   pub(super) fn tick(&mut self, pressure: &Pressure<'_>) {
-    for arrivals in &mut self.arrivals[..self.classes] {
+    for arrivals in &mut self.arrivals[..self.halves] {
       arrivals.estimate(pressure.elapsed);
     }
     self.history.rotate_right(1);
     self.history[0] = self.position;
     let (goal, wait) = self.goal(pressure);
     let wait = wait.max(pressure.wait);
-    let end = STEPS * self.classes as f64;
+    let end = STEPS * self.halves as f64;
     if wait > pressure.target && goal < self.position {
       self.position = goal;
       self.step = 1.0;
@@ -145,29 +153,43 @@
   /// class waits for the higher ones only, so that a backlog of low classes does not shed a high
   /// one.
   fn goal(&self, pressure: &Pressure<'_>) -> (f64, f64) {
+    let slots = pressure.slots;
     let mut admitted = 0.0;
     let mut waiting = 0;
     let mut longest = 0.0_f64;
     let mut goal = None;
-    for class in 0..self.classes {
-      waiting += pressure.queue.class_len(class);
-      let left = (pressure.capacity - admitted).max(pressure.capacity * MIN_LEFT);
-      let wait = waiting as f64 / left;
+    for half in 0..self.halves {
+      let class = half / 2;
+      if half.is_multiple_of(2) {
+        waiting += pressure.queue.class_len(class);
+      }
+      let left = (slots - admitted).max(slots * MIN_LEFT);
+      let wait = waiting as f64 * pressure.mean / left;
       if pressure.queue.class_len(class) > 0 {
         longest = longest.max(wait);
       }
       // A queue below the tolerated wait is filled up to it.
       let drain = ((wait - pressure.target) / DRAIN_TIME).min(1.0);
       let room = left * (1.0 - drain);
-      let offered = self.arrivals[class].offered.value();
+      let offered = self.arrivals[half].offered.value() * pressure.time(half);
       // The most important class is shed only when it waits itself, not on an estimate alone.
       let shed = offered > room && (class > 0 || wait > pressure.target);
       if shed && goal.is_none() {
-        goal = Some(STEPS * (class as f64 + room / offered));
+        goal = Some(STEPS * (half as f64 + room / offered));
       }
       admitted += offered;
     }
-    (goal.unwrap_or(STEPS * self.classes as f64), longest)
+    (goal.unwrap_or(STEPS * self.halves as f64), longest)
+  }
+}
+
+impl Pressure<'_> {
+  /// Time that the calls of a half class run, seconds.
+  fn time(&self, half: usize) -> f64 {
+    match self.times[half] {
+      0.0 => self.mean,
+      time => time,
+    }
   }
 }
 
--- a/crates/decisions/tests/gate.rs
+++ b/crates/decisions/tests/gate.rs
@@ -19,6 +19,7 @@
     queue,
     queue_wait: ms(200),
     cold_start,
+    trials: true,
   };
   Gate::new(config, now)
 }
--- a/crates/decisions/tests/gate_machine.rs
+++ b/crates/decisions/tests/gate_machine.rs
@@ -129,6 +129,7 @@
       queue: QUEUE,
       queue_wait: Duration::from_millis(200),
       cold_start: Duration::from_millis(300),
+      trials: true,
     };
     Checked {
       gate: Gate::with_order(config, QueueOrder::NewestFirst, now),
--- a/crates/decisions/tests/policy/server.rs
+++ b/crates/decisions/tests/policy/server.rs
@@ -66,6 +66,7 @@
       queue: QUEUE,
       queue_wait: QUEUE_WAIT,
       cold_start: Duration::ZERO,
+      trials: true,
     };
     Self {
       admission: match policy {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -25,6 +25,7 @@
 mod report;
 mod request_id;
 mod route;
+mod strain;
 mod units;
 
 pub use answer::Answer;
@@ -48,4 +49,5 @@
 pub use report::Report;
 pub use request_id::{RequestId, SpanId};
 pub use route::{Backend, Route};
+pub use strain::Strain;
 pub use units::{ByteSize, Connections, Retries, Slots, UnitError};
--- a/crates/model/src/priority.rs
+++ b/crates/model/src/priority.rs
@@ -4,6 +4,9 @@
   std::fmt::{self, Display, Formatter},
 };
 
+/// Sub-levels of half a class.
+const HALF: u16 = 0x80;
+
 /// Class rank and sub-level of a request; lower values are more important.
 ///
 /// The sub-level is a hash of the root request id, so that every hop that sheds part of a class
@@ -17,6 +20,23 @@
     Self(u16::from(rank.0) << 8 | u16::from(root.sub_level()))
   }
 
+  /// Priority of a root request in the first half of its class, which is shed after the second.
+  pub fn first_half(rank: ClassRank, root: RequestId) -> Self {
+    let Self(whole) = Self::new(rank, root);
+    Self(whole & !HALF)
+  }
+
+  /// Priority of a root request in the second half of its class.
+  pub fn second_half(rank: ClassRank, root: RequestId) -> Self {
+    let Self(whole) = Self::new(rank, root);
+    Self(whole | HALF)
+  }
+
+  /// Half class, counted from the most important.
+  pub const fn half(self) -> usize {
+    (self.0 / HALF) as usize
+  }
+
   /// Rank of the class.
   pub const fn rank(self) -> ClassRank {
     ClassRank((self.0 >> 8) as u8)
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -1,7 +1,7 @@
 //! What each answer tells the hops above it.
 
 use {
-  crate::{Level, Retries},
+  crate::{Level, Retries, Strain},
   serde::{Deserialize, Serialize},
   std::time::Duration,
 };
@@ -19,6 +19,8 @@
   pub queued: u32,
   /// Waiting calls of requests that have been worked on already, which go first.
   pub urgent: u32,
+  /// Part of its slots in use, of 255, smoothed over about a second.
+  pub used: u8,
   /// Calls that it can start at once.
   pub room: u32,
   /// Time in which it completes one call when it is full; zero while that is not known.
@@ -27,6 +29,8 @@
   pub waited: Duration,
   /// Retries of the allowance that were not spent.
   pub unused: Retries,
+  /// Where the request met the least room.
+  pub strain: Strain,
 }
 
 impl Report {
@@ -37,9 +41,11 @@
     load: 0,
     queued: 0,
     urgent: 0,
+    used: 0,
     room: 0,
     pace: Duration::ZERO,
     waited: Duration::ZERO,
     unused: Retries::ZERO,
+    strain: Strain::NONE,
   };
 }
--- a/crates/nodes/tests/links_calls.rs
+++ b/crates/nodes/tests/links_calls.rs
@@ -114,10 +114,16 @@
       load: 9,
       queued: 4,
       urgent: 1,
+      used: 128,
       room: 3,
       pace: Duration::from_micros(7),
       waited: Duration::from_millis(2),
       unused: Retries(2),
+      strain: cactusyoke_model::Strain {
+        service: 7,
+        used: 200,
+        work: Duration::from_millis(3),
+      },
     }),
   };
   let pending = pair.start(call("/", full_body("x")));
