--- a/crates/cactusyoke/tests/common/mod.rs
+++ b/crates/cactusyoke/tests/common/mod.rs
@@ -1,6 +1,10 @@
 //! Builder for tests with real node processes and stand-ins on loopback.
 
-#![allow(dead_code, reason = "each test file uses a part of the builder")]
+#![allow(
+  dead_code,
+  unused_imports,
+  reason = "each test file uses a part of the builder"
+)]
 
 mod cluster;
 mod cluster_builder;
--- /dev/null
+++ b/crates/cactusyoke/tests/platform.rs
@@ -0,0 +1,178 @@
+//! The whole path on the users' platform, with real node processes and stand-ins of store and
+//! upstreams.
+
+mod common;
+mod platform_support;
+
+use {
+  cactusyoke_platform::{document, header_names},
+  cactusyoke_standins::{platform::Outage, platform_upstream::Answering},
+  common::eventually,
+  platform_support::{DOCUMENT, Site},
+  rustix::process::Signal,
+  std::time::{Duration, Instant},
+  yare::parameterized,
+};
+
+const NO_WORK: Duration = Duration::ZERO;
+
+/// Guards against a request that reaches its upstream with another's claims, or without what the
+/// upstream must know.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_reaches_an_upstream_and_its_answer_comes_back_unchanged() {
+  let site = Site::start(1, NO_WORK).await;
+  let before = site.arrivals()[0];
+  let got = site.charge(0).await.expect("an answer");
+  assert_eq!(got.status, 200);
+  assert_eq!(got.text(), "the upstream's bytes");
+  let names = header_names();
+  let mark = names.mark.as_ref().expect("the platform has one");
+  assert_eq!(got.header(mark.as_str()), "3e1b.07");
+  let arrivals = site.upstreams[0].arrivals();
+  assert_eq!(arrivals.len(), before + 1);
+  let headers = &arrivals[before].headers;
+  let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+  assert_eq!(text(&names.origin), Some("plaques"));
+  assert_eq!(text(&names.instance), Some("i-1"));
+  let left = text(&names.deadline).and_then(|left| left.parse::<u64>().ok());
+  assert!(
+    left.is_some_and(|left| (1000..=1500).contains(&left)),
+    "{left:?}"
+  );
+}
+
+/// Guards against a node that stops serving, or misses a change, because the store is away.
+#[parameterized(refuses = { Outage::Refuse }, hangs = { Outage::Hang })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn requests_are_served_while_the_store_is_away(outage: Outage) {
+  let site = Site::start(2, NO_WORK).await;
+  site.store.faults().set_outage(outage);
+  let end = Instant::now() + Duration::from_secs(6);
+  while Instant::now() < end {
+    for node in 0..2 {
+      assert_eq!(site.get(node).await.expect("an answer").status, 200);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+  }
+  let renamed = DOCUMENT
+    .replace("/read/", "/renamed/")
+    .replace("\"version\": 7", "\"version\": 9");
+  site.store.write(document::KEY, renamed);
+  site.store.faults().set_outage(Outage::None);
+  for node in 0..2 {
+    eventually("the change is in force", || async {
+      site.get(node).await.is_ok_and(|got| got.status == 404)
+    })
+    .await;
+  }
+}
+
+/// Guards against a document that is not valid, or older, and takes the place of a good one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unusable_document_changes_nothing() {
+  let site = Site::start(1, NO_WORK).await;
+  let renamed = DOCUMENT.replace("/read/", "/renamed/");
+  let cut = &renamed.replace("\"version\": 7", "\"version\": 8")[..300];
+  let unknown = renamed
+    .replace("\"version\": 7", "\"version\": 9")
+    .replace("\"service\": \"plaques\"", "\"service\": \"nobody\"");
+  let older = renamed.replace("\"version\": 7", "\"version\": 6");
+  for document in [cut, unknown.as_str(), older.as_str()] {
+    site.store.write(document::KEY, document.to_owned());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(site.get(0).await.expect("an answer").status, 200);
+  }
+  assert!(site.nodes[0].log().contains("event=document_refused"));
+}
+
+/// Guards against work for an upstream that has said that it leaves, by its node or through others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_upstream_gets_nothing_after_the_acknowledgement() {
+  let site = Site::start(2, NO_WORK).await;
+  assert!(site.upstreams[0].drain().await, "acknowledged");
+  let before = site.arrivals();
+  for _ in 0..20 {
+    for node in 0..2 {
+      assert_eq!(site.get(node).await.expect("an answer").status, 200);
+    }
+  }
+  let after = site.arrivals();
+  assert_eq!(after[0], before[0]);
+  assert_eq!(after[1], before[1] + 40);
+  assert!(site.upstreams[0].leave().await, "acknowledged");
+}
+
+/// Guards against work for a leaving upstream after its node has started again and knows nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_node_sends_nothing_to_a_draining_upstream() {
+  let mut site = Site::start(2, NO_WORK).await;
+  assert!(site.upstreams[0].drain().await, "acknowledged");
+  let before = site.arrivals()[0];
+  site.nodes[0].restart();
+  eventually("the node serves", || async { site.ready(0).await }).await;
+  for _ in 0..20 {
+    assert_eq!(site.get(1).await.expect("an answer").status, 200);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+  }
+  assert_eq!(site.arrivals()[0], before);
+}
+
+/// Guards against a stop that cuts off requests, or that is not told to the platform at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_node_finishes_what_it_took() {
+  let mut site = Site::start(2, Duration::from_millis(300)).await;
+  let in_flight = (0..5).map(|_| site.get(0)).collect::<Vec<_>>();
+  let requests = futures_util::future::join_all(in_flight);
+  let stop = async {
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    site.nodes[0].signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(!site.ready(0).await, "the platform is told at once");
+    assert_eq!(site.get(0).await.expect("served meanwhile").status, 200);
+  };
+  let (answers, ()) = tokio::join!(requests, stop);
+  for answer in answers {
+    assert_eq!(answer.expect("a whole answer").status, 200);
+  }
+  let status = site.nodes[0].wait(Duration::from_secs(6));
+  assert!(status.is_some_and(|status| status.success()), "{status:?}");
+  assert_eq!(site.get(1).await.expect("an answer").status, 200);
+}
+
+/// Guards against an answer that is not the upstream's own, against a second run of what must run
+/// once, and against a promise that a request did not run without the upstream's word.
+#[parameterized(
+  wrong_id = { Answering::WrongId, 502, 0 },
+  unmarked = { Answering::Unmarked, 502, 1 },
+  empty_promise = { Answering::EmptyPromise, 502, 1 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_charge_with_a_doubtful_answer_is_unknown_and_not_repeated(
+  answering: Answering,
+  status: u16,
+  runs: usize,
+) {
+  let site = Site::start(2, NO_WORK).await;
+  for upstream in &site.upstreams {
+    upstream.set_answering(answering);
+  }
+  let before = site.arrivals().iter().sum::<usize>();
+  let got = site.charge(0).await.expect("an answer");
+  assert_eq!(got.status, status);
+  assert_eq!(site.arrivals().iter().sum::<usize>(), before + runs);
+}
+
+/// Guards against a refusal that is passed on although another upstream has room, and against
+/// repeats without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_charge_goes_to_another_upstream() {
+  let site = Site::start(2, NO_WORK).await;
+  site.upstreams[0].set_answering(Answering::Refusing);
+  assert_eq!(site.charge(0).await.expect("an answer").status, 200);
+  site.upstreams[1].set_answering(Answering::Refusing);
+  let before = site.arrivals().iter().sum::<usize>();
+  let got = site.charge(0).await.expect("an answer");
+  assert_eq!(got.status, 503);
+  let sent = site.arrivals().iter().sum::<usize>() - before;
+  assert!((2..=6).contains(&sent), "{sent}");
+}
--- /dev/null
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -0,0 +1,126 @@
+//! Builder for tests of nodes on the users' platform, with stand-ins of store and upstreams.
+
+use {
+  super::common::{NodeProcess, eventually},
+  cactusyoke_platform::{document, header_names},
+  cactusyoke_standins::{
+    Addresses,
+    platform::Platform,
+    platform_upstream::PlatformUpstream,
+    upstream::{Client, ClientError, Received},
+  },
+  http::{Method, Request},
+  std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+  },
+};
+
+/// Document of the operator.
+pub const DOCUMENT: &str = include_str!("../../../../platform/fixtures/document.json");
+
+/// Nodes beside upstreams of one service.
+#[derive(Debug)]
+pub struct Site {
+  pub addresses: Addresses,
+  pub store: Platform,
+  pub nodes: Vec<NodeProcess>,
+  pub upstreams: Vec<PlatformUpstream>,
+  client: Client,
+  requests: AtomicU64,
+}
+
+impl Site {
+  /// Starts so many nodes, each in a data centre of its own, and waits until all serve.
+  pub async fn start(count: u8, work: Duration) -> Self {
+    let store = Platform::start().await.expect("a loopback port is free");
+    store.write(document::KEY, DOCUMENT);
+    let mut site = Self {
+      addresses: Addresses::default(),
+      store,
+      nodes: Vec::new(),
+      upstreams: Vec::new(),
+      client: Client::default(),
+      requests: AtomicU64::new(0),
+    };
+    for number in 1..=count {
+      site.add(number, work).await;
+    }
+    for node in 0..usize::from(count) {
+      eventually("the node serves", || async { site.ready(node).await }).await;
+      eventually("its upstream is known to all", || async {
+        let got = site.get(node).await;
+        got.is_ok_and(|got| got.status == 200)
+      })
+      .await;
+    }
+    site
+  }
+
+  async fn add(&mut self, number: u8, work: Duration) {
+    let at = |port| self.addresses.listener(number, port);
+    let yaml = format!(
+      "node: {}\ndata_centre: dc-{number}\ndata_centres:\n  dc-1: {{region: r}}\n  dc-2: {{region: r}}\n\
+       callers: {}\negress: {}\nannounce: {}\noperators: {}\nplatform: {}\ninterface: platform\n\
+       service: plaques\nupstream: {}\nretry_budget: {{ratio: 0.2, slack: 48, window: 10s}}\n\
+       shutdown_limit: 6s\nlinger: 1s\nthreads: 1\n",
+      at(7101),
+      at(7102),
+      at(7103),
+      at(7104),
+      at(7105),
+      self.store.address(),
+      at(7106),
+    );
+    let name = format!("platform-{}", at(7101));
+    let (control, upstream) = (at(7104), at(7106));
+    self.nodes.push(NodeProcess::start(&name, &yaml));
+    let id = format!("i-{number}");
+    let started = PlatformUpstream::start("plaques", &id, upstream, control, work).await;
+    self.upstreams.push(started.expect("the port is free"));
+  }
+
+  fn at(&self, node: usize, port: u16) -> SocketAddr {
+    self.addresses.listener(node as u8 + 1, port)
+  }
+
+  /// True when the platform would send clients to the node.
+  pub async fn ready(&self, node: usize) -> bool {
+    let request = Request::get("/readyz").body(cactusyoke_model::empty_body());
+    let request = request.expect("the request is correct");
+    let got = self.client.exchange(self.at(node, 7105), request).await;
+    got.is_ok_and(|got| got.status == 200)
+  }
+
+  /// Sends an idempotent request through a node.
+  pub async fn get(&self, node: usize) -> Result<Received, ClientError> {
+    self.send(node, Method::GET, "/read/a").await
+  }
+
+  /// Sends a non-idempotent request through a node.
+  pub async fn charge(&self, node: usize) -> Result<Received, ClientError> {
+    self.send(node, Method::POST, "/charge/a").await
+  }
+
+  async fn send(&self, node: usize, method: Method, path: &str) -> Result<Received, ClientError> {
+    let names = header_names();
+    let number = self.requests.fetch_add(1, Ordering::SeqCst);
+    let request = Request::builder()
+      .method(method)
+      .uri(path)
+      .header("host", "shop.example")
+      .header(&names.request, format!("request{number}"))
+      .header(&names.deadline, "1500")
+      .header(&names.origin, "what the client says")
+      .body(cactusyoke_model::empty_body())
+      .expect("the request is correct");
+    self.client.exchange(self.at(node, 7103), request).await
+  }
+
+  /// Requests that reached the upstreams, by upstream.
+  pub fn arrivals(&self) -> Vec<usize> {
+    let counts = self.upstreams.iter();
+    counts.map(|upstream| upstream.arrivals().len()).collect()
+  }
+}
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -300,11 +300,8 @@
       },
     );
     let latest = deadline.checked_sub(self.limit.fastest()).unwrap_or(now);
-    let expiry = if line.is_inner() {
-      latest
-    } else {
-      latest.min(now + self.queue_wait)
-    };
+    // Too early for most calls of requests that have been worked on, which is found out then.
+    let expiry = latest.min(now + self.queue_wait);
     self.expiry = Some(self.expiry.map_or(expiry, |earliest| earliest.min(expiry)));
   }
 
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -10,6 +10,9 @@
 /// Lines of a class: calls of requests that have been worked on already, then new requests.
 const LINES: usize = 2;
 
+/// Longest wait of a call of a request that has been worked on, in waits of a new request.
+const INNER_WAITS: u32 = 2;
+
 /// Line of the queue; lower ones start first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Line(usize);
@@ -44,8 +47,9 @@
   NewestFirst,
 }
 
-/// Longest waits of new requests. Calls of requests that have been worked on wait until their
-/// deadline: shedding them would throw that work away.
+/// Longest waits of new requests. Calls of requests that have been worked on wait several times as
+/// long, those of the most important class until their deadline: shedding them throws that work
+/// away.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waits {
   /// Of the most important class.
@@ -57,7 +61,8 @@
 impl Waits {
   fn of(self, line: Line) -> Duration {
     match line.class() {
-      _ if line.is_inner() => Duration::MAX,
+      0 if line.is_inner() => Duration::MAX,
+      _ if line.is_inner() => self.others.saturating_mul(INNER_WAITS),
       0 => self.first,
       _ => self.others,
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 mod addresses;
 pub mod load;
 pub mod platform;
+pub mod platform_upstream;
 pub mod upstream;
 
 pub use addresses::Addresses;
