--- a/crates/cactusyoke/src/crashes.rs
+++ b/crates/cactusyoke/src/crashes.rs
@@ -1,6 +1,7 @@
 //! Requests that may crash the upstream, and their quarantine.
 //!
-//! Everything in flight during a crash becomes suspect. A suspect request runs on probation, one at
+//! A lost connection is a crash when the upstream refuses the next one as well; an upstream that
+//! only lost an answer accepts it. Everything in flight during a crash becomes suspect. A suspect request runs on probation, one at
 //! a time on each node, so that a second crash has one cause among the suspects: that request is
 //! quarantined. A suspect that completes is cleared.
 
@@ -16,11 +17,18 @@
     time::{Duration, Instant},
   },
   tokio::{
+    net::TcpStream,
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::timeout_at,
+    time::{timeout, timeout_at},
   },
 };
 
+/// Time for the connection that tells a crash from a lost answer.
+const CHECK_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time for which an upstream that accepted such a connection counts as running.
+const ACCEPTED_FOR: Duration = Duration::from_millis(200);
+
 /// Time for a notification about a crash.
 const NOTIFY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -29,6 +37,8 @@
   quarantine: Mutex<Quarantine>,
   spans: Mutex<HashSet<SpanId>>,
   probation: Arc<Semaphore>,
+  /// Last check that found the upstream running.
+  accepted: Mutex<Option<Instant>>,
   clock: Arc<dyn Clock>,
 }
 
@@ -51,6 +61,7 @@
       quarantine: Mutex::new(Quarantine::new()),
       spans: Mutex::default(),
       probation: Arc::new(Semaphore::new(1)),
+      accepted: Mutex::default(),
       clock,
     }
   }
@@ -112,6 +123,10 @@
     !spans.is_empty() && spans.remove(&span)
   }
 
+  fn accepted(&self) -> MutexGuard<'_, Option<Instant>> {
+    self.accepted.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
   fn spans(&self) -> MutexGuard<'_, HashSet<SpanId>> {
     self.spans.lock().unwrap_or_else(PoisonError::into_inner)
   }
@@ -124,7 +139,23 @@
       fingerprint,
       probation,
     } = trial;
-    if crashed && probation.is_some() {
+    if crashed {
+      tokio::spawn(Arc::clone(self).judge(fingerprint, probation));
+    } else if whole && self.crashes.quarantine().suspects_head(fingerprint) {
+      self.crashes.quarantine().completed(fingerprint);
+    }
+  }
+
+  /// Suspects or quarantines a request whose connection was lost, if its upstream crashed.
+  async fn judge(
+    self: Arc<Self>,
+    fingerprint: Fingerprint,
+    probation: Option<OwnedSemaphorePermit>,
+  ) {
+    if self.upstream_accepts().await {
+      return;
+    }
+    if probation.is_some() {
       let notice = self
         .crashes
         .quarantine()
@@ -133,14 +164,37 @@
         tracing::warn!(event = "quarantined", %fingerprint, reason = "crashed its upstream twice");
         self.notify_service(&Ask::Quarantine(notice));
       }
-    } else if crashed {
+    } else {
       self.suspect(fingerprint);
-    } else if whole && self.crashes.quarantine().suspects_head(fingerprint) {
-      self.crashes.quarantine().completed(fingerprint);
     }
     drop(probation);
   }
 
+  /// True when the upstream accepts a connection, now or a moment ago.
+  async fn upstream_accepts(&self) -> bool {
+    let now = self.clock.now();
+    let accepted = *self.crashes.accepted();
+    let recently = |at: Instant| now.saturating_duration_since(at) < ACCEPTED_FOR;
+    if accepted.is_some_and(recently) {
+      return true;
+    }
+    let address = self
+      .views
+      .load()
+      .announcement
+      .as_ref()
+      .map(|known| known.address);
+    let Some(address) = address else {
+      return false;
+    };
+    let connected = timeout(CHECK_LIMIT, TcpStream::connect(address)).await;
+    let accepts = matches!(connected, Ok(Ok(_)));
+    if accepts {
+      *self.crashes.accepted() = Some(self.clock.now());
+    }
+    accepts
+  }
+
   fn suspect(self: &Arc<Self>, fingerprint: Fingerprint) {
     let now = self.clock.now();
     if self.crashes.quarantine().suspects(fingerprint, now) {
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -191,7 +191,6 @@
         tracing::debug!(%address, %error, "upstream connection failed");
         if error.kind() == io::ErrorKind::ConnectionRefused {
           self.config.views.refused(address);
-          (self.config.refused)();
         }
         return Err(NotRunReason::Connection);
       }
--- a/crates/upstreams/src/upstream_config.rs
+++ b/crates/upstreams/src/upstream_config.rs
@@ -24,8 +24,6 @@
   pub idle: Duration,
   /// Called before the failure of the crashed call is returned, or its body ends.
   pub crashed: Arc<dyn Fn(Crash) + Send + Sync>,
-  /// Called when the upstream refused a connection.
-  pub refused: Arc<dyn Fn() + Send + Sync>,
   /// Names of the headers that it reads and sets.
   pub names: &'static HeaderNames,
 }
@@ -41,7 +39,6 @@
       silence: Duration::from_secs(3),
       idle: Duration::from_secs(30),
       crashed: Arc::new(|_crash| {}),
-      refused: Arc::new(|| {}),
       names: HeaderNames::own(),
     }
   }
