Use all slots of a cold upstream on the platform

Cause: after all machines lost power, requests of every class were shed for seconds while the limit ramped up from a tenth of the slots; upstreams there take twice the time when cold, not fewer requests.

--- a/crates/cactusyoke/src/upstream_follower.rs
+++ b/crates/cactusyoke/src/upstream_follower.rs
@@ -108,7 +108,12 @@
       slots: self.usable(announcement.slots),
       queue: self.settings.queue,
       queue_wait: preset.map_or(QUEUE_WAIT, |preset| preset.queue_wait),
-      cold_start: announcement.cold_start,
+      // Upstreams of the platform are slower when cold and use all their slots.
+      cold_start: if self.settings.interface.is_platform() {
+        Duration::ZERO
+      } else {
+        announcement.cold_start
+      },
       trials: !self.settings.interface.is_platform(),
       inner_wait: if self.settings.interface.is_platform() {
         PLATFORM_INNER_WAIT
