--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -38,11 +38,21 @@
       Arc, Mutex,
       atomic::{AtomicBool, AtomicU64},
     },
-    time::SystemTime,
+    time::{Duration, SystemTime},
   },
   tokio_util::sync::CancellationToken,
 };
 
+/// Time between two heartbeats of a link on the platform.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+
+/// Silence after which a link on the platform is lost. Targets there are a second or two, so that a
+/// call that is sent again after the usual three seconds is late.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// Time to open a link on the platform; its answers take milliseconds.
+const CONNECT: Duration = Duration::from_millis(400);
+
 /// What a node is built from.
 pub(crate) struct Parts {
   pub(crate) settings: Settings,
@@ -82,6 +92,16 @@
   };
   let names = settings.interface.header_names();
   let links_config = LinksConfig::new(settings.node, incarnation, settings.centre.clone());
+  let links_config = if settings.interface.is_platform() {
+    LinksConfig {
+      heartbeat: HEARTBEAT,
+      silence: SILENCE,
+      connect_timeout: CONNECT,
+      ..links_config
+    }
+  } else {
+    links_config
+  };
   let links = Links::new(links_config);
   let announcements =
     settings
