Read the settings again at a hang-up instead of ending

The file is checked and the outcome logged; the running settings stay in force until the next start.

--- a/crates/cactusyoke/src/subcommand/node.rs
+++ b/crates/cactusyoke/src/subcommand/node.rs
@@ -19,7 +19,7 @@
     Ok(runtime) => runtime,
     Err(error) => return exit::failure(&format!("cannot start the runtime: {error}")),
   };
-  runtime.block_on(serve(settings))
+  runtime.block_on(serve(settings, path))
 }
 
 /// Runtime with so many threads; a single one needs no hand-over of work.
@@ -33,13 +33,14 @@
   builder
 }
 
-async fn serve(settings: Settings) -> ExitCode {
+async fn serve(settings: Settings, path: &Path) -> ExitCode {
+  let running = settings.clone();
   let limit = settings.shutdown;
   let server = match Server::start(settings, Arc::new(SystemClock)).await {
     Ok(server) => server,
     Err(error) => return exit::failure(&error.to_string()),
   };
-  if let Err(error) = wait_for_signal().await {
+  if let Err(error) = wait_for_signal(&running, path).await {
     return exit::failure(&format!("cannot listen for signals: {error}"));
   }
   match server.shut_down(limit).await {
@@ -48,12 +49,26 @@
   }
 }
 
-async fn wait_for_signal() -> std::io::Result<()> {
+/// Waits for the signal to stop; a hang-up makes the node read its settings again.
+async fn wait_for_signal(running: &Settings, path: &Path) -> std::io::Result<()> {
   let mut terminate = signal(SignalKind::terminate())?;
   let mut interrupt = signal(SignalKind::interrupt())?;
-  tokio::select! {
-    _ = terminate.recv() => {}
-    _ = interrupt.recv() => {}
+  let mut hang_up = signal(SignalKind::hangup())?;
+  loop {
+    tokio::select! {
+      _ = terminate.recv() => return Ok(()),
+      _ = interrupt.recv() => return Ok(()),
+      _ = hang_up.recv() => reread(running, path),
+    }
+  }
+}
+
+/// Checks the settings file again. The running settings stay in force until the next start, so that
+/// a bad file does no harm and no request is lost.
+fn reread(running: &Settings, path: &Path) {
+  match Settings::load(path) {
+    Err(error) => tracing::error!(event = "settings_refused", %error),
+    Ok(settings) if settings == *running => tracing::info!(event = "settings_unchanged"),
+    Ok(_) => tracing::warn!(event = "settings_changed", in_force = "at the next start"),
   }
-  Ok(())
 }
--- a/crates/cactusyoke/tests/platform.rs
+++ b/crates/cactusyoke/tests/platform.rs
@@ -139,6 +139,25 @@
   assert_eq!(site.get(1).await.expect("an answer").status, 200);
 }
 
+/// Guards against a node that ends at a hang-up, or that takes over a file that it cannot use.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hang_up_cuts_off_no_request() {
+  let site = &Site::start(1, Duration::from_millis(300)).await;
+  let node = &site.nodes[0];
+  let hang_up = |event: &'static str| async move {
+    let signal = async {
+      tokio::time::sleep(Duration::from_millis(100)).await;
+      node.signal(Signal::HUP);
+    };
+    let (got, ()) = tokio::join!(site.get(0), signal);
+    assert_eq!(got.expect("a whole answer").status, 200);
+    eventually(event, || async { node.log().contains(event) }).await;
+  };
+  hang_up("event=settings_unchanged").await;
+  std::fs::write(node.settings(), "node: nowhere").expect("the settings can be written");
+  hang_up("event=settings_refused").await;
+}
+
 /// Guards against an answer that is not the upstream's own, against a second run of what must run
 /// once, and against a promise that a request did not run without the upstream's word.
 #[parameterized(
