--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -4,13 +4,14 @@
   crate::{
     Core,
     edges::{Edge, call_end},
+    plan::Plan,
     replay::Replay,
+    sent_call::SentCall,
     tracked::{BodyEnd, Tracked},
   },
   cactusyoke_decisions::load::{CallEnd, Criteria},
   cactusyoke_model::{
-    Answer, Call, CallFailure, CallHead, DataCentre, NodeId, NotRunReason, Preset, Report, Retries,
-    Route, ServiceName, UnknownReason,
+    Answer, Call, CallFailure, CallHead, NodeId, NotRunReason, Report, Retries, UnknownReason,
   },
   cactusyoke_nodes::Hop,
   http_body_util::BodyExt,
@@ -33,65 +34,13 @@
 /// Time past the deadline for a refusal of another node, which says more than an unknown outcome.
 const GRACE: Duration = Duration::from_millis(20);
 
-/// What a route allows for its calls.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Plan {
-  /// The call may go to another data centre.
-  spill: bool,
-  /// Share of retries on the edge, percent.
-  retry_ratio: u8,
-  /// Upstreams to which the call may be sent.
-  attempts: u32,
-  /// Time within which an answer is worth most.
-  target: Duration,
-}
-
-impl Plan {
-  pub(crate) fn of(route: &Route, preset: &Preset) -> Self {
-    Self {
-      spill: route.spill,
-      retry_ratio: preset.retry_ratio,
-      attempts: route.attempts,
-      target: route.target,
-    }
-  }
-}
-
-impl Core {
-  /// Takes a call that another data centre has relayed to an instance of this one.
-  ///
-  /// It is not relayed again: two nodes whose settings list different data centres would send it
-  /// back and forth.
-  pub(crate) async fn relay_here(self: &Arc<Self>, call: Call) -> Result<Answer, CallFailure> {
-    let Call { head, body } = call;
-    let home = head
-      .key
-      .as_ref()
-      .and_then(|key| key.home(&self.centre_names));
-    if home.is_some_and(|home| *home != self.settings.centre) {
-      return Err(CallFailure::not_run(NotRunReason::HomeUnreachable));
-    }
-    let body = Replay::read(body)
-      .await
-      .map_err(|_error| CallFailure::not_run(NotRunReason::Cancelled))?;
-    let config = self.config.load_full();
-    let plan = Plan {
-      spill: false,
-      retry_ratio: config.preset().map_or(0, |preset| preset.retry_ratio),
-      attempts: u32::from(head.retries.0) + 1,
-      target: Duration::MAX,
-    };
-    Dispatch::new(self, head, body, plan).run_here().await
-  }
-}
-
 /// One call being sent, over all of its attempts.
 pub(crate) struct Dispatch<'a> {
-  core: &'a Arc<Core>,
-  head: CallHead,
-  body: Replay,
+  pub(crate) core: &'a Arc<Core>,
+  pub(crate) head: CallHead,
+  pub(crate) body: Replay,
   plan: Plan,
-  left: Retries,
+  pub(crate) left: Retries,
   tried: Vec<NodeId>,
   reroutes: usize,
   /// Attempts that may have reached an upstream.
@@ -132,7 +81,7 @@
 
   /// Sends the call to an instance that this node knows, and relays it to another data centre only
   /// where the plan allows it.
-  async fn run_here(mut self) -> Result<Answer, CallFailure> {
+  pub(crate) async fn run_here(mut self) -> Result<Answer, CallFailure> {
     let now = self.core.clock.now();
     self
       .core
@@ -158,12 +107,6 @@
     }
   }
 
-  /// Data centre that owns the call's key, when it is another one.
-  fn foreign_home(&self) -> Option<DataCentre> {
-    let home = self.head.key.as_ref()?.home(&self.core.centre_names)?;
-    (*home != self.core.settings.centre).then(|| home.clone())
-  }
-
   async fn attempt(&mut self) -> Result<Answer, CallFailure> {
     let now = self.core.clock.now();
     if now >= self.head.deadline {
@@ -401,58 +344,6 @@
       .iter()
       .any(|candidate| !self.tried.contains(&candidate.node))
   }
-
-  /// Nearest other data centre that serves the service and can answer before the deadline.
-  fn spill_target(&self) -> Option<DataCentre> {
-    let view = self.core.members.view();
-    let left = self.head.deadline.duration_since(self.core.clock.now());
-    self
-      .core
-      .settings
-      .centres
-      .iter()
-      .filter(|(name, _)| **name != self.core.settings.centre)
-      .filter(|(name, _)| {
-        view
-          .served_elsewhere(&self.head.service)
-          .any(|(centre, _)| centre == *name)
-      })
-      .filter(|(_, centre)| centre.distance * 2 < left)
-      .min_by_key(|(_, centre)| centre.distance)
-      .map(|(name, _)| name.clone())
-  }
-
-  /// Hands the call to a contact of another data centre, which chooses the instance there.
-  async fn relay(
-    &mut self,
-    centre: &DataCentre,
-    unreachable: NotRunReason,
-  ) -> Result<Answer, CallFailure> {
-    let deadline = self.head.deadline;
-    for contact in self.core.contacts(centre) {
-      let Some(body) = self.body.body() else {
-        break;
-      };
-      let mut head = self.head.clone();
-      head.retries = std::mem::replace(&mut self.left, Retries::ZERO);
-      let retries = head.retries;
-      let sent = self
-        .core
-        .links
-        .call_with(contact, Call { head, body }, Hop::Relay);
-      match timeout_at(deadline.into(), sent).await {
-        Ok(Err(CallFailure::NotRun {
-          reason: NotRunReason::Connection,
-          ..
-        })) => {
-          self.left = retries;
-        }
-        Ok(result) => return result,
-        Err(_elapsed) => return Err(CallFailure::unknown(UnknownReason::Deadline)),
-      }
-    }
-    Err(CallFailure::not_run(unreachable))
-  }
 }
 
 /// True when a failed call may have reached an upstream.
@@ -466,36 +357,3 @@
       }
   )
 }
-
-/// Call that was counted as sent to an instance. Dropped before its end, when its caller goes away,
-/// it is counted as cancelled; otherwise the sender's count of calls in flight would stay too high.
-struct SentCall<'a> {
-  core: &'a Core,
-  service: &'a ServiceName,
-  node: NodeId,
-  ended: bool,
-}
-
-impl<'a> SentCall<'a> {
-  const fn new(core: &'a Core, service: &'a ServiceName, node: NodeId) -> Self {
-    Self {
-      core,
-      service,
-      node,
-      ended: false,
-    }
-  }
-
-  /// The call has an outcome, which is recorded.
-  fn ended(mut self) {
-    self.ended = true;
-  }
-}
-
-impl Drop for SentCall<'_> {
-  fn drop(&mut self) {
-    if !self.ended {
-      self.core.edges.cancelled(self.service, self.node);
-    }
-  }
-}
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -2,10 +2,7 @@
 
 use {
   crate::{
-    Core,
-    dispatch::{Dispatch, Plan},
-    event_rate::Verdict,
-    replay::Replay,
+    Core, Interface, dispatch::Dispatch, event_rate::Verdict, plan::Plan, replay::Replay,
     runs::Parent,
   },
   cactusyoke_callers::{CallHandler, CallerRequest},
@@ -173,8 +170,8 @@
   /// Service from which requests that enter here come.
   fn origin(&self) -> Option<HeaderValue> {
     let service = match &self.settings.interface {
-      crate::Interface::Platform { service, .. } => service.clone(),
-      crate::Interface::Own => self.views.load().announcement.as_ref()?.service.clone(),
+      Interface::Platform { service, .. } => service.clone(),
+      Interface::Own => self.views.load().announcement.as_ref()?.service.clone(),
     };
     HeaderValue::from_str(service.as_str()).ok()
   }
--- /dev/null
+++ b/crates/cactusyoke/src/plan.rs
@@ -0,0 +1,28 @@
+use {
+  cactusyoke_model::{Preset, Route},
+  std::time::Duration,
+};
+
+/// What a route allows for its calls.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plan {
+  /// The call may go to another data centre.
+  pub(crate) spill: bool,
+  /// Share of retries on the edge, percent.
+  pub(crate) retry_ratio: u8,
+  /// Upstreams to which the call may be sent.
+  pub(crate) attempts: u32,
+  /// Time within which an answer is worth most.
+  pub(crate) target: Duration,
+}
+
+impl Plan {
+  pub(crate) fn of(route: &Route, preset: &Preset) -> Self {
+    Self {
+      spill: route.spill,
+      retry_ratio: preset.retry_ratio,
+      attempts: route.attempts,
+      target: route.target,
+    }
+  }
+}
--- /dev/null
+++ b/crates/cactusyoke/src/sent_call.rs
@@ -0,0 +1,37 @@
+use {
+  crate::Core,
+  cactusyoke_model::{NodeId, ServiceName},
+};
+
+/// Call that was counted as sent to an instance. Dropped before its end, when its caller goes away,
+/// it is counted as cancelled; otherwise the sender's count of calls in flight would stay too high.
+pub(crate) struct SentCall<'a> {
+  core: &'a Core,
+  service: &'a ServiceName,
+  node: NodeId,
+  ended: bool,
+}
+
+impl<'a> SentCall<'a> {
+  pub(crate) const fn new(core: &'a Core, service: &'a ServiceName, node: NodeId) -> Self {
+    Self {
+      core,
+      service,
+      node,
+      ended: false,
+    }
+  }
+
+  /// The call has an outcome, which is recorded.
+  pub(crate) fn ended(mut self) {
+    self.ended = true;
+  }
+}
+
+impl Drop for SentCall<'_> {
+  fn drop(&mut self) {
+    if !self.ended {
+      self.core.edges.cancelled(self.service, self.node);
+    }
+  }
+}
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -1,15 +1,16 @@
 use {
-  super::{Answered, Bucket, Calls, Counters, Data, Faults, Outage, Quotas, Refused},
+  super::{
+    Answered, Bucket, Calls, Counters, Data, Faults, MAX_VALUE, Outage, Quotas, Refused, Reply,
+    empty, json, not_found, read,
+  },
   bytes::Bytes,
   cactusyoke_platform::wire::{
     self, ConflictReply, KeyQuery, LeaseCall, LeaseReply, Put, RangeQuery, RangeReply, TxnCall,
     TxnReply, WatchQuery, WatchReply,
   },
-  http::{Method, Request, Response, StatusCode},
-  http_body_util::{BodyExt, Full, Limited},
+  http::{Method, Request, StatusCode},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::rt::TokioIo,
-  serde::{Serialize, de::DeserializeOwned},
   std::{
     future::pending,
     io::{self, Error},
@@ -25,12 +26,6 @@
   tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-type Reply = Response<Full<Bytes>>;
-
-/// Largest value, bytes.
-const MAX_VALUE: usize = 1 << 20;
-/// Largest body of a call, bytes: one value in base64 and its frame.
-const MAX_BODY: usize = MAX_VALUE / 3 * 4 + 4096;
 /// Items on a page.
 const PAGE: usize = 50;
 /// Time between looks at the outage switch while a watch waits or a call hangs.
@@ -384,25 +379,3 @@
     () = stop.cancelled() => {}
   }
 }
-
-async fn read<T: DeserializeOwned>(body: Incoming) -> Option<T> {
-  let body = Limited::new(body, MAX_BODY).collect().await.ok()?;
-  serde_json::from_slice(&body.to_bytes()).ok()
-}
-
-fn json(status: StatusCode, body: &impl Serialize) -> Reply {
-  let text = serde_json::to_vec(body).expect("plain data can be written");
-  let mut reply = Response::new(Full::new(Bytes::from(text)));
-  *reply.status_mut() = status;
-  reply
-}
-
-fn empty(status: StatusCode) -> Reply {
-  let mut reply = Response::new(Full::default());
-  *reply.status_mut() = status;
-  reply
-}
-
-fn not_found() -> Reply {
-  empty(StatusCode::NOT_FOUND)
-}
