--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -103,7 +103,8 @@
   }
 
   /// Offers a call of a request that upstreams above have worked on. It goes ahead of new requests
-  /// of its class and is not shed for load, which would throw that work away.
+  /// of its class, is not held to the level, and waits longer than they may: shedding it throws
+  /// that work away.
   pub fn offer_inner(
     &mut self,
     ticket: u64,
