Share the gate's offer path and name the operations page

Found on reading the whole change once more; behaviour, bounds and tests are unchanged.

- `Gate::offer` and `offer_inner` repeated the tick, the ticket check and the arrival count; both now call `offer_in`, which holds only new requests to the level.
- The module comment of `crashes` is wrapped.

--- a/crates/cactusyoke/src/crashes.rs
+++ b/crates/cactusyoke/src/crashes.rs
@@ -1,9 +1,9 @@
 //! Requests that may crash the upstream, and their quarantine.
 //!
 //! A lost connection is a crash when the upstream refuses the next one as well; an upstream that
-//! only lost an answer accepts it. Everything in flight during a crash becomes suspect. A suspect request runs on probation, one at
-//! a time on each node, so that a second crash has one cause among the suspects: that request is
-//! quarantined. A suspect that completes is cleared.
+//! only lost an answer accepts it. Everything in flight during a crash becomes suspect. A suspect
+//! request runs on probation, one at a time on each node, so that a second crash has one cause
+//! among the suspects: that request is quarantined. A suspect that completes is cleared.
 
 use {
   crate::{Core, control::Ask},
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -91,15 +91,7 @@
     deadline: Instant,
     now: Instant,
   ) -> Offer {
-    self.tick(now);
-    if self.tickets.contains_key(&ticket) {
-      return Offer::Refused(NotRunReason::BadRequest);
-    }
-    self.threshold.arrived(priority);
-    if !self.threshold.enforced().admits(priority) {
-      return Offer::Refused(NotRunReason::Shed);
-    }
-    self.enter(ticket, priority, Line::root(priority), deadline, now)
+    self.offer_in(Line::root(priority), ticket, priority, deadline, now)
   }
 
   /// Offers a call of a request that upstreams above have worked on. It goes ahead of new requests
@@ -112,22 +104,25 @@
     deadline: Instant,
     now: Instant,
   ) -> Offer {
-    self.tick(now);
-    if self.tickets.contains_key(&ticket) {
-      return Offer::Refused(NotRunReason::BadRequest);
-    }
-    self.threshold.arrived(priority);
-    self.enter(ticket, priority, Line::inner(priority), deadline, now)
+    self.offer_in(Line::inner(priority), ticket, priority, deadline, now)
   }
 
-  fn enter(
+  fn offer_in(
     &mut self,
+    line: Line,
     ticket: u64,
     priority: Priority,
-    line: Line,
     deadline: Instant,
     now: Instant,
   ) -> Offer {
+    self.tick(now);
+    if self.tickets.contains_key(&ticket) {
+      return Offer::Refused(NotRunReason::BadRequest);
+    }
+    self.threshold.arrived(priority);
+    if !line.is_inner() && !self.threshold.enforced().admits(priority) {
+      return Offer::Refused(NotRunReason::Shed);
+    }
     let half = priority.half().min(HALVES - 1);
     let latest = now + self.limit.fastest();
     if deadline <= latest {
--- a/crates/operators/src/node_error.rs
+++ b/crates/operators/src/node_error.rs
@@ -117,7 +117,7 @@
       ),
       Self::NoSuchRequest { method, path } => write!(
         f,
-        "the node has no request `{method} {}`: see docs/operators.md",
+        "the node has no request `{method} {}`: see docs/OPERATIONS.md",
         path.escape_debug()
       ),
       Self::Unauthorized => {
