--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -2,6 +2,7 @@
   super::{
     Completion, Entry, GateAction, GateConfig, Limit, Line, Offer, Outlook, Place, Queue,
     QueueOrder, Table, Threshold, Waits,
+    queue::inner_wait,
     threshold::{HALVES, Pressure},
   },
   cactusyoke_model::{Level, NotRunReason, Priority, Slots},
@@ -363,13 +364,14 @@
       return;
     }
     self.levelled = now;
-    let longest = self.queue_wait.as_secs_f64() * TARGET_SHARE;
+    let longest = |wait: Duration| wait.as_secs_f64() * TARGET_SHARE;
     let (wait, target) = if self.inner_started > 0 {
       let wait = mean(self.inner_waited, self.inner_started);
       let running = f64::from(self.limit.current()) / capacity;
+      let longest = longest(inner_wait(self.queue_wait));
       (wait, (running * self.inner_wait).min(longest))
     } else {
-      (mean(self.waited, self.started), longest)
+      (mean(self.waited, self.started), longest(self.queue_wait))
     };
     self.threshold.tick(&Pressure {
       elapsed: elapsed.as_secs_f64(),
--- a/crates/decisions/src/load/limit.rs
+++ b/crates/decisions/src/load/limit.rs
@@ -29,6 +29,9 @@
 /// Shortest time between two trials, doubled after each one without effect.
 const TRIAL_PAUSE: Duration = Duration::from_secs(2);
 const MAX_PAUSE: Duration = Duration::from_secs(32);
+/// Part of the highest throughput that is left after a measurement, so that an old one is
+/// forgotten in about a hundred.
+const PEAK_DECAY: f64 = 0.99;
 /// Time for which the shortest latency is remembered.
 const FASTEST_WINDOW: Duration = Duration::from_secs(1);
 
@@ -65,6 +68,10 @@
   /// Completions and their latency since the last measurement.
   samples: u32,
   sampled: f64,
+  /// Begin of the measurement.
+  sampling: Instant,
+  /// Highest recent throughput at the base latency, completions per second.
+  peak: f64,
   utilisation: f64,
   /// Completions per second of a call in flight, once measured.
   rate: Option<Rate>,
@@ -91,6 +98,8 @@
       completed: 0,
       samples: 0,
       sampled: 0.0,
+      sampling: now,
+      peak: 0.0,
       utilisation: 0.0,
       rate: None,
       base: None,
@@ -195,6 +204,7 @@
       self.adapt(self.sampled / f64::from(self.samples), now);
       self.samples = 0;
       self.sampled = 0.0;
+      self.sampling = now;
     }
     self.current = self.learned.min(self.ceiling(now));
   }
@@ -215,8 +225,15 @@
       self.end_trial(trial, mean, now);
       return;
     }
+    let sampling = now.saturating_duration_since(self.sampling).as_secs_f64();
+    let throughput = f64::from(self.samples) / sampling.max(MIN_LATENCY);
+    if mean > base * INFLATED && throughput * INFLATED < self.peak {
+      self.slowed(mean, throughput, now);
+      return;
+    }
     self.base = Some(base.min(mean));
     if mean <= base * INFLATED || self.utilisation < SATURATED {
+      self.peak = throughput.max(self.peak * PEAK_DECAY);
       self.learned = (self.learned * (1.0 + GROWTH))
         .max(self.learned + 1.0)
         .min(self.slots);
@@ -232,6 +249,16 @@
     }
   }
 
+  /// Takes a latency that came with less throughput as the new base. Calls that queue inside the
+  /// upstream would leave the throughput as it was, so a lower limit is not likely to help and is
+  /// not tried soon.
+  fn slowed(&mut self, mean: f64, throughput: f64, now: Instant) {
+    self.base = Some(mean);
+    self.peak = throughput;
+    self.tried = now;
+    self.pause = MAX_PAUSE;
+  }
+
   fn end_trial(&mut self, trial: Trial, mean: f64, now: Instant) {
     self.trial = None;
     self.tried = now;
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -62,13 +62,19 @@
   fn of(self, line: Line) -> Duration {
     match line.class() {
       0 if line.is_inner() => Duration::MAX,
-      _ if line.is_inner() => self.others.saturating_mul(INNER_WAITS),
+      _ if line.is_inner() => inner_wait(self.others),
       0 => self.first,
       _ => self.others,
     }
   }
 }
 
+/// Longest wait of a call of a request that has been worked on, where a new request may wait for
+/// `queue_wait`.
+pub(super) const fn inner_wait(queue_wait: Duration) -> Duration {
+  queue_wait.saturating_mul(INNER_WAITS)
+}
+
 /// Waiting call.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Entry {
--- a/crates/decisions/src/load/threshold.rs
+++ b/crates/decisions/src/load/threshold.rs
@@ -18,6 +18,8 @@
 const SIGNIFICANT: f64 = 4.0;
 /// Use of the limit below which there is room whatever the estimates say.
 const IDLE: f64 = 0.8;
+/// Share of the idle slots that a rise of the level may fill at once.
+const RISE: f64 = 0.5;
 /// Time in which the queue is brought to the tolerated wait, seconds.
 const DRAIN_TIME: f64 = 1.0;
 /// Least share of the capacity that a class is taken to have when higher ones use it up.
@@ -163,6 +165,9 @@
       self.step = 1.0;
       return;
     }
+    if idle {
+      self.step = self.step.max(self.room(pressure));
+    }
     self.position = (self.position + self.step).min(ceiling);
     // Doubling reaches the end of four classes in ten intervals.
     self.step *= 2.0;
@@ -171,6 +176,25 @@
     }
   }
 
+  /// Sub-levels of the part at the position that would use `RISE` of the idle slots.
+  fn room(&self, pressure: &Pressure<'_>) -> f64 {
+    let class = (self.position / (STEPS * 2.0)) as usize;
+    if class >= CLASSES {
+      return 0.0;
+    }
+    let usual = self.usual_time(pressure);
+    let parts = self.parts(class, pressure);
+    let Some(part) = parts
+      .into_iter()
+      .find(|part| self.position < part.start + part.steps)
+    else {
+      return 0.0;
+    };
+    let used = part.rate * pressure.mean * part.time / usual / part.steps;
+    let idle = pressure.slots * (1.0 - pressure.utilisation) * RISE;
+    (idle / used).min(part.start + part.steps - self.position)
+  }
+
   /// Parts of a class that are estimated apart.
   fn parts(&self, class: usize, pressure: &Pressure<'_>) -> Vec<Part> {
     let halves = [class * 2, class * 2 + 1];
--- a/crates/decisions/tests/gate.rs
+++ b/crates/decisions/tests/gate.rs
@@ -155,6 +155,42 @@
   assert!(lowest <= 10, "the limit stayed at {lowest}");
 }
 
+/// Guards against trials of a lower limit at an upstream that has become slow by itself: each one
+/// costs a fifth of the throughput while the service is short of it.
+#[test]
+fn limit_stays_when_the_upstream_itself_becomes_slow() {
+  let mut now = Instant::now();
+  let mut gate = gate(20, 100, Duration::ZERO, now);
+  let mut ticket = 0;
+  let mut running = Vec::<(Instant, u64)>::new();
+  for round in 0..20_000 {
+    let slow = round >= 5_000;
+    let time = ms(if slow { 500 } else { 50 });
+    let wanted = if slow { 30 } else { 15 };
+    running.retain(|(done, ticket)| {
+      if *done <= now {
+        gate.finish(*ticket, Completion::Whole, now);
+      }
+      *done > now
+    });
+    let mut actions = Vec::new();
+    gate.poll(now, &mut actions);
+    for action in actions {
+      if let GateAction::Start(ticket) = action {
+        running.push((now + time, ticket));
+      }
+    }
+    if gate.load() < wanted {
+      ticket += 1;
+      if gate.offer(ticket, Priority(0), now + MINUTE, now) == Offer::Start {
+        running.push((now + time, ticket));
+      }
+    }
+    now += ms(1);
+    assert_eq!(gate.limit(), 20, "after {round} ms");
+  }
+}
+
 /// Guards against a call that waits although it cannot finish in time.
 #[test]
 fn calls_without_enough_time_are_refused() {
