Let refused callers return within the target of their route

Cause: each refusal said `Retry-After: 1`. Callers that were refused together also came back together.

Change: the node where a request enters decides the time: between a tenth and three fifths of what the route's target leaves after the usual time of an answer, by chance. On the platform it has fractions of a second; in our own interface it is rounded up to whole seconds. A return time that says "later" (witnesses, data centre) or "never" stays.

--- a/crates/cactusyoke/src/admission.rs
+++ b/crates/cactusyoke/src/admission.rs
@@ -225,10 +225,7 @@
   }
 
   fn refusal(&self, reason: NotRunReason, now: Instant) -> CallFailure {
-    CallFailure::NotRun {
-      reason,
-      report: Some(self.report(now)),
-    }
+    CallFailure::refused(reason, self.report(now))
   }
 }
 
@@ -251,10 +248,7 @@
         let report = self.admission.report();
         // The gate dropped the ticket already, so there is nothing to cancel.
         self.ticket = 0;
-        Err(CallFailure::NotRun {
-          reason,
-          report: Some(report),
-        })
+        Err(CallFailure::refused(reason, report))
       }
       Err(_closed) => {
         self.ticket = 0;
--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -155,10 +155,7 @@
       unused: self.left,
       ..Report::IDLE
     };
-    CallFailure::NotRun {
-      reason,
-      report: Some(report),
-    }
+    CallFailure::refused(reason, report)
   }
 
   async fn send(&mut self, node: NodeId, started: Instant) -> Result<Answer, CallFailure> {
@@ -207,15 +204,12 @@
   /// Returns the rest of the allowance with a refusal.
   fn with_unused(&self, failure: CallFailure) -> CallFailure {
     match failure {
-      CallFailure::NotRun { reason, report } => {
+      CallFailure::NotRun { reason, report, .. } => {
         let report = Report {
           unused: self.left,
           ..report.unwrap_or(Report::IDLE)
         };
-        CallFailure::NotRun {
-          reason,
-          report: Some(report),
-        }
+        CallFailure::refused(reason, report)
       }
       CallFailure::Unknown { .. } => failure,
     }
--- a/crates/cactusyoke/src/edges.rs
+++ b/crates/cactusyoke/src/edges.rs
@@ -3,7 +3,7 @@
 use {
   cactusyoke_decisions::load::{
     CallEnd, Candidate, Completed, Costs, Criteria, Levels, Outlook, RetryBounds, RetryBudget,
-    RetryRatio, Router, Shares,
+    RetryRatio, Router, Shares, return_time,
   },
   cactusyoke_model::{
     CallFailure, CallHead, Level, NodeId, NotRunReason, Priority, Report, RequestId, Route,
@@ -195,6 +195,14 @@
     ratio.is_some_and(|ratio| ratio.try_retry(now))
   }
 
+  /// Time after which the caller of a refused request may come back.
+  pub(crate) fn return_time(&self, route: &Route, service: &ServiceName) -> Duration {
+    let inner = self.lock();
+    let router = inner.routers.get(service);
+    let usual = router.map_or(Duration::ZERO, |router| router.usual_time(&route.name));
+    return_time(route.target, usual, rand::random())
+  }
+
   /// Level in force for a route.
   pub(crate) fn level(&self, route: &RouteName, now: Instant) -> Level {
     self.lock().levels.level(route, now)
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -72,9 +72,10 @@
       retries: route.retries,
       ..self.head_of(&request, route, started)
     };
+    let service = head.service.clone();
     let result = self.send(&preset, route, head, request).await;
     self.conclude(route, 0, started, &result);
-    result
+    result.map_err(|failure| failure.with_return(self.edges.return_time(route, &service)))
   }
 
   async fn child_call(
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -6,6 +6,8 @@
 mod serve;
 
 pub use {
-  cactusyoke_http::{CallHandler, CallerRequest, Limits, OUTCOME_HEADER, REASON_HEADER, Refusal},
+  cactusyoke_http::{
+    CallHandler, CallerRequest, HeaderNames, Limits, OUTCOME_HEADER, REASON_HEADER, Refusal,
+  },
   serve::serve,
 };
--- a/crates/callers/tests/outcomes.rs
+++ b/crates/callers/tests/outcomes.rs
@@ -3,20 +3,21 @@
 mod support;
 
 use {
-  cactusyoke_callers::Limits,
+  cactusyoke_callers::{HeaderNames, Limits},
   cactusyoke_model::{CallFailure, NotRunReason, UnknownReason, empty_body},
   cactusyoke_standins::upstream::Received,
   http::Request,
+  std::time::Duration,
   support::Listener,
   yare::parameterized,
 };
 
 async fn fail(failure: CallFailure) -> Received {
-  let listener = Listener::start(
-    Limits::default(),
-    move |_request| async move { Err(failure) },
-  )
-  .await;
+  fail_within(Limits::default(), failure).await
+}
+
+async fn fail_within(limits: Limits, failure: CallFailure) -> Received {
+  let listener = Listener::start(limits, move |_request| async move { Err(failure) }).await;
   let request = Request::get("/").body(empty_body()).expect("valid");
   listener
     .client
@@ -61,6 +62,29 @@
   assert_eq!(line.find('\n'), Some(line.len() - 1));
 }
 
+/// Guards against a return time that is lost, that comes earlier than was decided, or that callers of
+/// plain HTTP cannot read.
+#[parameterized(
+  whole_seconds = { false, NotRunReason::Shed, "1" },
+  fractions = { true, NotRunReason::Shed, "0.075" },
+  not_for_a_repair = { true, NotRunReason::NoWitnesses, "5.000" },
+  never_again = { true, NotRunReason::NoRetries, "" },
+)]
+#[test_macro(tokio::test)]
+async fn return_time_of_a_refusal(fractions: bool, reason: NotRunReason, expected: &str) {
+  let names = HeaderNames {
+    fractions,
+    ..HeaderNames::own().clone()
+  };
+  let limits = Limits {
+    names: Box::leak(Box::new(names)),
+    ..Limits::default()
+  };
+  let failure = CallFailure::not_run(reason).with_return(Duration::from_millis(75));
+  let received = fail_within(limits, failure).await;
+  assert_eq!(received.header("retry-after"), expected);
+}
+
 /// Guards against an unknown outcome that looks like a refusal which is safe to repeat.
 #[parameterized(
   deadline = { UnknownReason::Deadline, 504 },
--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -24,6 +24,7 @@
 mod rate;
 mod retry_budget;
 mod retry_ratio;
+mod return_time;
 mod router;
 mod shares;
 mod threshold;
@@ -44,6 +45,7 @@
 pub use queue::QueueOrder;
 pub use retry_budget::{RetryBounds, RetryBudget};
 pub use retry_ratio::RetryRatio;
+pub use return_time::return_time;
 pub use router::Router;
 pub use shares::Shares;
 
--- a/crates/decisions/src/load/router.rs
+++ b/crates/decisions/src/load/router.rs
@@ -186,6 +186,16 @@
     self.peers.remove(&node);
   }
 
+  /// Mean time of a route without waits, seconds; `None` while it is not known.
+  fn usual(&self, route: Option<&RouteName>) -> Option<f64> {
+    self.means.get(&route.cloned()).copied()
+  }
+
+  /// Mean time of a route without waits; zero while it is not known.
+  pub fn usual_time(&self, route: &RouteName) -> Duration {
+    Duration::from_secs_f64(self.usual(Some(route)).unwrap_or_default())
+  }
+
   fn is_away(&self, candidate: &Candidate, now: Instant) -> bool {
     let peer = self.peers.get(&candidate.node);
     peer.is_some_and(|peer| peer.is_away(now))
@@ -209,7 +219,7 @@
   fn is_comfortable(&self, candidate: &Candidate, criteria: &Criteria<'_>, now: Instant) -> bool {
     let target = criteria.target.as_secs_f64();
     let time = self.time(candidate, criteria, now);
-    let usual = self.means.get(&criteria.route.cloned()).copied();
+    let usual = self.usual(criteria.route);
     if criteria.inner && usual.is_some_and(|usual| time > usual * INNER_STAY) {
       return false;
     }
@@ -220,7 +230,7 @@
   /// Time by which another data centre must be faster, seconds.
   fn margin(&self, criteria: &Criteria<'_>) -> f64 {
     let margin = criteria.target.as_secs_f64() * FAR_MARGIN;
-    let usual = self.means.get(&criteria.route.cloned()).copied();
+    let usual = self.usual(criteria.route);
     match usual.filter(|_usual| criteria.inner) {
       Some(usual) => margin.min(usual * (INNER_STAY - 1.0)),
       None => margin,
@@ -241,7 +251,7 @@
 
   /// Expected time to the answer, seconds.
   fn time(&self, candidate: &Candidate, criteria: &Criteria<'_>, now: Instant) -> f64 {
-    let mean = self.means.get(&criteria.route.cloned()).copied();
+    let mean = self.usual(criteria.route);
     let peer = self.peers.get(&candidate.node);
     let slowness = peer.map_or(1.0, |peer| peer.slowness(now));
     let network = candidate.distance.as_secs_f64() * 2.0;
--- a/crates/decisions/tests/spread_load.rs
+++ b/crates/decisions/tests/spread_load.rs
@@ -3,7 +3,7 @@
 use {
   cactusyoke_decisions::load::{
     CallEnd, Candidate, Completed, Completion, Costs, Criteria, Gate, GateConfig, Offer, Outlook,
-    RetryBounds, RetryBudget, Router, Shares,
+    RetryBounds, RetryBudget, Router, Shares, return_time,
   },
   cactusyoke_model::{
     ClassRank, NodeId, Priority, RequestId, RouteName, ServiceName, Slots, Strain,
@@ -224,3 +224,25 @@
   let text = format!("{actions:?}");
   assert_eq!(text, "[Drop(2, Shed), Start(3)]");
 }
+
+/// Guards against callers that a surge turned away coming back all at once, or so late that their
+/// answers miss the target: a burst that refuses a share of each route for seconds.
+#[parameterized(
+  short_target = { 600, 220 },
+  costly_route = { 1000, 420 },
+  long_target = { 1500, 300 },
+)]
+fn refused_callers_come_back_spread_and_within_the_target(target: u64, usual: u64) {
+  let returns = (0..=10).map(|draw| return_time(ms(target), ms(usual), f64::from(draw) / 10.0));
+  let returns = returns.collect::<Vec<Duration>>();
+  assert!(returns.is_sorted_by(|one, next| one < next), "{returns:?}");
+  // An answer that takes a third longer than usual still meets the target.
+  assert!(returns[10] + ms(usual * 4 / 3) <= ms(target), "{returns:?}");
+  assert!(returns[10] >= returns[0] * 4, "{returns:?}");
+}
+
+/// Guards against an immediate return where the target leaves no time.
+#[test]
+fn a_refused_caller_never_comes_back_at_once() {
+  assert_eq!(return_time(ms(100), ms(300), 0.0), ms(50));
+}
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -63,7 +63,7 @@
       Err(refusal) => failed(refusal.response()),
       Ok(request) => match self.handler.handle(request).await {
         Ok(answer) => answer_response(answer, &method),
-        Err(failure) => failed(failure_response(&failure)),
+        Err(failure) => failed(failure_response(&failure, self.limits.names.fractions)),
       },
     };
     if self.shutdown.is_cancelled() {
--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -4,6 +4,7 @@
   bytes::Bytes,
   cactusyoke_model::{CallFailure, NotRunReason, UnknownReason},
   http::{HeaderName, HeaderValue, Response, StatusCode, header},
+  std::time::Duration,
 };
 
 /// Header that says how a request ended: `answered`, `not-run` or `unknown`.
@@ -12,19 +13,25 @@
 /// Header that says why a request was not answered.
 pub const REASON_HEADER: HeaderName = HeaderName::from_static("cactusyoke-reason");
 
-/// Seconds after which an overloaded or restarting service is worth another attempt.
-const RETRY_SOON: u64 = 1;
+/// Time after which an overloaded or restarting service is worth another attempt, where the
+/// failure does not say.
+const RETRY_SOON: Duration = Duration::from_secs(1);
 
-/// Seconds after which a lost data centre or lost witnesses are worth another attempt; these need
+/// Time after which a lost data centre or lost witnesses are worth another attempt; these need
 /// a roster change or a repair.
-const RETRY_LATER: u64 = 5;
+const RETRY_LATER: Duration = Duration::from_secs(5);
 
-/// Response for a call that has no answer.
-pub(crate) fn failure_response(failure: &CallFailure) -> Response<Bytes> {
+/// Response for a call that has no answer. `fractions` allows them in `retry-after`.
+pub(crate) fn failure_response(failure: &CallFailure, fractions: bool) -> Response<Bytes> {
   match failure {
-    CallFailure::NotRun { reason, .. } => {
+    CallFailure::NotRun { reason, retry, .. } => {
       let (status, retry_after, text) = not_run(*reason);
+      let retry_after = match (retry_after, retry) {
+        (Some(RETRY_SOON), Some(after)) => Some(*after),
+        (usual, _) => usual,
+      };
       let text = format!("not run ({reason}): {text}");
+      let retry_after = retry_after.map(|after| retry_value(after, fractions));
       outcome_response(status, "not-run", reason.as_str(), retry_after, &text)
     }
     CallFailure::Unknown { reason } => {
@@ -42,7 +49,7 @@
   status: StatusCode,
   outcome: &'static str,
   reason: &'static str,
-  retry_after: Option<u64>,
+  retry_after: Option<HeaderValue>,
   line: &str,
 ) -> Response<Bytes> {
   let mut response = Response::new(Bytes::from(format!("{line}\n")));
@@ -54,13 +61,23 @@
     header::CONTENT_TYPE,
     HeaderValue::from_static("text/plain; charset=utf-8"),
   );
-  if let Some(seconds) = retry_after {
-    headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+  if let Some(value) = retry_after {
+    headers.insert(header::RETRY_AFTER, value);
   }
   response
 }
 
-fn not_run(reason: NotRunReason) -> (StatusCode, Option<u64>, &'static str) {
+/// Value of `retry-after`: milliseconds as a fraction of seconds, or whole seconds rounded up.
+fn retry_value(after: Duration, fractions: bool) -> HeaderValue {
+  let millis = after.as_millis() as u64;
+  if !fractions {
+    return HeaderValue::from(millis.div_ceil(1000));
+  }
+  let text = format!("{}.{:03}", millis / 1000, millis % 1000);
+  HeaderValue::from_str(&text).expect("digits and a point")
+}
+
+fn not_run(reason: NotRunReason) -> (StatusCode, Option<Duration>, &'static str) {
   let unavailable = StatusCode::SERVICE_UNAVAILABLE;
   let soon = Some(RETRY_SOON);
   let later = Some(RETRY_LATER);
--- a/crates/http/src/header_names.rs
+++ b/crates/http/src/header_names.rs
@@ -20,6 +20,8 @@
   /// Mark of every successful answer; with it, answers without their id or mark are not taken for
   /// the upstream's, and bodies may end with the connection. `None` when upstreams set none.
   pub mark: Option<HeaderName>,
+  /// Callers read fractions of a second in `Retry-After`, which HTTP itself does not allow.
+  pub fractions: bool,
 }
 
 static OWN: HeaderNames = HeaderNames {
@@ -31,6 +33,7 @@
   context: Some(HeaderName::from_static(cactusyoke_model::CONTEXT_HEADER)),
   key: Some(HeaderName::from_static(cactusyoke_model::KEY_HEADER)),
   mark: None,
+  fractions: false,
 };
 
 impl HeaderNames {
--- a/crates/http/src/refusal.rs
+++ b/crates/http/src/refusal.rs
@@ -2,7 +2,7 @@
   crate::failure_response::outcome_response,
   bytes::Bytes,
   cactusyoke_model::{ByteSize, ContextError, KeyError, NotRunReason},
-  http::{Response, StatusCode},
+  http::{HeaderValue, Response, StatusCode},
   std::fmt::{self, Display, Formatter},
 };
 
@@ -90,7 +90,7 @@
   pub(crate) fn response(&self) -> Response<Bytes> {
     let reason = self.reason();
     let retry_after = match self {
-      Self::Connections(_) => Some(1),
+      Self::Connections(_) => Some(HeaderValue::from_static("1")),
       Self::Version
       | Self::Connect
       | Self::HeaderBytes(_)
--- a/crates/model/src/failure.rs
+++ b/crates/model/src/failure.rs
@@ -3,7 +3,10 @@
 use {
   crate::Report,
   serde::{Deserialize, Serialize},
-  std::fmt::{self, Display, Formatter},
+  std::{
+    fmt::{self, Display, Formatter},
+    time::Duration,
+  },
 };
 
 /// Why a call ended without an answer.
@@ -15,6 +18,9 @@
     reason: NotRunReason,
     /// Load of the refusing hop, where one answered.
     report: Option<Report>,
+    /// Time after which the caller may send it again, set where the request entered.
+    #[serde(skip)]
+    retry: Option<Duration>,
   },
   /// An upstream may have run the call.
   Unknown {
@@ -29,6 +35,29 @@
     Self::NotRun {
       reason,
       report: None,
+      retry: None,
+    }
+  }
+
+  /// A refusal with the load of the refusing hop.
+  pub const fn refused(reason: NotRunReason, report: Report) -> Self {
+    Self::NotRun {
+      reason,
+      report: Some(report),
+      retry: None,
+    }
+  }
+
+  /// The failure with the time after which a call that was not run may be sent again.
+  #[must_use]
+  pub const fn with_return(self, after: Duration) -> Self {
+    match self {
+      Self::NotRun { reason, report, .. } => Self::NotRun {
+        reason,
+        report,
+        retry: Some(after),
+      },
+      Self::Unknown { .. } => self,
     }
   }
 
--- a/crates/nodes/tests/links_calls.rs
+++ b/crates/nodes/tests/links_calls.rs
@@ -106,9 +106,9 @@
 #[tokio::test]
 async fn a_refusal_carries_the_failure_of_the_peer() {
   let mut pair = Pair::new().await;
-  let failure = CallFailure::NotRun {
-    reason: NotRunReason::Shed,
-    report: Some(Report {
+  let failure = CallFailure::refused(
+    NotRunReason::Shed,
+    Report {
       level: Level(0x0203),
       age: Duration::from_millis(5),
       load: 9,
@@ -124,8 +124,8 @@
         used: 200,
         work: Duration::from_millis(3),
       },
-    }),
-  };
+    },
+  );
   let pending = pair.start(call("/", full_body("x")));
   pair.next_call().await.reply.refuse(failure);
   assert_eq!(within(pending).await.unwrap().unwrap_err(), failure);
