Keep calls of admitted requests in their data centre at somewhat slower servers

Cause: such a call left its data centre when the server there took more than 1.25 times the usual time. With servers of 0.5 to 1.5 of the mean speed, all calls of the data centre with the slow one left it.

Change: they leave at 1.75 times. The mean time of a route is a mean of its first calls until it is smoothed, since the first call alone, often of a cold server, weighed for a hundred.

--- a/crates/decisions/src/load/router.rs
+++ b/crates/decisions/src/load/router.rs
@@ -30,7 +30,7 @@
 const LEAVING: f64 = 0.5;
 /// Multiple of the usual time that a call of a request that has been worked on may take in its data
 /// centre: such calls follow each other, and together they use up the time of their request.
-const INNER_STAY: f64 = 1.25;
+const INNER_STAY: f64 = 1.75;
 
 /// Choice of an instance among those of one service.
 ///
@@ -39,8 +39,25 @@
 #[derive(Debug, Default)]
 pub struct Router {
   peers: Table<NodeId, Peer>,
-  /// Mean time of each route, seconds.
-  means: Table<Option<RouteName>, f64>,
+  /// Mean time of each route.
+  means: Table<Option<RouteName>, Mean>,
+}
+
+/// Mean of the first values, later smoothed, so that the first one alone, such as that of a cold
+/// upstream, does not count for long.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+  /// Seconds.
+  value: f64,
+  count: u32,
+}
+
+impl Mean {
+  fn add(&mut self, seconds: f64) {
+    self.count = self.count.saturating_add(1);
+    let weight = (1.0 / f64::from(self.count)).max(MEAN_WEIGHT);
+    self.value += (seconds - self.value) * weight;
+  }
 }
 
 impl Router {
@@ -158,7 +175,7 @@
 
   /// Records the end of a call. An instance that was forgotten meanwhile stays so.
   pub fn done(&mut self, node: NodeId, done: &Completed, now: Instant) {
-    let mean = self.means.get(&done.route).copied();
+    let mean = self.usual(done.route.as_ref());
     let Some(peer) = self.peers.get_mut(&node) else {
       return;
     };
@@ -168,9 +185,11 @@
     }
     let seconds = done.latency.saturating_sub(done.waited).as_secs_f64();
     if let Some(mean) = self.means.get_mut(&done.route) {
-      *mean += (seconds - *mean) * MEAN_WEIGHT;
+      mean.add(seconds);
     } else if self.means.len() < MAX_ROUTES {
-      self.means.insert(done.route.clone(), seconds);
+      let mut mean = Mean::default();
+      mean.add(seconds);
+      self.means.insert(done.route.clone(), mean);
     }
   }
 
@@ -188,7 +207,7 @@
 
   /// Mean time of a route without waits, seconds; `None` while it is not known.
   fn usual(&self, route: Option<&RouteName>) -> Option<f64> {
-    self.means.get(&route.cloned()).copied()
+    self.means.get(&route.cloned()).map(|mean| mean.value)
   }
 
   /// Mean time of a route without waits; zero while it is not known.
--- a/crates/decisions/tests/spread_load.rs
+++ b/crates/decisions/tests/spread_load.rs
@@ -170,6 +170,20 @@
   assert_eq!(far_calls(&router, now), 0);
 }
 
+/// Guards against paid bytes between data centres where the server of the own one is slower than
+/// others but still meets the target, as one at half speed beside two at full speed.
+#[test]
+fn calls_of_a_request_stay_at_a_somewhat_slower_instance() {
+  let now = Instant::now();
+  let mut router = Router::new();
+  for _ in 0..50 {
+    report(&mut router, 0, 100, 40, now);
+    report(&mut router, 1, 100, 20, now);
+    report(&mut router, 2, 100, 20, now);
+  }
+  assert_eq!(far_calls(&router, now), 0);
+}
+
 /// Guards against one server that sheds new requests beside another that is idle, and against a
 /// herd that leaves the crowded one all at once.
 #[test]
