Enforce the limits of the operator's document

Cause: the size of heads and bodies and the idle time of the document were read and checked, and then not used: a client that stays within `idle_timeout_s` could meet a connection that our own setting had closed.

Change: the listeners of callers and of outgoing calls take the bounds of the configuration in force for each connection and each request. The time for a head is covered by the idle time, since `hyper` counts both with one timer.

Test first: `limits_of_the_document_hold_without_a_restart` (a body over a new limit was answered 200).

--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -5,7 +5,7 @@
     Core, Interface, dispatch::Dispatch, event_rate::Verdict, plan::Plan, replay::Replay,
     runs::Parent,
   },
-  cactusyoke_callers::{CallHandler, CallerRequest},
+  cactusyoke_callers::{CallHandler, CallerRequest, Limits},
   cactusyoke_model::{
     Answer, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Report,
     RequestId, Retries, Route, SpanId,
@@ -24,12 +24,20 @@
 pub struct Egress(pub(crate) Arc<Core>);
 
 impl CallHandler for Gateway {
+  fn limits(&self, settings: Limits) -> Limits {
+    self.0.caller_limits(settings)
+  }
+
   async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
     self.0.root_call(request).await
   }
 }
 
 impl CallHandler for Egress {
+  fn limits(&self, settings: Limits) -> Limits {
+    self.0.caller_limits(settings)
+  }
+
   async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
     match self.0.parent_of(&request) {
       Some(parent) => self.0.child_call(request, parent).await,
@@ -39,6 +47,20 @@
 }
 
 impl Core {
+  /// Bounds of the configuration in force, where it has some.
+  fn caller_limits(&self, settings: Limits) -> Limits {
+    let config = self.config.load();
+    let bounds = config.preset().and_then(|preset| preset.callers);
+    bounds.map_or(settings, |bounds| Limits {
+      header_bytes: bounds.headers.0 as usize,
+      body: bounds.body,
+      // A caller may use a connection again that has been idle for most of this time, so that the
+      // time for a head must not end it sooner.
+      idle: bounds.idle.max(bounds.head_time),
+      ..settings
+    })
+  }
+
   /// The request that the upstream runs and that makes this call.
   fn parent_of(&self, request: &CallerRequest) -> Option<Parent> {
     if let Some(context) = request.context {
--- a/crates/cactusyoke/tests/platform.rs
+++ b/crates/cactusyoke/tests/platform.rs
@@ -85,6 +85,30 @@
   assert!(site.nodes[0].log().contains("event=document_refused"));
 }
 
+/// Guards against bounds of the operator's document that are read and then not enforced, or only
+/// after a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_of_the_document_hold_without_a_restart() {
+  let site = Site::start(1, NO_WORK).await;
+  let charge = || site.charge_with(0, "twenty bytes of body");
+  assert_eq!(charge().await.expect("an answer").status, 200);
+  let document = |version: u32, most: u32| {
+    let document = DOCUMENT.replace("\"version\": 7", &format!("\"version\": {version}"));
+    let (before, after) = document
+      .split_once("\"max_body_bytes\": ")
+      .expect("a limit");
+    let after = after.trim_start_matches(|digit: char| digit.is_ascii_digit());
+    format!("{before}\"max_body_bytes\": {most}{after}")
+  };
+  for (version, most, expected) in [(8, 10, 413), (9, 20, 200)] {
+    site.store.write(document::KEY, document(version, most));
+    eventually("the limit is in force", || async {
+      charge().await.is_ok_and(|got| got.status == expected)
+    })
+    .await;
+  }
+}
+
 /// Guards against work for an upstream that has said that it leaves, by its node or through others.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_upstream_gets_nothing_after_the_acknowledgement() {
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -95,15 +95,30 @@
 
   /// Sends an idempotent request through a node.
   pub async fn get(&self, node: usize) -> Result<Received, ClientError> {
-    self.send(node, Method::GET, "/read/a").await
+    self.send(node, Method::GET, "/read/a", "").await
   }
 
   /// Sends a non-idempotent request through a node.
   pub async fn charge(&self, node: usize) -> Result<Received, ClientError> {
-    self.send(node, Method::POST, "/charge/a").await
+    self.send(node, Method::POST, "/charge/a", "").await
   }
 
-  async fn send(&self, node: usize, method: Method, path: &str) -> Result<Received, ClientError> {
+  /// Sends a non-idempotent request with a body through a node.
+  pub async fn charge_with(
+    &self,
+    node: usize,
+    body: &'static str,
+  ) -> Result<Received, ClientError> {
+    self.send(node, Method::POST, "/charge/a", body).await
+  }
+
+  async fn send(
+    &self,
+    node: usize,
+    method: Method,
+    path: &str,
+    body: &'static str,
+  ) -> Result<Received, ClientError> {
     let names = header_names();
     let number = self.requests.fetch_add(1, Ordering::SeqCst);
     let request = Request::builder()
@@ -113,7 +128,7 @@
       .header(&names.request, format!("request{number}"))
       .header(&names.deadline, "1500")
       .header(&names.origin, "what the client says")
-      .body(cactusyoke_model::empty_body())
+      .body(cactusyoke_model::full_body(body))
       .expect("the request is correct");
     self.client.exchange(self.at(node, 7103), request).await
   }
--- a/crates/http/src/acceptor.rs
+++ b/crates/http/src/acceptor.rs
@@ -54,7 +54,7 @@
     };
     let connection = Connection {
       handler: Arc::clone(&self.handler),
-      limits: self.limits,
+      settings: self.limits,
       shutdown: self.shutdown.clone(),
     };
     self.tasks.spawn(async move {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -40,7 +40,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection<H> {
   pub(crate) handler: Arc<H>,
-  pub(crate) limits: Limits,
+  /// Bounds that the listener began with.
+  pub(crate) settings: Limits,
   pub(crate) shutdown: CancellationToken,
 }
 
@@ -48,8 +49,9 @@
   /// Serves requests until the caller closes the connection or the listener shuts down.
   pub(crate) async fn run(self, stream: TcpStream) {
     let unread = Arc::new(AtomicBool::new(false));
+    let limits = self.handler.limits(self.settings);
     let service = service_fn(|request| self.respond(request, &unread));
-    serve_stream(stream, self.limits, &self.shutdown, &unread, service).await;
+    serve_stream(stream, limits, &self.shutdown, &unread, service).await;
   }
 
   async fn respond(
@@ -58,12 +60,13 @@
     unread: &Arc<AtomicBool>,
   ) -> Result<Response<CheckedBody>, Infallible> {
     let method = request.method().clone();
+    let limits = self.handler.limits(self.settings);
     unread.store(sends_body(&request), Ordering::Relaxed);
-    let mut response = match CallerRequest::check(request, &self.limits, Arc::clone(unread)) {
+    let mut response = match CallerRequest::check(request, &limits, Arc::clone(unread)) {
       Err(refusal) => failed(refusal.response()),
       Ok(request) => match self.handler.handle(request).await {
         Ok(answer) => answer_response(answer, &method),
-        Err(failure) => failed(failure_response(&failure, self.limits.names.fractions)),
+        Err(failure) => failed(failure_response(&failure, limits.names.fractions)),
       },
     };
     if self.shutdown.is_cancelled() {
