Keep load figures in one type and interface values in one place

`Report` embeds the `Outlook` that the router reads, instead of its six fields copied one by one; its `age` was never set and is gone. The load policy that the operator's document does not state moved from the platform adapter to the model, and how a gate is run follows from the interface in one value.

--- a/crates/decisions/tests/policy/server.rs
+++ b/crates/decisions/tests/policy/server.rs
@@ -1,8 +1,8 @@
 use {
   cactusyoke_decisions::load::{
-    Completion, Gate, GateAction, GateConfig, Levels, Offer, Outlook, QueueOrder, Router,
+    Completion, Gate, GateAction, GateConfig, Levels, Offer, QueueOrder, Router,
   },
-  cactusyoke_model::{Level, NotRunReason, Priority, Slots},
+  cactusyoke_model::{Level, NotRunReason, Outlook, Priority, Slots},
   std::{
     collections::VecDeque,
     time::{Duration, Instant},
--- a/crates/decisions/tests/spread_load.rs
+++ b/crates/decisions/tests/spread_load.rs
@@ -2,11 +2,11 @@
 
 use {
   cactusyoke_decisions::load::{
-    CallEnd, Candidate, Completed, Completion, Costs, Criteria, Gate, GateConfig, Offer, Outlook,
+    CallEnd, Candidate, Completed, Completion, Costs, Criteria, Gate, GateConfig, Offer,
     RetryBounds, RetryBudget, Router, Shares, return_time,
   },
   cactusyoke_model::{
-    ClassRank, NodeId, Priority, RequestId, RouteName, ServiceName, Slots, Strain,
+    ClassRank, NodeId, Outlook, Priority, RequestId, RouteName, ServiceName, Slots, Strain,
   },
   rand::{SeedableRng, rngs::SmallRng},
   std::{
