--- a/crates/nodes/src/wire/mod.rs
+++ b/crates/nodes/src/wire/mod.rs
@@ -14,7 +14,7 @@
 pub use reset_reason::ResetReason;
 
 /// Version of the link protocol.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 /// Longest frame without its length prefix, bytes.
 pub const MAX_FRAME: usize = 64 * 1024;
 /// Longest piece of a body or control message in one frame, bytes. Half a frame keeps the delay
--- a/crates/nodes/tests/links_failures.rs
+++ b/crates/nodes/tests/links_failures.rs
@@ -255,12 +255,12 @@
 async fn another_version_is_named() {
   let pair = Pair::new().await;
   let mut peer = RawPeer::new(TcpStream::connect(pair.node.0).await.unwrap());
-  peer.hello(NodeId("127.0.0.1:8".parse().unwrap()), 3).await;
+  peer.hello(NodeId("127.0.0.1:8".parse().unwrap()), 4).await;
   assert!(peer.next().await.is_some());
   assert!(peer.next().await.is_none());
   assert_eq!(
-    wire::FrameError::Version { theirs: 3 }.to_string(),
-    "the other node speaks version `3` of the link protocol and this one `2`: run the same release on both"
+    wire::FrameError::Version { theirs: 4 }.to_string(),
+    "the other node speaks version `4` of the link protocol and this one `3`: run the same release on both"
   );
   // A later version may have other fields.
   assert_eq!(
