Bound the time for which a refused caller stays away

Cause, found on reading: in our own interface a route without a target has its deadline as target, so that a caller of a route with 30 s would have been sent away for up to 18 s; before the return times it was 1 s. An overload is shed or over within a second.

--- a/crates/decisions/tests/spread_load.rs
+++ b/crates/decisions/tests/spread_load.rs
@@ -255,6 +255,12 @@
   assert!(returns[10] >= returns[0] * 4, "{returns:?}");
 }
 
+/// Guards against a caller that is sent away for seconds because its route may take long.
+#[test]
+fn a_long_target_does_not_keep_callers_away() {
+  assert_eq!(return_time(ms(30_000), ms(300), 1.0), ms(960));
+}
+
 /// Guards against an immediate return where the target leaves no time.
 #[test]
 fn a_refused_caller_never_comes_back_at_once() {
