--- a/crates/configuration/src/change_request.rs
+++ b/crates/configuration/src/change_request.rs
@@ -47,14 +47,7 @@
         after: after.clone(),
       },
     };
-    Change {
-      revision: record.revision,
-      id: record.id,
-      operator: record.operator.clone(),
-      time: record.time,
-      reason: record.reason.clone(),
-      edit,
-    }
+    record.change(edit)
   }
 
   pub(crate) fn check(&self) -> Result<(), ConfigurationError> {
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -7,7 +7,7 @@
     Store, WatcherMessage, decode,
   },
   arc_swap::ArcSwap,
-  cactusyoke_model::{Change, Config, ConfigDelta, Edit, PresetName, RawPreset, Revision},
+  cactusyoke_model::{Config, ConfigDelta, Edit, PresetName, RawPreset, Revision},
   ractor::ActorRef,
   rand::Rng,
   std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -164,14 +164,7 @@
           after: Box::new(self.preset(preset, *after, &known).await?),
         },
       };
-      changes.push(Change {
-        revision: record.revision,
-        id: record.id,
-        operator: record.operator.clone(),
-        time: record.time,
-        reason: record.reason.clone(),
-        edit,
-      });
+      changes.push(record.change(edit));
     }
     Ok(Some(ConfigUpdate::Delta(ConfigDelta { changes })))
   }
--- a/crates/configuration/src/record.rs
+++ b/crates/configuration/src/record.rs
@@ -1,6 +1,6 @@
 use {
   crate::ContentHash,
-  cactusyoke_model::{ChangeId, PresetName, Revision},
+  cactusyoke_model::{Change, ChangeId, Edit, PresetName, Revision},
   serde::{Deserialize, Serialize},
   serde_with::{TimestampMilliSeconds, serde_as},
   std::{
@@ -51,6 +51,20 @@
   },
 }
 
+impl Record {
+  /// Change that it records, with the presets of its edit.
+  pub(crate) fn change(&self, edit: Edit) -> Change {
+    Change {
+      revision: self.revision,
+      id: self.id,
+      operator: self.operator.clone(),
+      time: self.time,
+      reason: self.reason.clone(),
+      edit,
+    }
+  }
+}
+
 impl RecordedEdit {
   /// The preset that was put in force, added or replaced.
   pub const fn preset(&self) -> &PresetName {
