A stopping node ends its last calls before the platform kills it

Cause: the time limit of a shutdown is the platform's grace time, and the node waited all of it for calls, then up to 2 s more for its listener and its entry in the store. Ruled out: a shorter shutdown_limit in deploy/node.yaml, as every deployment would have to leave the margin itself. Change: an eighth of the limit is kept; callers of calls that are still in flight then get an answer (outcome unknown). Test: a_call_without_end_does_not_outlast_the_shutdown_limit; before, the caller got no answer.

The set-up of the platform tests now waits until each node knows all upstreams, by its status; an answer through a node did not show that.

--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -157,6 +157,7 @@
     ready: AtomicBool::new(true),
     next_span: AtomicU64::new(rand::random()),
     in_flight: InFlight::default(),
+    cut_off: CancellationToken::new(),
     ledgers: Mutex::new(Ledgers::new()),
     crashes,
     clock,
--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -25,6 +25,7 @@
     time::{Duration, Instant},
   },
   tokio::sync::Notify,
+  tokio_util::sync::CancellationToken,
 };
 
 /// Maximum time for which the body of an answer occupies a slot of the local upstream.
@@ -66,6 +67,8 @@
   pub(crate) ready: AtomicBool,
   pub(crate) next_span: AtomicU64,
   pub(crate) in_flight: InFlight,
+  /// Cancelled when a shutdown ends the calls that are still in flight.
+  pub(crate) cut_off: CancellationToken,
   pub(crate) ledgers: Mutex<Ledgers>,
   pub(crate) crashes: Arc<Crashes>,
 }
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -8,7 +8,7 @@
   cactusyoke_callers::{CallHandler, CallerRequest, Limits},
   cactusyoke_model::{
     Answer, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Report,
-    RequestId, Retries, Route, SpanId,
+    RequestId, Retries, Route, SpanId, UnknownReason,
   },
   http::HeaderValue,
   std::{sync::Arc, time::Instant},
@@ -30,7 +30,7 @@
   }
 
   async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
-    self.0.root_call(request).await
+    self.0.until_cut_off(self.0.root_call(request)).await
   }
 }
 
@@ -40,14 +40,29 @@
   }
 
   async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
-    match self.0.parent_of(&request) {
-      Some(parent) => self.0.nested_call(request, parent).await,
-      None => self.0.root_call(request).await,
-    }
+    let answering = async {
+      match self.0.parent_of(&request) {
+        Some(parent) => self.0.nested_call(request, parent).await,
+        None => self.0.root_call(request).await,
+      }
+    };
+    self.0.until_cut_off(answering).await
   }
 }
 
 impl Core {
+  /// Ends a request when a shutdown cuts off what is still in flight. The request may have run.
+  async fn until_cut_off(
+    &self,
+    answering: impl Future<Output = Result<Answer, CallFailure>>,
+  ) -> Result<Answer, CallFailure> {
+    tokio::select! {
+      biased;
+      result = answering => result,
+      () = self.cut_off.cancelled() => Err(CallFailure::unknown(UnknownReason::Cancelled)),
+    }
+  }
+
   /// Limits for callers, from the preset in force where it sets them.
   fn caller_limits(&self, initial: Limits) -> Limits {
     let config = self.config.load();
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -34,6 +34,13 @@
 /// Maximum number of received calls and control requests that wait to be handled.
 const INCOMING_QUEUE: usize = 1024;
 
+/// One part in this many of the time limit of a shutdown is left for ending the calls that are still
+/// in flight and for leaving.
+const LEAVING_SHARE: u32 = 8;
+
+/// Time allowed for closing the listener for outgoing calls.
+const EGRESS_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time between two checks whether the upstream still runs requests.
 const RUNS_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -129,8 +136,8 @@
     })
   }
 
-  /// Refuses new work, waits for the calls in flight and stops. After `limit`, cuts off the calls
-  /// that are still in flight.
+  /// Refuses new work, waits for the calls in flight and stops. Shortly before `limit`, ends the calls
+  /// that are still in flight; their outcome is unknown.
   pub async fn shut_down(self, limit: Duration) -> Result<(), Unfinished> {
     tracing::info!(event = "draining", calls = self.core.in_flight.count());
     self.core.ready.store(false, Ordering::SeqCst);
@@ -144,35 +151,42 @@
       .wait_for_runs(limit.saturating_sub(started.elapsed()))
       .await;
     self.close_listeners.cancel();
-    let mut egress = self.egress;
-    let platform = self.core.settings.interface.is_platform();
-    if platform {
+    let mut tasks = self.tasks;
+    let egress = if self.core.settings.interface.is_platform() {
       // With the platform's interface, the egress listener also serves the callers of the instance.
       self.close_egress.cancel();
-    }
+      tasks.push(self.egress);
+      None
+    } else {
+      Some(self.egress)
+    };
     let finish = async {
-      for task in self.tasks {
+      for task in tasks {
         // A task that panicked has nothing in flight.
         drop(task.await);
       }
       self.core.in_flight.wait_empty().await;
-      if platform {
-        drop((&mut egress).await);
-      }
     };
-    let left = limit.saturating_sub(started.elapsed());
-    let finished = timeout(left, finish).await;
+    tokio::pin!(finish);
+    let reserve = limit / LEAVING_SHARE;
+    let left = limit.saturating_sub(started.elapsed() + reserve);
+    let finished = timeout(left, &mut finish).await;
     let calls = self.core.in_flight.count();
+    if finished.is_err() {
+      tracing::error!(event = "shutdown_limit_reached", calls);
+      self.core.cut_off.cancel();
+      drop(timeout(reserve / 4, &mut finish).await);
+    }
     self.stop.cancel();
-    // The egress listener has no calls left once the requests of the upstream have ended.
-    if !egress.is_finished() {
-      drop(timeout(Duration::from_secs(1), egress).await);
+    if let Some(egress) = egress {
+      // It has no calls left once the requests of the upstream have ended.
+      let left = limit.saturating_sub(started.elapsed());
+      drop(timeout(left.min(EGRESS_CLOSE_TIMEOUT), egress).await);
     }
     self.core.members.leave().await;
     self.core.watcher.stop();
     stop_loops(&self.loops);
     if finished.is_err() {
-      tracing::error!(event = "shutdown_limit_reached", calls);
       return Err(Unfinished { calls, limit });
     }
     tracing::info!(event = "stopped");
--- a/crates/cactusyoke/tests/platform.rs
+++ b/crates/cactusyoke/tests/platform.rs
@@ -17,6 +17,9 @@
 /// Running time of requests on upstreams that answer at once.
 const NO_WORK: Duration = Duration::ZERO;
 
+/// Time after the signal to stop within which a node of [`Site`] has to end.
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(6);
+
 /// Guards against passing on headers that the client must not set, or leaving out headers that the
 /// upstream needs.
 #[tokio::test(flavor = "multi_thread")]
@@ -166,6 +169,36 @@
   assert_eq!(site.get(1).await.expect("an answer").status, 200);
 }
 
+/// Guards against a node that waits for a call without end until the platform kills it, so that the
+/// caller gets no answer and the node's entry stays in the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_without_end_does_not_outlast_the_shutdown_limit() {
+  let mut site = Site::start(2, NO_WORK).await;
+  let document = DOCUMENT
+    .replace("\"timeout_s\": 2", "\"timeout_s\": 60")
+    .replace("\"version\": 7", "\"version\": 8");
+  site.store.write(document::KEY, document);
+  for upstream in &site.upstreams {
+    upstream.set_service_time(Duration::from_mins(1));
+  }
+  eventually("the new time limit is in force", || async {
+    let log = site.nodes[0].log();
+    log.contains("revision=8")
+  })
+  .await;
+  let in_flight = site.get_within(0, Duration::from_secs(50));
+  let stop = async {
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.nodes[0].signal(Signal::TERM);
+  };
+  let started = Instant::now();
+  let (answer, ()) = tokio::join!(in_flight, stop);
+  assert_eq!(answer.expect("an answer").status, 502);
+  assert!(started.elapsed() < SHUTDOWN_LIMIT);
+  let left = SHUTDOWN_LIMIT.saturating_sub(started.elapsed());
+  assert!(site.nodes[0].wait(left).is_some(), "the node has ended");
+}
+
 /// Guards against a node that ends at SIGHUP, or that adopts an invalid settings file.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hang_up_cuts_off_no_request() {
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -51,7 +51,11 @@
     }
     for node in 0..usize::from(count) {
       eventually("the node serves", || async { site.ready(node).await }).await;
-      eventually("its upstream is known to all", || async {
+      eventually("all upstreams are known to it", || async {
+        site.serving(node).await == usize::from(count)
+      })
+      .await;
+      eventually("requests are served", || async {
         let got = site.get(node).await;
         got.is_ok_and(|got| got.status == 200)
       })
@@ -87,6 +91,21 @@
     self.addresses.listener(node as u8 + 1, port)
   }
 
+  /// Number of upstreams that serve, as far as the node knows.
+  async fn serving(&self, node: usize) -> usize {
+    let request = Request::get("/status").body(cactusyoke_model::empty_body());
+    let request = request.expect("the request is correct");
+    let got = self.client.exchange(self.at(node, 7105), request).await;
+    let Ok(got) = got else {
+      return 0;
+    };
+    let status = serde_json::from_str::<serde_json::Value>(got.text());
+    let status = status.expect("the status is JSON");
+    let members = status["members"].as_array().expect("a list of members");
+    let serving = members.iter().filter(|member| member["state"] == "serving");
+    serving.count()
+  }
+
   /// True when the node reports to the platform that it is ready for clients.
   pub async fn ready(&self, node: usize) -> bool {
     let request = Request::get("/readyz").body(cactusyoke_model::empty_body());
@@ -120,6 +139,29 @@
     method: Method,
     path: &str,
     body: &'static str,
+  ) -> Result<ReceivedResponse, ClientError> {
+    let deadline = Duration::from_millis(1500);
+    self.send_within(node, method, path, body, deadline).await
+  }
+
+  /// Sends an idempotent request through a node for whose answer the client waits a given time.
+  pub async fn get_within(
+    &self,
+    node: usize,
+    deadline: Duration,
+  ) -> Result<ReceivedResponse, ClientError> {
+    self
+      .send_within(node, Method::GET, "/read/a", "", deadline)
+      .await
+  }
+
+  async fn send_within(
+    &self,
+    node: usize,
+    method: Method,
+    path: &str,
+    body: &'static str,
+    deadline: Duration,
   ) -> Result<ReceivedResponse, ClientError> {
     let names = header_names();
     let number = self.requests.fetch_add(1, Ordering::SeqCst);
@@ -128,7 +170,7 @@
       .uri(path)
       .header("host", "shop.example")
       .header(&names.request_id, format!("request{number}"))
-      .header(&names.deadline, "1500")
+      .header(&names.deadline, deadline.as_millis().to_string())
       .header(&names.origin, "what the client says")
       .body(cactusyoke_model::full_body(body))
       .expect("the request is correct");
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -70,7 +70,7 @@
   address: SocketAddr,
   node: SocketAddr,
   born: u64,
-  service_time: Duration,
+  service_time: Mutex<Duration>,
   draining: AtomicBool,
   sequence: AtomicU64,
   answer_mode: Mutex<AnswerMode>,
@@ -99,7 +99,7 @@
       address,
       node,
       born: 1_000,
-      service_time,
+      service_time: Mutex::new(service_time),
       draining: AtomicBool::new(false),
       sequence: AtomicU64::new(0),
       answer_mode: Mutex::default(),
@@ -126,6 +126,11 @@
     *lock(&self.0.answer_mode) = answer_mode;
   }
 
+  /// Sets the running time of later requests.
+  pub fn set_service_time(&self, time: Duration) {
+    *lock(&self.0.service_time) = time;
+  }
+
   /// Reports itself as draining; true when the node acknowledged it.
   pub async fn drain(&self) -> bool {
     self.0.draining.store(true, Ordering::SeqCst);
@@ -215,7 +220,8 @@
       }
       AnswerMode::Unmarked => respond(StatusCode::OK, &id, false),
       AnswerMode::Valid | AnswerMode::WrongId => {
-        sleep(self.service_time).await;
+        let time = *lock(&self.service_time);
+        sleep(time).await;
         respond(StatusCode::OK, &id, true)
       }
     }
