A few nodes watch the store, the others follow them

Change: the nodes of a data centre form a tree by a hash of their addresses. The first watches the store, the others follow their parent over a link and get what they lack by version. A watching node also follows one of another data centre. A node whose sources fail twice, or whose knowledge is older than 6 to 8 s, watches for itself. A starting node waits for its upstream's announcement before it writes its entry, changes within 0.1 s are written once, and leases last 10 s. Unlisted nodes are forgotten after a minute, as intended. Tests: crates/decisions/tests/directory.rs (model with pauses, cuts, outages and lost history; proptest).

--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -7,6 +7,7 @@
     core::InFlight,
     crashes::Crashes,
     directory_client::DirectoryClient,
+    directory_follower,
     event_limiter::EventLimiter,
     keyed_runs::KeyedRuns,
     listeners::{Listeners, bind},
@@ -232,6 +233,7 @@
     loops.push(roster_actor.get_cell());
   }
   upstream_follower::start(core);
+  directory_follower::start(core);
   follow_revisions(core);
   Ok(loops)
 }
--- a/crates/cactusyoke/src/control.rs
+++ b/crates/cactusyoke/src/control.rs
@@ -6,6 +6,7 @@
   cactusyoke_decisions::{
     keys::{Process, Roster, RunId, WitnessReply, WitnessRequest},
     load::{Fingerprint, QuarantineNotice},
+    membership::DirectoryUpdate,
   },
   cactusyoke_model::{IdempotencyKey, NodeId, Revision},
   serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -46,6 +47,13 @@
   Suspect(Fingerprint),
   /// Reports that a request was put in quarantine.
   Quarantine(QuarantineNotice),
+  /// Asks for changes of the directory of nodes.
+  Directory {
+    /// Version up to which the asking node knows the directory; `None` for all entries.
+    after: Option<u64>,
+    /// Time for which the asked node waits for changes.
+    wait: Duration,
+  },
 }
 
 /// Reply to a [`ControlRequest`].
@@ -65,6 +73,19 @@
   Changes(ConfigUpdate),
   /// Adopted revision.
   Revision(Revision),
+  /// Changes of the directory; `None` when the node does not know it.
+  Directory(Option<DirectoryReply>),
+}
+
+/// What a node knows of the directory of nodes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct DirectoryReply {
+  /// What the asking node lacks.
+  pub(crate) update: DirectoryUpdate,
+  /// Time since which the answering node may lack changes.
+  pub(crate) age: Duration,
+  /// Adopted revision of the configuration.
+  pub(crate) revision: Revision,
 }
 
 /// A control message that cannot be decoded.
--- a/crates/cactusyoke/src/control_requests.rs
+++ b/crates/cactusyoke/src/control_requests.rs
@@ -102,6 +102,9 @@
         self.adopt_quarantine(notice);
         ControlReply::Done
       }
+      ControlRequest::Directory { after, wait } => {
+        ControlReply::Directory(self.directory_since(after, wait).await)
+      }
     };
     Some(control::encode(&reply))
   }
--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -1,20 +1,22 @@
 //! Directory of nodes in the platform's store.
 //!
-//! Each node keeps one entry under a lease. One watch of the store delivers the entries of the
-//! other nodes and the operator's document.
+//! Each node keeps one entry under a lease. A few nodes watch the store, which delivers the entries
+//! of all nodes and the operator's document; the others follow these nodes (`directory_follower`).
 
 use {
   arc_swap::ArcSwap,
   bytes::Bytes,
   cactusyoke_configuration::{
-    Event, Feed, FeedSink, Item, LeaseStore, Listing, Registration, StoreError, Watcher,
+    Changes, Event, Feed, FeedSink, Item, LeaseStore, Listing, Registration, StoreError, Watcher,
   },
   cactusyoke_decisions::membership::{
-    DirectoryCache, Member, MemberRecord, Status, UpstreamInfo, UpstreamState,
+    DirectoryCache, DirectoryUpdate, Member, MemberRecord, SourceChoice, Sources, Status,
+    UpstreamInfo, UpstreamState,
   },
   cactusyoke_model::{Clock, Connections, DataCentre, Incarnation, NodeId, ServiceName, Slots},
   cactusyoke_nodes::MembersView,
   cactusyoke_platform::document,
+  rand::Rng,
   serde::{Deserialize, Serialize},
   std::{
     fmt,
@@ -27,7 +29,7 @@
   tokio::{
     sync::{Notify, watch},
     task::JoinHandle,
-    time::timeout,
+    time::{sleep, timeout},
   },
 };
 
@@ -36,7 +38,20 @@
 
 /// Time to live of an entry. A failed node is detected by its links long before; the lease only
 /// removes its entry.
-const ENTRY_TTL: Duration = Duration::from_secs(4);
+const ENTRY_TTL: Duration = Duration::from_secs(10);
+
+/// Time for which a starting node waits for its upstream before it writes an entry without one.
+const ANNOUNCEMENT_WAIT: Duration = Duration::from_secs(2);
+
+/// Age of what is known of the directory from which on a node watches the store itself; a random
+/// time of up to as much as [`MAX_AGE_SPREAD`] is added. A watch without changes takes 3 s.
+const MAX_AGE: Duration = Duration::from_secs(6);
+
+/// See [`MAX_AGE`].
+const MAX_AGE_SPREAD: Duration = Duration::from_secs(2);
+
+/// Time between two checks whether this node has to watch the store.
+const CHOICE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time limit for ending the lease when the node stops.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -78,8 +93,14 @@
   /// Whether the last call to the store succeeded.
   reachable: AtomicBool,
   watcher: Watcher,
-  /// The registration, then the feed.
-  tasks: Mutex<Vec<JoinHandle<()>>>,
+  choice: Mutex<SourceChoice>,
+  /// Version of the directory up to which this node knows it.
+  version: watch::Sender<Option<u64>>,
+  /// Notified when the sources may have to change.
+  failed: Notify,
+  registration: Mutex<Option<JoinHandle<()>>>,
+  /// Tasks that follow the store and other nodes.
+  followers: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl fmt::Debug for DirectoryClient {
@@ -101,8 +122,10 @@
     let key = key(&own.data_centre, own.node);
     let (entry, value) = watch::channel(encode(&own));
     let removed = Arc::<Notify>::default();
+    let max_age = MAX_AGE + MAX_AGE_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
     let directory = Arc::new(Self {
       view: ArcSwap::from_pointee(MembersView::new(own.clone(), Vec::new(), Vec::new())),
+      choice: Mutex::new(SourceChoice::new(own.node, max_age)),
       own: Mutex::new((own, clock.now())),
       cache: Mutex::default(),
       clock,
@@ -111,22 +134,128 @@
       key: key.clone(),
       reachable: AtomicBool::new(true),
       watcher,
-      tasks: Mutex::default(),
+      version: watch::Sender::new(None),
+      failed: Notify::new(),
+      registration: Mutex::default(),
+      followers: Mutex::default(),
     });
     directory.publish();
-    let registration = Registration::new(Arc::clone(&store), key, ENTRY_TTL).run(value, removed);
-    let feed = Feed::new(store, String::new()).run(Arc::clone(&directory) as Arc<dyn FeedSink>);
-    let tasks = vec![tokio::spawn(registration), tokio::spawn(feed)];
-    *directory.lock_tasks() = tasks;
+    let registration = Registration::new(Arc::clone(&store), key, ENTRY_TTL);
+    let registration = tokio::spawn(async move {
+      let mut value = value;
+      // Most entries are written only once if the upstream announces itself first.
+      drop(timeout(ANNOUNCEMENT_WAIT, value.changed()).await);
+      registration.run(value, removed).await;
+    });
+    *lock(&directory.registration) = Some(registration);
+    let following = Arc::clone(&directory).follow_store(store);
+    directory.add_follower(tokio::spawn(following));
     directory
   }
 
+  /// Watches the store whenever this node has to.
+  async fn follow_store(self: Arc<Self>, store: Arc<dyn LeaseStore>) {
+    let mut feed = Feed::new(store, String::new());
+    let mut watching = false;
+    loop {
+      let needed = self.sources().store;
+      if needed != watching {
+        watching = needed;
+        tracing::info!(event = "watching", watching);
+      }
+      if needed {
+        feed.read(self.version(), &*self).await;
+      } else {
+        tokio::select! {
+          () = sleep(CHOICE_INTERVAL) => {}
+          () = self.failed.notified() => {}
+        }
+      }
+    }
+  }
+
+  /// Adds a task that ends when the node leaves.
+  pub(crate) fn add_follower(&self, task: JoinHandle<()>) {
+    lock(&self.followers).push(task);
+  }
+
+  /// Sources of the directory that this node uses now.
+  pub(crate) fn sources(&self) -> Sources {
+    let now = self.clock.now();
+    if lock(&self.cache).prune(now) {
+      self.publish();
+    }
+    let view = self.view();
+    let mut choice = lock(&self.choice);
+    choice.retain(view.members());
+    choice.choose(view.members(), now)
+  }
+
+  /// Version of the directory up to which this node knows it; `None` before the first listing.
+  pub(crate) fn version(&self) -> Option<u64> {
+    *self.version.borrow()
+  }
+
+  /// Age of what this node knows of the directory; `None` before the first listing.
+  pub(crate) fn age(&self) -> Option<Duration> {
+    lock(&self.choice).age(self.clock.now())
+  }
+
+  /// Waits at most `wait` until this node knows changes after a version, and returns them.
+  pub(crate) async fn update_since(
+    &self,
+    after: Option<u64>,
+    wait: Duration,
+  ) -> Option<DirectoryUpdate> {
+    let mut version = self.version.subscribe();
+    let newer = version.wait_for(|version| *version > after);
+    drop(timeout(wait, newer).await);
+    lock(&self.cache).update_since(after)
+  }
+
+  /// Applies what another node knew of the directory `age` ago.
+  pub(crate) fn apply_update(&self, peer: NodeId, update: &DirectoryUpdate, age: Duration) {
+    let now = self.clock.now();
+    if !lock(&self.choice).record_peer(peer, age, now) {
+      self.failed.notify_one();
+    }
+    self.update_cache(|cache| cache.apply(update, now));
+  }
+
+  /// Records that another node did not answer.
+  pub(crate) fn record_peer_failure(&self, peer: NodeId) {
+    lock(&self.choice).record_failure(peer, self.clock.now());
+    self.failed.notify_one();
+  }
+
+  /// Changes the cache and publishes the result.
+  fn update_cache(&self, change: impl FnOnce(&mut DirectoryCache) -> bool) {
+    let own = lock(&self.own).0.node;
+    let mut cache = lock(&self.cache);
+    let listed = cache.is_listed(own);
+    let changed = change(&mut cache);
+    let removed = listed && !cache.is_listed(own);
+    let version = cache.version();
+    drop(cache);
+    if removed {
+      self.removed.notify_one();
+    }
+    if changed {
+      self.publish();
+    }
+    self.version.send_if_modified(|known| {
+      let newer = version > *known;
+      *known = version.max(*known);
+      newer
+    });
+  }
+
   pub(crate) fn view(&self) -> Arc<MembersView> {
     self.view.load_full()
   }
 
   pub(crate) fn set_upstream(&self, upstream: UpstreamInfo) {
-    let mut known = self.own.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut known = lock(&self.own);
     let (record, since) = &mut *known;
     let state = record.state;
     if record.set_upstream(upstream) {
@@ -135,7 +264,7 @@
       }
       let value = encode(record);
       drop(known);
-      if let Some(entry) = self.lock_entry().as_ref() {
+      if let Some(entry) = lock(&self.entry).as_ref() {
         entry.send_replace(value);
       }
       self.publish();
@@ -143,7 +272,7 @@
   }
 
   pub(crate) fn report_unreachable(&self, node: NodeId) {
-    let gone = self.lock_cache().report_unreachable(node);
+    let gone = lock(&self.cache).report_unreachable(node);
     if gone {
       tracing::info!(event = "node_gone", %node, reason = "lapsed and not reached");
       self.publish();
@@ -152,45 +281,34 @@
 
   /// Removes the entry of this node.
   pub(crate) async fn leave(&self) {
-    let mut tasks = std::mem::take(&mut *self.lock_tasks());
-    if let Some(feed) = tasks.pop() {
-      feed.abort();
-    }
+    self.stop_followers();
     // Dropping the sender makes the registration end its lease.
-    drop(self.lock_entry().take());
-    for registration in tasks {
-      if timeout(LEAVE_TIMEOUT, registration).await.is_err() {
-        tracing::info!(event = "entry_not_removed", key = self.key);
-      }
+    drop(lock(&self.entry).take());
+    let registration = lock(&self.registration).take();
+    if let Some(registration) = registration
+      && timeout(LEAVE_TIMEOUT, registration).await.is_err()
+    {
+      tracing::info!(event = "entry_not_removed", key = self.key);
     }
   }
 
   pub(crate) fn abort(&self) {
-    for task in self.lock_tasks().drain(..) {
-      task.abort();
+    self.stop_followers();
+    if let Some(registration) = lock(&self.registration).take() {
+      registration.abort();
     }
   }
 
-  fn lock_cache(&self) -> MutexGuard<'_, DirectoryCache> {
-    self.cache.lock().unwrap_or_else(PoisonError::into_inner)
-  }
-
-  fn lock_entry(&self) -> MutexGuard<'_, Option<watch::Sender<Bytes>>> {
-    self.entry.lock().unwrap_or_else(PoisonError::into_inner)
-  }
-
-  fn lock_tasks(&self) -> MutexGuard<'_, Vec<JoinHandle<()>>> {
-    self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
+  fn stop_followers(&self) {
+    for task in lock(&self.followers).drain(..) {
+      task.abort();
+    }
   }
 
   /// Publishes the known nodes, with the current record of this node in place of the stored one.
   fn publish(&self) {
-    let (own, since) = self
-      .own
-      .lock()
-      .unwrap_or_else(PoisonError::into_inner)
-      .clone();
-    let mut members = self.lock_cache().members();
+    let (own, since) = lock(&self.own).clone();
+    let mut members = lock(&self.cache).members();
     members.retain(|member| member.record.node != own.node);
     let index = members.partition_point(|member| member.record.node < own.node);
     let member = Member {
@@ -203,20 +321,18 @@
     self.view.store(Arc::new(view));
   }
 
-  /// Applies an item of the store; true when the known nodes have changed.
-  fn apply(&self, item: &Item) -> bool {
+  /// Record in an item of the store; `None` for other items.
+  fn read_item(&self, item: &Item) -> Option<MemberRecord> {
     if item.key == document::KEY {
       self.offer_document(&item.value);
-      return false;
+      return None;
     }
-    let Some((data_centre, node)) = parse_key(&item.key) else {
-      return false;
-    };
+    let (data_centre, node) = parse_key(&item.key)?;
     let Ok(entry) = postcard::from_bytes::<Entry>(&item.value) else {
       tracing::warn!(event = "entry_unreadable", key = item.key);
-      return false;
+      return None;
     };
-    let record = MemberRecord {
+    Some(MemberRecord {
       node,
       incarnation: entry.incarnation,
       data_centre,
@@ -225,9 +341,7 @@
       slots: entry.slots,
       connections: entry.connections,
       version: item.version,
-    };
-    let now = self.clock.now();
-    self.lock_cache().put(record, item.version, now)
+    })
   }
 
   /// Offers the operator's document to the watcher. An invalid document changes nothing.
@@ -252,43 +366,45 @@
 
 impl FeedSink for DirectoryClient {
   fn listed(&self, listing: &Listing) {
-    let mut changed = false;
-    for item in &listing.items {
-      changed |= self.apply(item);
-    }
+    let now = self.clock.now();
+    let records = listing.items.iter().filter_map(|item| self.read_item(item));
+    let records = records.collect::<Vec<_>>();
     let listed = listing.items.iter().filter_map(|item| parse_key(&item.key));
     let listed = listed.map(|(_, node)| node).collect::<Vec<_>>();
-    let now = self.clock.now();
-    changed |= self
-      .lock_cache()
-      .apply_listing(&listed, listing.store_version, now);
-    if !listing.items.iter().any(|item| item.key == self.key) {
-      self.removed.notify_one();
-    }
-    if changed {
-      self.publish();
-    }
+    self.update_cache(|cache| {
+      let mut changed = false;
+      for record in records {
+        let version = record.version;
+        changed |= cache.put(record, version, now);
+      }
+      changed | cache.apply_listing(&listed, listing.store_version, now)
+    });
   }
 
-  fn changed(&self, event: &Event) {
+  fn changed(&self, changes: &Changes) {
     let now = self.clock.now();
-    let changed = match event {
-      Event::Put(item) => self.apply(item),
-      Event::Removed { key, .. } if *key == self.key => {
-        self.removed.notify_one();
-        false
+    self.update_cache(|cache| {
+      let mut modified = false;
+      for event in &changes.events {
+        modified |= match event {
+          Event::Put(item) => self.read_item(item).is_some_and(|record| {
+            let version = record.version;
+            cache.put(record, version, now)
+          }),
+          Event::Removed { key, version } => {
+            parse_key(key).is_some_and(|(_, node)| cache.mark_unlisted(node, *version, now))
+          }
+        };
       }
-      Event::Removed { key, version } => match parse_key(key) {
-        Some((_, node)) => self.lock_cache().mark_unlisted(node, *version, now),
-        None => false,
-      },
-    };
-    if changed {
-      self.publish();
-    }
+      cache.complete_to(changes.store_version);
+      modified
+    });
   }
 
   fn called(&self, result: Result<(), &StoreError>) {
+    if result.is_ok() {
+      lock(&self.choice).record_store(self.clock.now());
+    }
     let before = self.reachable.swap(result.is_ok(), Ordering::Relaxed);
     match result {
       Ok(()) if !before => tracing::info!(event = "store_reached"),
@@ -298,6 +414,10 @@
   }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+  mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn encode(record: &MemberRecord) -> Bytes {
   // Encoding cannot fail, as the entry is plain data.
   postcard::to_stdvec(&Entry::from(record))
--- a/crates/configuration/src/feed.rs
+++ b/crates/configuration/src/feed.rs
@@ -1,7 +1,7 @@
-//! Follows all changes to the store's keys below a prefix with one watch at a time.
+//! Reads all changes to the store's keys below a prefix with one watch at a time.
 
 use {
-  crate::{Event, LeaseStore, Listing, StoreError},
+  crate::{Changes, LeaseStore, Listing, StoreError},
   rand::Rng,
   std::{sync::Arc, time::Duration},
   tokio::time::sleep,
@@ -18,13 +18,16 @@
 /// Calls refused for lack of quota are repeated less often, as each call prolongs the shortage.
 const MAX_QUOTA_BACKOFF: Duration = Duration::from_secs(10);
 
+/// Wait after changes before the next watch, which then brings all changes of that time at once.
+const CHANGES_PAUSE: Duration = Duration::from_millis(250);
+
 /// Receiver of what the feed reads.
 pub trait FeedSink: Send + Sync + 'static {
   /// All keys, at the start and whenever changes may have been missed.
   fn listed(&self, listing: &Listing);
 
-  /// One change after the last listing.
-  fn changed(&self, event: &Event);
+  /// Changes after the version that was asked for; there may be none.
+  fn changed(&self, changes: &Changes);
 
   /// A call to the store has ended with this result.
   fn called(&self, result: Result<(), &StoreError>);
@@ -35,50 +38,59 @@
 pub struct Feed {
   store: Arc<dyn LeaseStore>,
   prefix: String,
+  /// Failed calls in a row.
+  failures: u32,
+  /// The store no longer has the changes that are needed.
+  compacted: bool,
 }
 
 impl Feed {
   /// Feed of the keys that begin with `prefix`.
   pub fn new(store: Arc<dyn LeaseStore>, prefix: String) -> Self {
-    Self { store, prefix }
+    Self {
+      store,
+      prefix,
+      failures: 0,
+      compacted: false,
+    }
   }
 
-  /// Follows the changes until the future is dropped.
-  pub async fn run(self, sink: Arc<dyn FeedSink>) {
-    let mut store_version = None;
-    let mut failures = 0_u32;
-    loop {
-      let result = match store_version {
-        None => self.list(&*sink).await,
-        Some(after) => self.watch(after, &*sink).await,
-      };
-      sink.called(result.as_ref().map(|_version| ()));
-      match result {
-        Ok(next) => {
-          store_version = Some(next);
-          failures = 0;
-        }
-        Err(StoreError::Compacted) => store_version = None,
-        Err(error) => {
-          failures = failures.saturating_add(1);
-          sleep(backoff(failures, &error)).await;
-        }
+  /// Makes one call for the changes after a version of the store, or a listing without one. Pauses
+  /// after changes and failures.
+  pub async fn read(&mut self, after: Option<u64>, sink: &dyn FeedSink) {
+    let result = match after {
+      Some(after) if !self.compacted => self.watch(after, sink).await,
+      Some(_) | None => self.list(sink).await,
+    };
+    sink.called(result.as_ref().map(|_pause| ()));
+    match result {
+      Ok(pause) => {
+        self.failures = 0;
+        self.compacted = false;
+        sleep(pause).await;
+      }
+      Err(StoreError::Compacted) => self.compacted = true,
+      Err(error) => {
+        self.failures = self.failures.saturating_add(1);
+        sleep(backoff(self.failures, &error)).await;
       }
     }
   }
 
-  async fn list(&self, sink: &dyn FeedSink) -> Result<u64, StoreError> {
+  async fn list(&self, sink: &dyn FeedSink) -> Result<Duration, StoreError> {
     let listing = self.store.list(&self.prefix).await?;
     sink.listed(&listing);
-    Ok(listing.store_version)
+    Ok(Duration::ZERO)
   }
 
-  async fn watch(&self, after: u64, sink: &dyn FeedSink) -> Result<u64, StoreError> {
+  async fn watch(&self, after: u64, sink: &dyn FeedSink) -> Result<Duration, StoreError> {
     let changes = self.store.changes(&self.prefix, after, WATCH_WAIT).await?;
-    for event in &changes.events {
-      sink.changed(event);
-    }
-    Ok(changes.store_version.max(after))
+    sink.changed(&changes);
+    Ok(if changes.events.is_empty() {
+      Duration::ZERO
+    } else {
+      CHANGES_PAUSE
+    })
   }
 }
 
--- a/crates/configuration/src/registration.rs
+++ b/crates/configuration/src/registration.rs
@@ -13,6 +13,9 @@
 /// Renewals within the time to live of a lease, so that two in a row may fail.
 const RENEWALS_PER_TTL: u32 = 3;
 
+/// Wait after a change of the value, so that changes in quick succession are written at once.
+const COALESCING_WAIT: Duration = Duration::from_millis(100);
+
 /// Key under a lease. It is rewritten when its value changes, when its lease has ended because the
 /// process was paused or disconnected, and when another writer has removed it.
 #[derive(Debug)]
@@ -67,7 +70,10 @@
         () = sleep_until(self.renewed_at + self.ttl / RENEWALS_PER_TTL) => {}
         () = removed.notified() => self.mark_removed(),
         changed = value.changed() => match changed {
-          Ok(()) => self.written = false,
+          Ok(()) => {
+            self.written = false;
+            sleep(COALESCING_WAIT).await;
+          }
           Err(_closed) => break,
         },
       }
--- a/crates/decisions/src/membership/member_record.rs
+++ b/crates/decisions/src/membership/member_record.rs
@@ -43,7 +43,7 @@
 }
 
 /// Record of a node, which only the node itself changes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
   /// Address.
   pub node: NodeId,
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -11,6 +11,7 @@
 mod centre_summary;
 mod datagram_error;
 mod directory_cache;
+mod directory_update;
 mod gossip_queue;
 mod member;
 mod member_record;
@@ -23,16 +24,19 @@
 mod remote_centres;
 mod send;
 mod send_budget;
+mod source_choice;
 
 pub use {
   centre_summary::CentreSummary,
   datagram_error::DatagramError,
   directory_cache::DirectoryCache,
+  directory_update::{DirectoryChange, DirectoryUpdate},
   member::{Member, Status},
   member_record::{MemberRecord, UpstreamInfo, UpstreamState},
   members::Members,
   members_config::MembersConfig,
   send_budget::BURST_BYTES,
+  source_choice::{SourceChoice, Sources},
 };
 use {
   gossip_queue::GossipQueue,
--- /dev/null
+++ b/crates/decisions/tests/directory.rs
@@ -0,0 +1,249 @@
+//! The directory of nodes: few nodes watch the store, and all learn of each change in time.
+
+mod directory_model;
+
+use {
+  cactusyoke_decisions::membership::{DirectoryCache, Member, SourceChoice, Sources, Status},
+  directory_model::{Model, node, record},
+  proptest::{
+    prelude::*,
+    test_runner::{FileFailurePersistence, RngSeed},
+  },
+  std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+  },
+  yare::parameterized,
+};
+
+/// Longest age of what a node knows.
+const MAX_AGE: Duration = Duration::from_secs(6);
+
+/// Time within which a change must be known when one node has failed: less than the shortest bound
+/// of a deployment on a change of its configuration.
+const CHANGE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Members of a fleet of which all nodes are known.
+fn fleet(count: usize, centres: usize) -> Vec<Member> {
+  let member = |index| Member {
+    record: record(index, centres, 1),
+    status: Status::Alive,
+    since: Instant::now(),
+  };
+  let mut members = (0..count).map(member).collect::<Vec<_>>();
+  members.sort_by_key(|member| member.record.node);
+  members
+}
+
+/// Guards against calls to the store that grow with the square of the fleet: each change wakes each
+/// watching node once.
+#[parameterized(
+  of_12 = { 12, 3 },
+  of_89 = { 89, 3 },
+  of_195 = { 195, 5 },
+  of_1_000 = { 1_000, 10 },
+  of_12_000 = { 12_000, 10 },
+)]
+fn few_nodes_watch_and_none_is_followed_by_many(count: usize, centres: usize) {
+  let members = fleet(count, centres);
+  let now = Instant::now();
+  let mut sources = HashMap::new();
+  // The data centres are alike, so one of them shows the tree; the watchers of all are counted.
+  let first = &members[0].record.data_centre;
+  for member in members
+    .iter()
+    .filter(|member| member.record.data_centre == *first)
+  {
+    let mut choice = SourceChoice::new(member.record.node, MAX_AGE);
+    choice.record_store(now);
+    sources.insert(member.record.node, choice.choose(&members, now));
+  }
+  let watchers = sources.values().filter(|sources| sources.store).count();
+  assert_eq!(watchers * centres, centres.max(3));
+  let mut followers = HashMap::<_, usize>::new();
+  for (node, own) in &sources {
+    let mut hops = 0;
+    let mut at = *own;
+    while let Sources { store: false, peer } = at {
+      hops += 1;
+      at = sources[&peer.expect("a node that does not watch follows another")];
+    }
+    assert!(hops <= 4, "{node} is {hops} hops from the store");
+    if let (false, Some(peer)) = (own.store, own.peer) {
+      *followers.entry(peer).or_default() += 1;
+    }
+  }
+  assert!(followers.values().all(|count| *count <= 8), "{followers:?}");
+}
+
+/// Guards against a change that some nodes learn late, and against calls that grow with the fleet
+/// while nodes come and go.
+#[parameterized(of_12 = { 12, 3 }, of_89 = { 89, 3 }, of_195 = { 195, 5 })]
+fn a_change_reaches_all_nodes_at_once(count: usize, centres: usize) {
+  let mut model = Model::new(count, centres);
+  model.run(Duration::from_secs(3));
+  let all = (0..count).collect::<Vec<_>>();
+  let before = model.nodes.iter().map(|node| node.calls).sum::<usize>();
+  for change in 0..20 {
+    model.write(change % count);
+    let time = model.spread_time(CHANGE_LIMIT, &all);
+    assert!(
+      time.is_some_and(|time| time <= Duration::from_secs(1)),
+      "{time:?}"
+    );
+    model.run(Duration::from_millis(200));
+  }
+  let calls = model.nodes.iter().map(|node| node.calls).sum::<usize>() - before;
+  assert!(calls <= 20 * 2 * centres.max(3), "{calls}");
+}
+
+/// Guards against nodes that miss changes because the node that they follow is paused, or alone cut
+/// off from the store.
+#[parameterized(paused = { true }, cut_off = { false })]
+fn a_failed_watcher_delays_no_change_beyond_the_limit(paused: bool) {
+  for failed in 0..12 {
+    let mut model = Model::new(12, 3);
+    model.run(Duration::from_secs(3));
+    if paused {
+      model.nodes[failed].running = false;
+    } else {
+      model.nodes[failed].cut = true;
+    }
+    model.write(0);
+    let others = (0..12).filter(|index| *index != failed).collect::<Vec<_>>();
+    let time = model.spread_time(CHANGE_LIMIT, &others);
+    assert!(time.is_some(), "node {failed} has failed");
+    model.run(Duration::from_secs(10));
+    model.nodes[failed].running = true;
+    model.nodes[failed].cut = false;
+    model.run(Duration::from_secs(10));
+    assert!(model.is_current(failed), "node {failed} is back");
+  }
+}
+
+/// Guards against a node that has left and is used again because a node that was paused for long
+/// passes on what it knew.
+#[test]
+fn an_update_from_an_outdated_node_changes_nothing() {
+  let now = Instant::now();
+  let mut outdated = DirectoryCache::new();
+  outdated.put(record(1, 1, 5), 5, now);
+  outdated.complete_to(5);
+  let mut cache = outdated.clone();
+  assert!(cache.mark_unlisted(node(1), 9, now));
+  cache.complete_to(9);
+  assert!(cache.report_unreachable(node(1)));
+  for after in [None, Some(3), Some(9)] {
+    let update = outdated
+      .update_since(after)
+      .expect("the node has a listing");
+    assert!(!cache.apply(&update, now), "{update:?}");
+  }
+  assert!(cache.members().is_empty());
+  let mut choice = SourceChoice::new(node(2), MAX_AGE);
+  assert!(!choice.record_peer(node(1), MAX_AGE * 2, now));
+  assert_eq!(choice.age(now), None);
+}
+
+/// Guards against removals that are lost when a node passes on a listing, which has only entries.
+#[test]
+fn a_node_that_missed_a_listing_gets_all_entries() {
+  let now = Instant::now();
+  let mut follower = DirectoryCache::new();
+  follower.put(record(1, 1, 5), 5, now);
+  follower.put(record(2, 1, 6), 6, now);
+  follower.complete_to(6);
+  let mut cache = follower.clone();
+  cache.put(record(3, 1, 8), 8, now);
+  // The history of the store was dropped; the listing shows that node 1 has gone.
+  cache.apply_listing(&[node(2), node(3)], 9, now);
+  let update = cache.update_since(follower.version()).expect("a listing");
+  assert!(update.complete);
+  assert!(follower.apply(&update, now));
+  let suspects = follower.members();
+  let suspects = suspects
+    .iter()
+    .filter(|member| member.status == Status::Suspect);
+  let suspects = suspects
+    .map(|member| member.record.node)
+    .collect::<Vec<_>>();
+  assert_eq!(suspects, [node(1)]);
+}
+
+#[derive(Clone, Debug)]
+enum Fault {
+  Run(u64),
+  Write(usize),
+  Remove(usize),
+  Pause(usize, bool),
+  Cut(usize, bool),
+  Down(bool),
+  Compact,
+  Group(usize, u8),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+  let index = 0..9_usize;
+  prop_oneof![
+    4 => (1..80_u64).prop_map(Fault::Run),
+    3 => index.clone().prop_map(Fault::Write),
+    1 => index.clone().prop_map(Fault::Remove),
+    2 => (index.clone(), any::<bool>()).prop_map(|(index, paused)| Fault::Pause(index, paused)),
+    2 => (index.clone(), any::<bool>()).prop_map(|(index, cut)| Fault::Cut(index, cut)),
+    1 => any::<bool>().prop_map(Fault::Down),
+    1 => Just(Fault::Compact),
+    2 => (index, 0..2_u8).prop_map(|(index, group)| Fault::Group(index, group)),
+  ]
+}
+
+fn apply(model: &mut Model, fault: &Fault) {
+  match *fault {
+    Fault::Run(steps) => model.run(directory_model::STEP * steps as u32),
+    Fault::Write(index) => model.write(index),
+    Fault::Remove(index) => model.remove(index),
+    Fault::Pause(index, paused) => model.nodes[index].running = !paused,
+    Fault::Cut(index, cut) => model.nodes[index].cut = cut,
+    Fault::Down(down) => model.down = down,
+    Fault::Compact => model.compact(),
+    Fault::Group(index, group) => model.groups[index] = group,
+  }
+}
+
+proptest! {
+  #![proptest_config(ProptestConfig {
+    cases: 200,
+    failure_persistence: Some(Box::new(FileFailurePersistence::Off)),
+    rng_seed: RngSeed::Fixed(18),
+    max_shrink_iters: 500,
+    ..ProptestConfig::default()
+  })]
+
+  /// Guards against a node that stays behind, or that knows other entries than the store has, after
+  /// any series of pauses, cuts, outages and losses of history.
+  #[test]
+  fn all_nodes_agree_with_the_store_after_any_faults(
+    faults in prop::collection::vec(fault(), 1..40),
+    centres in 1..4_usize,
+  ) {
+    let mut model = Model::new(9, centres);
+    for fault in &faults {
+      let before = model.nodes.iter().map(|node| node.cache.version()).collect::<Vec<_>>();
+      apply(&mut model, fault);
+      for (node, before) in model.nodes.iter().zip(before) {
+        prop_assert!(node.cache.version() >= before, "a node went back");
+      }
+    }
+    model.down = false;
+    model.groups.fill(0);
+    for node in &mut model.nodes {
+      node.running = true;
+      node.cut = false;
+    }
+    model.run(Duration::from_secs(12));
+    let listed = model.listed();
+    for index in 0..9 {
+      prop_assert!(model.is_current(index), "node {index} stays behind");
+      prop_assert_eq!(&model.known(index), &listed, "node {}", index);
+    }
+  }
+}
--- /dev/null
+++ b/crates/decisions/tests/directory_model/mod.rs
@@ -0,0 +1,311 @@
+//! Model of nodes that read the directory from the store and from each other, in simulated time.
+
+use {
+  cactusyoke_decisions::membership::{
+    DirectoryCache, DirectoryChange, DirectoryUpdate, Member, MemberRecord, SourceChoice, Status,
+    UpstreamState,
+  },
+  cactusyoke_model::{Incarnation, NodeId},
+  std::{
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+  },
+};
+
+/// Length of one step.
+pub const STEP: Duration = Duration::from_millis(50);
+
+/// Longest wait of a watch of the store.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
+
+/// Time after which a call to the store, or a request to a silent node, fails.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// Longest wait of a request to a node, and the pauses after answers and failures.
+const PEER_WAIT: Duration = Duration::from_secs(1);
+const CHANGES_PAUSE: Duration = Duration::from_millis(250);
+const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+
+pub fn node(index: usize) -> NodeId {
+  let [_, _, high, low] = (index as u32).to_be_bytes();
+  NodeId(SocketAddr::from((Ipv4Addr::new(10, 0, high, low), 7101)))
+}
+
+pub fn record(index: usize, centres: usize, version: u64) -> MemberRecord {
+  let centre = format!("dc-{}", index % centres).parse();
+  MemberRecord {
+    state: UpstreamState::Serving,
+    version,
+    ..MemberRecord::new(node(index), Incarnation(1), centre.expect("a valid name"))
+  }
+}
+
+/// Call or request that is under way.
+#[derive(Clone, Copy, Debug)]
+enum Waiting {
+  Store(Instant, Option<u64>),
+  Peer(Instant, usize, Option<u64>),
+}
+
+#[derive(Debug)]
+pub struct Node {
+  index: usize,
+  pub cache: DirectoryCache,
+  choice: SourceChoice,
+  watch: Option<Waiting>,
+  request: Option<Waiting>,
+  /// Times until which the node makes no call to the store and no request.
+  pauses: [Instant; 2],
+  pub calls: usize,
+  pub running: bool,
+  /// The store is out of reach.
+  pub cut: bool,
+}
+
+/// The store and the nodes.
+#[derive(Debug)]
+pub struct Model {
+  pub now: Instant,
+  pub nodes: Vec<Node>,
+  centres: usize,
+  version: u64,
+  /// Changes of the store, with their versions.
+  log: Vec<(u64, DirectoryChange)>,
+  /// Changes up to this version can no longer be watched.
+  compacted: u64,
+  pub down: bool,
+  /// Groups of nodes that are cut off from each other; 0 for the main group.
+  pub groups: Vec<u8>,
+}
+
+impl Model {
+  /// Nodes that start together; the entries of all are in the store.
+  pub fn new(count: usize, centres: usize) -> Self {
+    let now = Instant::now();
+    let nodes = (0..count).map(|index| {
+      let max_age = Duration::from_millis(6000 + 2000 * index as u64 / count as u64);
+      Node {
+        index,
+        cache: DirectoryCache::new(),
+        choice: SourceChoice::new(node(index), max_age),
+        watch: None,
+        request: None,
+        pauses: [now; 2],
+        calls: 0,
+        running: true,
+        cut: false,
+      }
+    });
+    let mut model = Self {
+      now,
+      nodes: nodes.collect(),
+      centres,
+      version: 1,
+      log: Vec::new(),
+      compacted: 0,
+      down: false,
+      groups: vec![0; count],
+    };
+    for index in 0..count {
+      model.write(index);
+    }
+    model
+  }
+
+  /// Writes the entry of a node.
+  pub fn write(&mut self, index: usize) {
+    self.version += 1;
+    let written = DirectoryChange::Written(record(index, self.centres, self.version));
+    self.log.push((self.version, written));
+  }
+
+  /// Removes the entry of a node.
+  pub fn remove(&mut self, index: usize) {
+    self.version += 1;
+    let removed = DirectoryChange::Removed(node(index), self.version);
+    self.log.push((self.version, removed));
+  }
+
+  /// Drops the history of the store.
+  pub fn compact(&mut self) {
+    self.compacted = self.version;
+  }
+
+  /// Nodes with an entry in the store.
+  pub fn listed(&self) -> BTreeSet<NodeId> {
+    let mut listed = BTreeSet::new();
+    for (_, change) in &self.log {
+      match change {
+        DirectoryChange::Written(record) => listed.insert(record.node),
+        DirectoryChange::Removed(node, _) => listed.remove(node),
+      };
+    }
+    listed
+  }
+
+  /// Nodes with an entry, as known to a node.
+  pub fn known(&self, index: usize) -> BTreeSet<NodeId> {
+    let members = self.nodes[index].cache.members();
+    let listed = members
+      .iter()
+      .filter(|member| member.status == Status::Alive);
+    listed.map(|member| member.record.node).collect()
+  }
+
+  /// True when a node knows the last change.
+  pub fn is_current(&self, index: usize) -> bool {
+    self.nodes[index].cache.version() == Some(self.version)
+  }
+
+  pub fn run(&mut self, time: Duration) {
+    let end = self.now + time;
+    while self.now < end {
+      self.step();
+    }
+  }
+
+  /// Time until all the nodes know the last change; `None` if it is longer than `limit`.
+  pub fn spread_time(&mut self, limit: Duration, among: &[usize]) -> Option<Duration> {
+    let start = self.now;
+    while self.now - start <= limit {
+      if among.iter().all(|index| self.is_current(*index)) {
+        return Some(self.now - start);
+      }
+      self.step();
+    }
+    None
+  }
+
+  fn step(&mut self) {
+    self.now += STEP;
+    for index in 0..self.nodes.len() {
+      if self.nodes[index].running {
+        self.step_store(index);
+        self.step_peer(index);
+      }
+    }
+  }
+
+  fn members(&self, index: usize) -> Vec<Member> {
+    let mut members = self.nodes[index].cache.members();
+    if !members
+      .iter()
+      .any(|member| member.record.node == node(index))
+    {
+      members.push(Member {
+        record: record(index, self.centres, 0),
+        status: Status::Alive,
+        since: self.now,
+      });
+      members.sort_by_key(|member| member.record.node);
+    }
+    members
+  }
+
+  fn store_update(&self, after: Option<u64>) -> DirectoryUpdate {
+    let known = after.filter(|after| *after >= self.compacted);
+    let changes = if let Some(after) = known {
+      let newer = self.log.iter().filter(|(version, _)| *version > after);
+      newer.map(|(_, change)| change.clone()).collect()
+    } else {
+      let listed = self.listed();
+      let last = |node: &NodeId| {
+        let written = self.log.iter().rev().find_map(|(_, change)| match change {
+          DirectoryChange::Written(record) if record.node == *node => Some(change.clone()),
+          _ => None,
+        });
+        written.expect("a listed node has an entry")
+      };
+      listed.iter().map(last).collect()
+    };
+    DirectoryUpdate {
+      version: self.version,
+      complete: known.is_none(),
+      changes,
+    }
+  }
+
+  fn step_store(&mut self, index: usize) {
+    let now = self.now;
+    let reachable = !(self.down || self.nodes[index].cut);
+    match self.nodes[index].watch {
+      None if now < self.nodes[index].pauses[0] => {}
+      None => {
+        let members = self.members(index);
+        let node = &mut self.nodes[index];
+        if node.choice.choose(&members, now).store {
+          node.calls += 1;
+          node.watch = Some(Waiting::Store(now, node.cache.version()));
+        }
+      }
+      Some(Waiting::Store(since, _)) if !reachable => {
+        if now - since >= CALL_TIMEOUT {
+          let node = &mut self.nodes[index];
+          node.watch = None;
+          node.pauses[0] = now + FAILURE_PAUSE;
+        }
+      }
+      Some(Waiting::Store(since, after)) => {
+        let ready = after.is_none_or(|after| after < self.version || after < self.compacted);
+        if !ready && now - since < WATCH_WAIT {
+          return;
+        }
+        let update = self.store_update(after);
+        let node = &mut self.nodes[index];
+        node.watch = None;
+        if !update.changes.is_empty() {
+          node.pauses[0] = now + CHANGES_PAUSE;
+        }
+        node.cache.apply(&update, now);
+        node.choice.record_store(now);
+      }
+      Some(Waiting::Peer(..)) => unreachable!("a watch is of the store"),
+    }
+  }
+
+  fn step_peer(&mut self, index: usize) {
+    let now = self.now;
+    match self.nodes[index].request {
+      None if now < self.nodes[index].pauses[1] => {}
+      None => {
+        let members = self.members(index);
+        let choice = &self.nodes[index].choice;
+        let Some(peer) = choice.choose(&members, now).peer else {
+          return;
+        };
+        let found = self.nodes.iter().find(|other| node(other.index) == peer);
+        let peer = found.expect("a peer is a node").index;
+        let after = self.nodes[index].cache.version();
+        self.nodes[index].request = Some(Waiting::Peer(now, peer, after));
+      }
+      Some(Waiting::Peer(since, peer, after)) => {
+        let reachable = self.nodes[peer].running && self.groups[peer] == self.groups[index];
+        if !reachable {
+          if now - since >= SILENCE {
+            self.nodes[index].choice.record_failure(node(peer), now);
+            self.nodes[index].request = None;
+          }
+          return;
+        }
+        let newer = self.nodes[peer].cache.version() > after;
+        if !newer && now - since < PEER_WAIT {
+          return;
+        }
+        let answer = self.nodes[peer].cache.update_since(after);
+        let age = self.nodes[peer].choice.age(now);
+        let asking = &mut self.nodes[index];
+        asking.request = None;
+        match answer.zip(age) {
+          Some((update, age)) => {
+            asking.choice.record_peer(node(peer), age, now);
+            asking.cache.apply(&update, now);
+          }
+          None => asking.choice.record_failure(node(peer), now),
+        }
+      }
+      Some(Waiting::Store(..)) => unreachable!("a request is to a node"),
+    }
+  }
+}
