Instances keep the retry budget, and it goes to whole requests

Each sending node had its own part of the budget, so the nodes of pledges used theirs up in 2 s while those of benchmap might use a third of theirs, and what there was went evenly to all requests, of which hardly any finished. Change: the instance that receives a repeat counts it against its part of the budget, whoever sent it, and refuses it when there is none left. As the budget is used up, fewer sub-levels may use it; all calls of a request have the same. A tree may use 16 repeats (8 before), one call 9 after refusals (5 before). A crowded instance is left a little more readily (0.75 of the difference, 0.5 before).

--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -23,7 +23,7 @@
   cactusyoke_configuration::{Configuration, LeaseStore, RetryLimits, Store, Watcher},
   cactusyoke_decisions::{
     keys::Process,
-    load::Ledgers,
+    load::{Ledgers, RetryBudget},
     membership::{MemberRecord, MembersConfig},
   },
   cactusyoke_model::{Clock, Incarnation, NodeId},
@@ -149,7 +149,10 @@
     header_names: names,
     parents: Parents::default(),
     log_limiter: EventLimiter::default(),
-    load_control: LoadControl::new(settings.retry_budget, clock.now()),
+    load_control: LoadControl::new(clock.now()),
+    retry_budget: settings
+      .retry_budget
+      .map(|bounds| Mutex::new(RetryBudget::new(bounds))),
     keyed_runs: KeyedRuns::new(rosters, settings.keys),
     spread: Spread::default(),
     in_force: Mutex::default(),
--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -8,7 +8,7 @@
   },
   arc_swap::ArcSwap,
   cactusyoke_configuration::{Configuration, Watcher},
-  cactusyoke_decisions::load::{Candidate, Ledgers},
+  cactusyoke_decisions::load::{Candidate, Ledgers, RetryBudget},
   cactusyoke_http::HeaderNames,
   cactusyoke_model::{
     CallFailure, Clock, Config, DataCentre, Incarnation, NodeId, NotRunReason, Revision,
@@ -59,6 +59,8 @@
   pub(crate) upstream: Upstream,
   pub(crate) admission: Arc<Admission>,
   pub(crate) load_control: LoadControl,
+  /// Budget for repeats of calls to the local upstream; `None` for no limit.
+  pub(crate) retry_budget: Option<Mutex<RetryBudget>>,
   pub(crate) keyed_runs: KeyedRuns,
   pub(crate) spread: Spread,
   pub(crate) meters: Meters,
--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -12,7 +12,8 @@
   },
   cactusyoke_decisions::load::{CallOutcome, Criteria},
   cactusyoke_model::{
-    Answer, Call, CallFailure, CallHead, NodeId, NotRunReason, Report, Retries, UnknownReason,
+    Answer, Call, CallFailure, CallHead, NodeId, NotRunReason, Repeat, Report, Retries,
+    UnknownReason,
   },
   cactusyoke_nodes::Hop,
   http_body_util::BodyExt,
@@ -30,7 +31,7 @@
 const MAX_REROUTES: usize = 2;
 
 /// Maximum number of times in total that a call is sent when upstreams refuse it.
-const MAX_REFUSED_SENDS: u32 = 6;
+const MAX_REFUSED_SENDS: u32 = 10;
 
 /// Time past the deadline for which a refusal by another node is still awaited, since a refusal
 /// tells the caller more than an unknown outcome.
@@ -94,7 +95,7 @@
     self
       .core
       .load_control
-      .record_call(&self.head, self.policy.retry_ratio, now);
+      .record_call(&self.head.route, self.policy.retry_ratio, now);
     loop {
       let failure = match self.attempt().await {
         Ok(mut answer) => {
@@ -183,7 +184,9 @@
     }
     let share = self.split_retries();
     head.retries = share;
-    head.repeat |= self.deliveries > 0;
+    if self.deliveries > 0 {
+      head.repeat = Repeat::Resent;
+    }
     let limit = head.deadline + REFUSAL_GRACE;
     let call = Call { head, body };
     let running = async {
@@ -321,7 +324,6 @@
   /// call goes to the same ones again.
   fn may_retry(&mut self, refused: bool, now: Instant) -> bool {
     self.deliveries += 1;
-    let nodes = self.core.members.view().live().count();
     let within_limit = if refused {
       self.deliveries < MAX_REFUSED_SENDS
     } else {
@@ -329,7 +331,7 @@
     };
     let allowed = within_limit
       && self.retries_left.0 > 0
-      && self.core.load_control.try_retry(&self.head, nodes, now)
+      && self.core.load_control.try_retry(&self.head.route, now)
       && self.retries_left.take_one();
     if !allowed {
       return false;
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -7,7 +7,7 @@
   },
   cactusyoke_callers::{CallHandler, CallerRequest, Limits},
   cactusyoke_model::{
-    Answer, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Report,
+    Answer, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Repeat, Report,
     RequestId, Retries, Route, SpanId, UnknownReason,
   },
   http::HeaderValue,
@@ -95,7 +95,7 @@
       // The context carries neither of these. Only the depth of a root request, zero, is treated
       // differently from others.
       depth: 1,
-      repeat: false,
+      repeat: Repeat::No,
     }
   }
 
@@ -109,7 +109,7 @@
       root,
       priority: self.load_control.priority(route, root, started),
       depth: 0,
-      repeat: false,
+      repeat: Repeat::No,
       retries: route.retries,
       ..self.base_head(&request, route, started)
     };
@@ -201,7 +201,7 @@
       headers,
       priority: Priority::new(route.rank, RequestId(0)),
       depth: 0,
-      repeat: false,
+      repeat: Repeat::No,
       idempotent: route.idempotent,
       // Idempotent routes ignore keys: running a request twice does no harm.
       key: request.key.clone().filter(|_| !route.idempotent),
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -13,11 +13,11 @@
   cactusyoke_decisions::load::{Completion, Fingerprint},
   cactusyoke_model::{
     Answer, BodyError, Bottleneck, Call, CallFailure, CallHead, Context, Level, NotRunReason,
-    Report, Retries, ServiceName, SpanId, UnknownReason,
+    Repeat, Report, Retries, ServiceName, SpanId, UnknownReason,
   },
   http_body_util::BodyExt,
   std::{
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, PoisonError, atomic::Ordering},
     time::{Duration, Instant},
   },
   tokio::time::timeout_at,
@@ -74,6 +74,7 @@
     if !self.serves(&head.service) {
       return Err(CallFailure::not_run(NotRunReason::NoUpstream));
     }
+    self.check_retry_budget(head)?;
     let permit = self.crashes.admit(fingerprint, head.deadline).await?;
     let queued = self.clock.now();
     let nested = head.depth > 0;
@@ -94,6 +95,24 @@
     })
   }
 
+  /// Counts a call for the retry budget of the service; refuses a repeat that is not within it.
+  fn check_retry_budget(&self, head: &CallHead) -> Result<(), CallFailure> {
+    let Some(budget) = &self.retry_budget else {
+      return Ok(());
+    };
+    let instances = self.members.view().serving(&head.service).len();
+    let now = self.clock.now();
+    let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+    match head.repeat {
+      Repeat::No => budget.record_call(now),
+      // Withholding it would waste the run that makes it.
+      Repeat::Inherited => budget.record_repeat(now),
+      Repeat::Resent if budget.try_repeat(head.priority, instances, now) => {}
+      Repeat::Resent => return Err(CallFailure::not_run(NotRunReason::NoRetries)),
+    }
+    Ok(())
+  }
+
   /// Bottleneck on the local upstream by a call that was admitted at `started`.
   fn bottleneck(&self, started: Instant) -> Bottleneck {
     let work = self.clock.now().saturating_duration_since(started);
@@ -168,7 +187,10 @@
       priority: head.priority,
       deadline: head.deadline,
       depth: head.depth.saturating_add(1),
-      repeat: head.repeat,
+      repeat: match head.repeat {
+        Repeat::No => Repeat::No,
+        Repeat::Inherited | Repeat::Resent => Repeat::Inherited,
+      },
     };
     Some(self.parents.register(id, parent))
   }
--- a/crates/cactusyoke/src/load_control.rs
+++ b/crates/cactusyoke/src/load_control.rs
@@ -2,8 +2,8 @@
 
 use {
   cactusyoke_decisions::load::{
-    CallOutcome, CallSample, Candidate, Costs, Criteria, Levels, RetryBounds, RetryBudget,
-    RetryRatio, Router, WeightedRoundRobin, retry_delay,
+    CallOutcome, CallSample, Candidate, Costs, Criteria, Levels, RetryRatio, Router,
+    WeightedRoundRobin, retry_delay,
   },
   cactusyoke_model::{
     CallFailure, CallHead, Level, NodeId, NotRunReason, Priority, Report, RequestId, Route,
@@ -21,15 +21,13 @@
   levels: Levels,
   routers: HashMap<ServiceName, Router>,
   ratios: HashMap<RouteName, RetryRatio>,
-  budgets: HashMap<ServiceName, RetryBudget>,
   round_robins: HashMap<RouteName, WeightedRoundRobin>,
   costs: Costs,
 }
 
-/// Levels, costs and retry ratios by route, retry budgets by service, loads by instance.
+/// Levels, costs and retry ratios by route, loads by instance.
 pub(crate) struct LoadControl {
   inner: Mutex<Inner>,
-  bounds: Option<RetryBounds>,
 }
 
 impl fmt::Debug for LoadControl {
@@ -57,20 +55,18 @@
 }
 
 impl LoadControl {
-  /// Load control with `bounds` for the retry budget that all nodes share.
-  pub(crate) fn new(bounds: Option<RetryBounds>, now: Instant) -> Self {
+  /// Load control without any record.
+  pub(crate) fn new(now: Instant) -> Self {
     let levels = Levels::new(now);
     let inner = Inner {
       levels,
       routers: HashMap::new(),
       ratios: HashMap::new(),
-      budgets: HashMap::new(),
       round_robins: HashMap::new(),
       costs: Costs::new(),
     };
     Self {
       inner: Mutex::new(inner),
-      bounds,
     }
   }
 
@@ -160,21 +156,9 @@
     }
   }
 
-  /// Records a call for the retry ratio of its route and the retry budget of its service.
-  pub(crate) fn record_call(&self, head: &CallHead, percent: u8, now: Instant) {
+  /// Records a call for the retry ratio of its route.
+  pub(crate) fn record_call(&self, route: &RouteName, percent: u8, now: Instant) {
     let mut inner = self.lock();
-    if let Some(bounds) = self.bounds {
-      let budgets = &mut inner.budgets;
-      let budget = budgets
-        .entry(head.service.clone())
-        .or_insert_with(|| RetryBudget::new(bounds));
-      if head.repeat {
-        budget.record_repeat(now);
-      } else {
-        budget.record_call(now);
-      }
-    }
-    let route = &head.route;
     if let Some(ratio) = inner.ratios.get_mut(route) {
       ratio.record_call(now);
       return;
@@ -184,16 +168,11 @@
     inner.ratios.insert(route.clone(), ratio);
   }
 
-  /// Takes one retry from the ratio of the route and from this node's part of the budget that all
-  /// `nodes` share; false when either is used up.
-  pub(crate) fn try_retry(&self, head: &CallHead, nodes: usize, now: Instant) -> bool {
+  /// Takes one retry from the ratio of the route; false when it is used up. The instance that gets
+  /// the call also checks the budget of its service.
+  pub(crate) fn try_retry(&self, route: &RouteName, now: Instant) -> bool {
     let mut inner = self.lock();
-    let top_class = head.priority.rank().0 == 0;
-    let budget = inner.budgets.get_mut(&head.service);
-    if !budget.is_none_or(|budget| budget.try_repeat(nodes, top_class, now)) {
-      return false;
-    }
-    let ratio = inner.ratios.get_mut(&head.route);
+    let ratio = inner.ratios.get_mut(route);
     ratio.is_some_and(|ratio| ratio.try_retry(now))
   }
 
--- a/crates/cactusyoke/src/parents.rs
+++ b/crates/cactusyoke/src/parents.rs
@@ -5,7 +5,7 @@
 //! request.
 
 use {
-  cactusyoke_model::{Priority, RequestId, SpanId},
+  cactusyoke_model::{Priority, Repeat, RequestId, SpanId},
   http::HeaderValue,
   std::{
     collections::HashMap,
@@ -22,7 +22,7 @@
   pub(crate) priority: Priority,
   pub(crate) deadline: Instant,
   pub(crate) depth: u8,
-  pub(crate) repeat: bool,
+  pub(crate) repeat: Repeat,
 }
 
 /// Requests that the local upstream is running.
--- a/crates/decisions/src/load/retry_budget.rs
+++ b/crates/decisions/src/load/retry_budget.rs
@@ -1,13 +1,17 @@
-use std::{
-  collections::VecDeque,
-  time::{Duration, Instant},
+use {
+  cactusyoke_model::Priority,
+  std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+  },
 };
 
 /// Buckets of the sliding window.
 const BUCKETS: u32 = 20;
-/// Share of the budget that calls of all classes may use; the rest is reserved for the most
-/// important class.
-const UNRESERVED_SHARE: f64 = 0.35;
+/// Share of the budget up to which calls of any class may be repeated.
+const OPEN_SHARE: f64 = 0.2;
+/// Share of the budget from which on only calls of the most important class are repeated.
+const SHARED_SHARE: f64 = 0.35;
 
 /// Bounds of a retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,11 +31,16 @@
   repeats: f64,
 }
 
-/// Bound on the repeats that a node sends to one service in a sliding window.
+/// Bound on the repeats that an instance receives in a sliding window.
 ///
 /// A repeat is a call of which an earlier attempt may have reached an upstream, or any call made by
-/// a run that is itself a repeat. When each node keeps to the ratio and to its share of the slack,
-/// so do all nodes together.
+/// a run that is itself a repeat. When each instance of a service keeps to the ratio and to its
+/// share of the slack, so does the service as a whole. The instances see the calls of all senders,
+/// so that the budget goes to the most important ones, whichever node sends them.
+///
+/// As the budget is used up, fewer sub-levels may use it. A request that needs several repeats has
+/// the same sub-level in all its calls, so that some requests get all repeats that they need, where
+/// an even spread would let nearly all fail.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
   bounds: RetryBounds,
@@ -57,28 +66,30 @@
     self.bucket(now).repeats += 1.0;
   }
 
-  /// Records a repeat if the budget allows it. `nodes` share the slack; calls of the `top_class`
-  /// may use the reserved part.
-  pub fn try_repeat(&mut self, nodes: usize, top_class: bool, now: Instant) -> bool {
-    let allowed = self.allowed(nodes, now) * if top_class { 1.0 } else { UNRESERVED_SHARE };
-    let bucket = self.bucket(now);
-    bucket.repeats += 1.0;
-    let used = self
-      .buckets
-      .iter()
-      .map(|bucket| bucket.repeats)
-      .sum::<f64>();
-    if used <= allowed {
-      return true;
+  /// Records a repeat if the budget allows it for the priority of the call. `instances` share the
+  /// slack.
+  pub fn try_repeat(&mut self, priority: Priority, instances: usize, now: Instant) -> bool {
+    let allowed = self.allowed(instances, now);
+    let repeats = self.buckets.iter().map(|bucket| bucket.repeats);
+    let used = (repeats.sum::<f64>() + 1.0) / allowed;
+    let (end, narrowing) = if priority.rank().0 == 0 {
+      (1.0, SHARED_SHARE)
+    } else {
+      (SHARED_SHARE, OPEN_SHARE)
+    };
+    let cutoff = ((end - used).max(0.0) / (end - narrowing)).sqrt();
+    let sub_level = f64::from(priority.0 & 0xff) / 256.0;
+    if used > end || sub_level > cutoff {
+      return false;
     }
-    self.bucket(now).repeats -= 1.0;
-    false
+    self.record_repeat(now);
+    true
   }
 
-  fn allowed(&mut self, nodes: usize, now: Instant) -> f64 {
+  fn allowed(&mut self, instances: usize, now: Instant) -> f64 {
     self.bucket(now);
     let calls = self.buckets.iter().map(|bucket| bucket.calls).sum::<f64>();
-    calls * self.bounds.ratio + self.bounds.slack / nodes.max(1) as f64
+    calls * self.bounds.ratio + self.bounds.slack / instances.max(1) as f64
   }
 
   /// Bucket that `now` belongs to.
--- a/crates/decisions/src/load/router.rs
+++ b/crates/decisions/src/load/router.rs
@@ -27,7 +27,7 @@
 const CROWDED_UTILISATION: f64 = 0.85;
 /// Probability of leaving a crowded local instance, per difference in utilisation to the remote
 /// one. Below 1, so that the remote instance fills up gradually.
-const LEAVE_FACTOR: f64 = 0.5;
+const LEAVE_FACTOR: f64 = 0.75;
 /// Multiple of the mean latency that a nested call may take at a local instance. Nested calls run
 /// in sequence and together use up the time of their request.
 const NESTED_TIME_FACTOR: f64 = 1.75;
--- a/crates/decisions/tests/spread_load.rs
+++ b/crates/decisions/tests/spread_load.rs
@@ -9,8 +9,9 @@
   cactusyoke_model::{
     Bottleneck, ClassRank, InstanceLoad, NodeId, Priority, RequestId, RouteName, ServiceName, Slots,
   },
-  rand::{SeedableRng, rngs::SmallRng},
+  rand::{Rng, SeedableRng, rngs::SmallRng},
   std::{
+    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     time::{Duration, Instant},
   },
@@ -110,18 +111,87 @@
   }
   let now = start + ms(9000);
   let lower_classes = (0..1000)
-    .filter(|_| budget.try_repeat(12, false, now))
+    .filter(|_| budget.try_repeat(Priority(0x100), 12, now))
     .count();
   let top_class = (0..1000)
-    .filter(|_| budget.try_repeat(12, true, now))
+    .filter(|_| budget.try_repeat(Priority(0), 12, now))
     .count();
   assert!(lower_classes <= 72, "{lower_classes}");
   assert_eq!(lower_classes + top_class, 204);
   let later = now + Duration::from_secs(11);
   let idle = (0..100)
-    .filter(|_| budget.try_repeat(12, true, later))
+    .filter(|_| budget.try_repeat(Priority(0), 12, later))
     .count();
-  assert_eq!(idle, 4, "this node's part of the slack");
+  assert_eq!(idle, 4, "this instance's part of the slack");
+}
+
+/// Share of the requests of the most important class that finish while a service refuses 0.55 of
+/// its calls for 8.5 s. Each second, 245 of them need 8 calls of the service, and 563 requests of
+/// another class need 4. `shared_sub_level`: all calls of a request have the same sub-level.
+fn finished_share(shared_sub_level: bool) -> f64 {
+  const CALL_TIME: u64 = 90;
+  let mut rng = SmallRng::seed_from_u64(18);
+  let start = Instant::now();
+  let mut budget = RetryBudget::new(RetryBounds {
+    ratio: 0.2,
+    slack: 213.0,
+    window: Duration::from_secs(10),
+  });
+  for call in 0..42_000 {
+    budget.record_call(start + Duration::from_micros(call * 238));
+  }
+  // Class, calls left, retries left and sub-level, by the time of the next call.
+  let mut requests = BTreeMap::<u64, Vec<(u16, u32, u32, u16)>>::new();
+  for at in 10_000..18_500 {
+    let arrivals = requests.entry(at).or_default();
+    if rng.random_bool(0.245) {
+      arrivals.push((0, 8, 16, rng.random_range(0..256)));
+    }
+    if rng.random_bool(0.563) {
+      arrivals.push((1, 4, 16, rng.random_range(0..256)));
+    }
+  }
+  let begun = requests.values().flatten();
+  let begun = begun.filter(|(class, ..)| *class == 0).count();
+  let mut finished = 0;
+  while let Some((at, group)) = requests.pop_first() {
+    let now = start + ms(at);
+    for (class, calls, mut retries, sub_level) in group {
+      budget.record_call(now);
+      let mut refused = rng.random_bool(0.55);
+      while refused && retries > 0 {
+        let sub_level = if shared_sub_level {
+          sub_level
+        } else {
+          rng.random_range(0..256)
+        };
+        if !budget.try_repeat(Priority(class << 8 | sub_level), 1, now) {
+          break;
+        }
+        retries -= 1;
+        refused = rng.random_bool(0.55);
+      }
+      if refused {
+        continue;
+      }
+      if calls > 1 {
+        let later = requests.entry(at + CALL_TIME).or_default();
+        later.push((class, calls - 1, retries, sub_level));
+      } else if class == 0 {
+        finished += 1;
+      }
+    }
+  }
+  f64::from(finished) / begun as f64
+}
+
+/// Guards against a retry budget that is spread over all requests, of which then hardly any finish,
+/// when each needs several calls of a service that refuses half of them.
+#[test]
+fn requests_with_many_calls_finish_while_half_of_their_calls_are_refused() {
+  let (shared, spread) = (finished_share(true), finished_share(false));
+  assert!(shared > 0.2, "{shared}");
+  assert!(shared > spread * 1.5, "{spread} of {shared}");
 }
 
 /// Three instances, the first in the sender's data centre.
--- a/crates/model/src/call.rs
+++ b/crates/model/src/call.rs
@@ -3,9 +3,22 @@
 use {
   crate::{Body, IdempotencyKey, Priority, RequestId, Retries, RouteName, ServiceName},
   http::{HeaderMap, Method},
+  serde::{Deserialize, Serialize},
   std::{fmt, time::Instant},
 };
 
+/// Whether an earlier attempt of a call may have reached an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repeat {
+  /// First attempt.
+  #[default]
+  No,
+  /// First attempt of a call that a repeated run makes.
+  Inherited,
+  /// Further attempt.
+  Resent,
+}
+
 /// Call without its body.
 #[derive(Clone, Debug)]
 pub struct CallHead {
@@ -25,8 +38,8 @@
   pub priority: Priority,
   /// Number of calls above this one in the call tree: zero for a root request.
   pub depth: u8,
-  /// An earlier attempt of this call, or of a call above it, may have run at an upstream.
-  pub repeat: bool,
+  /// Whether the call, or one above it, was sent before.
+  pub repeat: Repeat,
   /// The call may run more than once.
   pub idempotent: bool,
   /// Idempotency key; calls with the same key run at most once.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -33,7 +33,7 @@
 pub use answer::Answer;
 pub use body::{Body, BodyError, empty_body, full_body};
 pub use bottleneck::Bottleneck;
-pub use call::{Call, CallHead};
+pub use call::{Call, CallHead, Repeat};
 pub use class_rank::ClassRank;
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use config::{Change, ChangeId, Config, ConfigDelta, Edit, Revision};
--- a/crates/model/src/load_policy.rs
+++ b/crates/model/src/load_policy.rs
@@ -15,7 +15,7 @@
   fn default() -> Self {
     Self {
       // The attempts of the route limit each call as well.
-      tree_retries: Retries(8),
+      tree_retries: Retries(16),
       // A request that has waited this long is refused.
       queue_wait: Duration::from_millis(150),
       // Not limited here: the retry budget shared by all nodes limits retries instead.
--- a/crates/nodes/examples/links.rs
+++ b/crates/nodes/examples/links.rs
@@ -8,7 +8,7 @@
 use {
   bytes::Bytes,
   cactusyoke_model::{
-    Answer, BodyError, Call, CallHead, DataCentre, Incarnation, NodeId, Priority, Report,
+    Answer, BodyError, Call, CallHead, DataCentre, Incarnation, NodeId, Priority, Repeat, Report,
     RequestId, Retries, full_body,
   },
   cactusyoke_nodes::{Incoming, Links, LinksConfig},
@@ -43,7 +43,7 @@
       headers,
       priority: Priority(1),
       depth: 0,
-      repeat: false,
+      repeat: Repeat::No,
       idempotent: true,
       key: None,
       retries: Retries(3),
--- a/crates/nodes/src/wire/heads.rs
+++ b/crates/nodes/src/wire/heads.rs
@@ -4,7 +4,8 @@
   super::{FrameError, header_block},
   crate::Hop,
   cactusyoke_model::{
-    CallHead, DataCentre, IdempotencyKey, Incarnation, NodeId, Priority, Report, RequestId, Retries,
+    CallHead, DataCentre, IdempotencyKey, Incarnation, NodeId, Priority, Repeat, Report, RequestId,
+    Retries,
   },
   http::{HeaderMap, Method, StatusCode},
   serde::{Deserialize, Serialize},
@@ -57,8 +58,8 @@
   pub priority: u16,
   /// Number of calls above this one in the call tree.
   pub depth: u8,
-  /// True when an earlier attempt of this call, or of a call above it, may have run.
-  pub repeat: bool,
+  /// Whether the call, or one above it, was sent before.
+  pub repeat: Repeat,
   /// True when the call may run more than once.
   pub idempotent: bool,
   /// Idempotency key.
--- a/crates/nodes/tests/support/mod.rs
+++ b/crates/nodes/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use {
   bytes::Bytes,
   cactusyoke_model::{
-    Answer, Body, Call, CallHead, Incarnation, NodeId, Priority, Report, RequestId, Retries,
+    Answer, Body, Call, CallHead, Incarnation, NodeId, Priority, Repeat, Report, RequestId, Retries,
   },
   cactusyoke_nodes::{
     Incoming, IncomingCall, Links, LinksConfig,
@@ -42,7 +42,7 @@
     headers,
     priority: Priority(0x0102),
     depth: 0,
-    repeat: false,
+    repeat: Repeat::No,
     idempotent: false,
     key: Some("east/k1".parse().unwrap()),
     retries: Retries(3),
--- a/crates/nodes/tests/wire.rs
+++ b/crates/nodes/tests/wire.rs
@@ -2,7 +2,7 @@
 
 use {
   bytes::BytesMut,
-  cactusyoke_model::{CallFailure, Incarnation, NodeId, NotRunReason, Report},
+  cactusyoke_model::{CallFailure, Incarnation, NodeId, NotRunReason, Repeat, Report},
   cactusyoke_nodes::wire::{
     AnswerHead, Frame, FrameError, Hello, MAX_DATA, MAX_FRAME, MAX_HEADERS, Open, Raw, ResetReason,
     VERSION, decode, encode, split,
@@ -60,7 +60,7 @@
       headers: Cow::Borrowed(fields),
       priority: 3,
       depth: 2,
-      repeat: true,
+      repeat: Repeat::Resent,
       idempotent: true,
       key: Some("k"),
       retries: 2,
--- a/crates/upstreams/examples/added_latency.rs
+++ b/crates/upstreams/examples/added_latency.rs
@@ -9,8 +9,8 @@
 use {
   cactusyoke_callers::{CallHandler, CallerRequest, Limits, serve},
   cactusyoke_model::{
-    Answer, Call, CallFailure, CallHead, ClassRank, Connections, Context, Priority, RequestId,
-    Retries, RouteName, ServiceName, Slots, SpanId, empty_body,
+    Answer, Call, CallFailure, CallHead, ClassRank, Connections, Context, Priority, Repeat,
+    RequestId, Retries, RouteName, ServiceName, Slots, SpanId, empty_body,
   },
   cactusyoke_standins::upstream::{Client, Config, Upstream as StandIn},
   cactusyoke_upstreams::{
@@ -64,7 +64,7 @@
       headers: request.headers,
       priority,
       depth: 0,
-      repeat: false,
+      repeat: Repeat::No,
       idempotent: true,
       key: request.key,
       retries: Retries::ZERO,
--- a/crates/upstreams/tests/support/mod.rs
+++ b/crates/upstreams/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use {
   cactusyoke_callers::{CallHandler, CallerRequest, Limits, serve},
   cactusyoke_model::{
-    Answer, Body, Call, CallFailure, CallHead, ClassRank, Connections, Context, Priority,
+    Answer, Body, Call, CallFailure, CallHead, ClassRank, Connections, Context, Priority, Repeat,
     RequestId, Retries, ServiceName, Slots, SpanId, empty_body,
   },
   cactusyoke_standins::upstream::{Client, ClientError, ReceivedResponse},
@@ -86,7 +86,7 @@
     headers: HeaderMap::new(),
     priority,
     depth: 0,
-    repeat: false,
+    repeat: Repeat::No,
     idempotent: false,
     key: None,
     retries: Retries::ZERO,
