A starting node waits a second after its first listing

Cause: while a fleet starts, each node watches the store until it knows another one, and each write ends its watch.

--- a/crates/configuration/src/feed.rs
+++ b/crates/configuration/src/feed.rs
@@ -21,6 +21,10 @@
 /// Wait after changes before the next watch, which then brings all changes of that time at once.
 const CHANGES_PAUSE: Duration = Duration::from_millis(250);
 
+/// Wait after a listing before the first watch. While many nodes start, each write of one of them
+/// would end the watches of all others.
+const LISTING_PAUSE: Duration = Duration::from_secs(1);
+
 /// Receiver of what the feed reads.
 pub trait FeedSink: Send + Sync + 'static {
   /// All keys, at the start and whenever changes may have been missed.
@@ -80,7 +84,7 @@
   async fn list(&self, sink: &dyn FeedSink) -> Result<Duration, StoreError> {
     let listing = self.store.list(&self.prefix).await?;
     sink.listed(&listing);
-    Ok(Duration::ZERO)
+    Ok(LISTING_PAUSE)
   }
 
   async fn watch(&self, after: u64, sink: &dyn FeedSink) -> Result<Duration, StoreError> {
