A node that lacks what was known when it was asked is not followed

Cause: the age of what a node knows is measured by the steady clock, which stands still while a machine is suspended. A watching node that wakes after seconds passed on an old version with a small age, and its followers stayed with it until its own watch had ended, up to 4 s. Ruled out: the time of day, which may jump. Change: a reply that leads to an older version than the one asked about counts as a failure of that node. Test: an_outdated_node_is_not_followed (suspended); without the change it follows the node.

--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -213,12 +213,20 @@
     lock(&self.cache).update_since(after)
   }
 
-  /// Applies what another node knew of the directory `age` ago.
-  pub(crate) fn apply_update(&self, peer: NodeId, update: &DirectoryUpdate, age: Duration) {
+  /// Applies what another node, asked for changes after a version, knew of the directory `age` ago.
+  pub(crate) fn apply_update(
+    &self,
+    peer: NodeId,
+    after: Option<u64>,
+    update: &DirectoryUpdate,
+    age: Duration,
+  ) {
     let now = self.clock.now();
-    if !lock(&self.choice).record_peer(peer, age, now) {
+    let mut choice = lock(&self.choice);
+    if !choice.record_reply(peer, after, update.version, age, now) {
       self.failed.notify_one();
     }
+    drop(choice);
     self.update_cache(|cache| cache.apply(update, now));
   }
 
--- a/crates/cactusyoke/src/directory_follower.rs
+++ b/crates/cactusyoke/src/directory_follower.rs
@@ -47,8 +47,9 @@
 
 impl Core {
   async fn fetch_directory(&self, directory: &DirectoryClient, peer: NodeId) {
+    let after = directory.version();
     let request = ControlRequest::Directory {
-      after: directory.version(),
+      after,
       wait: CHANGES_WAIT,
     };
     let limit = CHANGES_WAIT + REPLY_TIMEOUT;
@@ -57,7 +58,7 @@
       directory.record_peer_failure(peer);
       return;
     };
-    directory.apply_update(peer, &reply.update, reply.age);
+    directory.apply_update(peer, after, &reply.update, reply.age);
     if reply.revision > self.config.load().revision {
       self.spread.report_newer(peer, reply.revision);
     }
--- a/crates/decisions/src/membership/source_choice.rs
+++ b/crates/decisions/src/membership/source_choice.rs
@@ -121,10 +121,18 @@
     self.current_to = self.current_to.max(Some(now));
   }
 
-  /// Records an update from a peer that knew all changes up to `age` ago; false when the peer is
-  /// out of date, which counts as a failure.
-  pub fn record_peer(&mut self, peer: NodeId, age: Duration, now: Instant) -> bool {
-    if age > self.max_age {
+  /// Records the reply of a peer that was asked for changes after a version; false when the peer is
+  /// out of date, which counts as a failure. A peer that was suspended does not count that time as
+  /// age, but still lacks what was known when it was asked.
+  pub fn record_reply(
+    &mut self,
+    peer: NodeId,
+    after: Option<u64>,
+    version: u64,
+    age: Duration,
+    now: Instant,
+  ) -> bool {
+    if age > self.max_age || Some(version) < after {
       self.record_failure(peer, now);
       return false;
     }
--- a/crates/decisions/tests/directory.rs
+++ b/crates/decisions/tests/directory.rs
@@ -140,9 +140,24 @@
     assert!(!cache.apply(&update, now), "{update:?}");
   }
   assert!(cache.members().is_empty());
+}
+
+// Guards against following a node that was cut off, or suspended without its clock, for long.
+#[parameterized(
+  cut_off = { MAX_AGE * 2, 9 },
+  suspended = { Duration::from_secs(1), 8 },
+)]
+fn an_outdated_node_is_not_followed(age: Duration, version: u64) {
+  let now = Instant::now();
+  let members = fleet(12, 1);
+  let sources = |choice: &SourceChoice| choice.choose(&members, now).peer;
   let mut choice = SourceChoice::new(node(2), MAX_AGE);
-  assert!(!choice.record_peer(node(1), MAX_AGE * 2, now));
+  let peer = sources(&choice).expect("a peer");
+  assert!(!choice.record_reply(peer, Some(9), version, age, now));
   assert_eq!(choice.age(now), None);
+  assert_ne!(sources(&choice), Some(peer));
+  assert!(choice.record_reply(peer, Some(9), 9, Duration::from_secs(1), now));
+  assert_eq!(sources(&choice), Some(peer));
 }
 
 /// Guards against removals that are lost when a node passes on a listing, which has only entries.
--- a/crates/decisions/tests/directory_model/mod.rs
+++ b/crates/decisions/tests/directory_model/mod.rs
@@ -299,7 +299,9 @@
         asking.request = None;
         match answer.zip(age) {
           Some((update, age)) => {
-            asking.choice.record_peer(node(peer), age, now);
+            let version = update.version;
+            let choice = &mut asking.choice;
+            choice.record_reply(node(peer), after, version, age, now);
             asking.cache.apply(&update, now);
           }
           None => asking.choice.record_failure(node(peer), now),
