Show with real processes that few nodes watch the store

few_nodes_watch_the_store_and_all_learn_of_changes: eight nodes in two data centres, four of them watch; one of these is stopped by a signal, and all others have a change in force within 4 s. The nodes of the fixture are by turns in one of two data centres, which changes nothing for the tests with one or two.

--- a/crates/cactusyoke/tests/platform.rs
+++ b/crates/cactusyoke/tests/platform.rs
@@ -17,6 +17,9 @@
 /// Running time of requests on upstreams that answer at once.
 const NO_WORK: Duration = Duration::ZERO;
 
+/// Time within which a change must be in force everywhere.
+const CHANGE_LIMIT: Duration = Duration::from_secs(4);
+
 /// Time after the signal to stop within which a node of [`Site`] has to end.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(6);
 
@@ -71,6 +74,42 @@
   }
 }
 
+/// Guards against calls to the store by each node for each change, and against nodes that miss a
+/// change because the node that they follow is paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_nodes_watch_the_store_and_all_learn_of_changes() {
+  let site = Site::start(8, NO_WORK).await;
+  let watches = |node: usize| {
+    let log = site.nodes[node].log();
+    let last = log
+      .lines()
+      .rev()
+      .find(|line| line.contains("event=watching"));
+    last.is_some_and(|line| line.contains("watching=true"))
+  };
+  let watching = || (0..8).filter(|node| watches(*node)).collect::<Vec<_>>();
+  // Two in each of the two data centres.
+  eventually("few nodes watch", || async { watching().len() == 4 }).await;
+  let paused = watching()[0];
+  site.nodes[paused].signal(Signal::STOP);
+  let changed = Instant::now();
+  site.store.write(
+    document::KEY,
+    DOCUMENT
+      .replace("/read/", "/renamed/")
+      .replace("\"version\": 7", "\"version\": 8"),
+  );
+  for node in (0..8).filter(|node| *node != paused) {
+    eventually("the change is in force", || async {
+      site.get(node).await.is_ok_and(|got| got.status == 404)
+    })
+    .await;
+  }
+  let time = changed.elapsed();
+  site.nodes[paused].signal(Signal::CONT);
+  assert!(time < CHANGE_LIMIT, "{time:?}");
+}
+
 /// Guards against an invalid or older document that replaces a valid one.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unusable_document_changes_nothing() {
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -33,7 +33,7 @@
 }
 
 impl Site {
-  /// Starts `count` nodes, each in a data centre of its own, and waits until all of them serve.
+  /// Starts `count` nodes, by turns in one of two data centres, and waits until all of them serve.
   /// Upstreams run each request for `work`.
   pub async fn start(count: u8, work: Duration) -> Self {
     let store = Platform::start().await.expect("a loopback port is free");
@@ -67,11 +67,12 @@
   async fn add(&mut self, number: u8, work: Duration) {
     let at = |port| self.addresses.listener(number, port);
     let yaml = format!(
-      "node: {}\ndata_centre: dc-{number}\ndata_centres:\n  dc-1: {{region: r}}\n  dc-2: {{region: r}}\n\
+      "node: {}\ndata_centre: dc-{}\ndata_centres:\n  dc-1: {{region: r}}\n  dc-2: {{region: r}}\n\
        callers: {}\negress: {}\nannounce: {}\noperators: {}\nplatform: {}\ninterface: platform\n\
        service: plaques\nupstream: {}\nretry_budget: {{ratio: 0.2, slack: 48, window: 10s}}\n\
        shutdown_limit: 6s\nlinger: 1s\nthreads: 1\n",
       at(7101),
+      (number - 1) % 2 + 1,
       at(7102),
       at(7103),
       at(7104),
