No older view of the directory replaces a newer one

Cause (found by reading): two tasks now change the cache, the store's and the one that follows other nodes. With more than one thread, one could store a view that it had made before the other's change. The cache stays locked until the view is stored. One field renamed.

--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -96,8 +96,8 @@
   choice: Mutex<SourceChoice>,
   /// Version of the directory up to which this node knows it.
   version: watch::Sender<Option<u64>>,
-  /// Notified when the sources may have to change.
-  failed: Notify,
+  /// Notified when a source has failed, so that others may be needed.
+  source_failed: Notify,
   registration: Mutex<Option<JoinHandle<()>>>,
   /// Tasks that follow the store and other nodes.
   followers: Mutex<Vec<JoinHandle<()>>>,
@@ -135,7 +135,7 @@
       reachable: AtomicBool::new(true),
       watcher,
       version: watch::Sender::new(None),
-      failed: Notify::new(),
+      source_failed: Notify::new(),
       registration: Mutex::default(),
       followers: Mutex::default(),
     });
@@ -143,7 +143,7 @@
     let registration = Registration::new(Arc::clone(&store), key, ENTRY_TTL);
     let registration = tokio::spawn(async move {
       let mut value = value;
-      // Most entries are written only once if the upstream announces itself first.
+      // Nearly all entries are written only once if the upstream announces itself first.
       drop(timeout(ANNOUNCEMENT_WAIT, value.changed()).await);
       registration.run(value, removed).await;
     });
@@ -168,7 +168,7 @@
       } else {
         tokio::select! {
           () = sleep(CHOICE_INTERVAL) => {}
-          () = self.failed.notified() => {}
+          () = self.source_failed.notified() => {}
         }
       }
     }
@@ -224,7 +224,7 @@
     let now = self.clock.now();
     let mut choice = lock(&self.choice);
     if !choice.record_reply(peer, after, update.version, age, now) {
-      self.failed.notify_one();
+      self.source_failed.notify_one();
     }
     drop(choice);
     self.update_cache(|cache| cache.apply(update, now));
@@ -233,7 +233,7 @@
   /// Records that another node did not answer.
   pub(crate) fn record_peer_failure(&self, peer: NodeId) {
     lock(&self.choice).record_failure(peer, self.clock.now());
-    self.failed.notify_one();
+    self.source_failed.notify_one();
   }
 
   /// Changes the cache and publishes the result.
@@ -315,8 +315,10 @@
 
   /// Publishes the known nodes, with the current record of this node in place of the stored one.
   fn publish(&self) {
+    // Held until the view is stored, so that no older view replaces a newer one.
+    let cache = lock(&self.cache);
     let (own, since) = lock(&self.own).clone();
-    let mut members = lock(&self.cache).members();
+    let mut members = cache.members();
     members.retain(|member| member.record.node != own.node);
     let index = members.partition_point(|member| member.record.node < own.node);
     let member = Member {
