One ranking of nodes, one way to apply changes of the directory

Found by reading the change as a whole; behaviour stays, but for which node of a data centre watches the store on the platform (its hash now has the scope that the native choice of watchers has). - The rendezvous order of nodes stood three times (spread, roster_actor, source_choice): rank_nodes. - Changes from the store were applied by a loop beside DirectoryCache::apply: they become an update and use it. The number of instances of a service was counted for each call, and is needed for resent ones only. - Repeat::inherited and Priority::sub_level in place of a match and masks at their users. - The model of the directory had two states of which each field could have only one, and read the log of the store backwards for each entry.

--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -4,20 +4,20 @@
 //! of all nodes and the operator's document; the others follow these nodes (`directory_follower`).
 
 use {
+  crate::directory_entry,
   arc_swap::ArcSwap,
   bytes::Bytes,
   cactusyoke_configuration::{
     Changes, Event, Feed, FeedSink, Item, LeaseStore, Listing, Registration, StoreError, Watcher,
   },
   cactusyoke_decisions::membership::{
-    DirectoryCache, DirectoryUpdate, Member, MemberRecord, SourceChoice, Sources, Status,
-    UpstreamInfo, UpstreamState,
+    DirectoryCache, DirectoryChange, DirectoryUpdate, Member, MemberRecord, SourceChoice, Sources,
+    Status, UpstreamInfo,
   },
-  cactusyoke_model::{Clock, Connections, DataCentre, Incarnation, NodeId, ServiceName, Slots},
+  cactusyoke_model::{Clock, NodeId},
   cactusyoke_nodes::MembersView,
   cactusyoke_platform::document,
   rand::Rng,
-  serde::{Deserialize, Serialize},
   std::{
     fmt,
     sync::{
@@ -33,9 +33,6 @@
   },
 };
 
-/// Common prefix of the keys of entries.
-const KEY_PREFIX: &str = "node/";
-
 /// Time to live of an entry. A failed node is detected by its links long before; the lease only
 /// removes its entry.
 const ENTRY_TTL: Duration = Duration::from_secs(10);
@@ -56,28 +53,6 @@
 /// Time limit for ending the lease when the node stops.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Entry of one node as stored.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Entry {
-  incarnation: Incarnation,
-  service: Option<ServiceName>,
-  state: UpstreamState,
-  slots: Slots,
-  connections: Connections,
-}
-
-impl From<&MemberRecord> for Entry {
-  fn from(record: &MemberRecord) -> Self {
-    Self {
-      incarnation: record.incarnation,
-      service: record.service.clone(),
-      state: record.state,
-      slots: record.slots,
-      connections: record.connections,
-    }
-  }
-}
-
 /// Client of the directory: keeps the entry of this node and follows those of the others.
 pub(crate) struct DirectoryClient {
   /// Record of this node, and the time of the last change of its upstream's state.
@@ -119,8 +94,8 @@
     watcher: Watcher,
     clock: Arc<dyn Clock>,
   ) -> Arc<Self> {
-    let key = key(&own.data_centre, own.node);
-    let (entry, value) = watch::channel(encode(&own));
+    let key = directory_entry::key(&own);
+    let (entry, value) = watch::channel(directory_entry::encode(&own));
     let removed = Arc::<Notify>::default();
     let max_age = MAX_AGE + MAX_AGE_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
     let directory = Arc::new(Self {
@@ -270,7 +245,7 @@
       if record.state != state {
         *since = self.clock.now();
       }
-      let value = encode(record);
+      let value = directory_entry::encode(record);
       drop(known);
       if let Some(entry) = lock(&self.entry).as_ref() {
         entry.send_replace(value);
@@ -331,27 +306,13 @@
     self.view.store(Arc::new(view));
   }
 
-  /// Record in an item of the store; `None` for other items.
-  fn read_item(&self, item: &Item) -> Option<MemberRecord> {
+  /// Takes an item of the store: offers the operator's document, and returns the record in an entry.
+  fn take_item(&self, item: &Item) -> Option<MemberRecord> {
     if item.key == document::KEY {
       self.offer_document(&item.value);
       return None;
     }
-    let (data_centre, node) = parse_key(&item.key)?;
-    let Ok(entry) = postcard::from_bytes::<Entry>(&item.value) else {
-      tracing::warn!(event = "entry_unreadable", key = item.key);
-      return None;
-    };
-    Some(MemberRecord {
-      node,
-      incarnation: entry.incarnation,
-      data_centre,
-      service: entry.service,
-      state: entry.state,
-      slots: entry.slots,
-      connections: entry.connections,
-      version: item.version,
-    })
+    directory_entry::read(item)
   }
 
   /// Offers the operator's document to the watcher. An invalid document changes nothing.
@@ -377,10 +338,11 @@
 impl FeedSink for DirectoryClient {
   fn listed(&self, listing: &Listing) {
     let now = self.clock.now();
-    let records = listing.items.iter().filter_map(|item| self.read_item(item));
+    let records = listing.items.iter().filter_map(|item| self.take_item(item));
     let records = records.collect::<Vec<_>>();
-    let listed = listing.items.iter().filter_map(|item| parse_key(&item.key));
-    let listed = listed.map(|(_, node)| node).collect::<Vec<_>>();
+    // An unreadable entry changes nothing, so its node counts as listed.
+    let keys = listing.items.iter().map(|item| item.key.as_str());
+    let listed = keys.filter_map(directory_entry::node).collect::<Vec<_>>();
     self.update_cache(|cache| {
       let mut changed = false;
       for record in records {
@@ -392,23 +354,19 @@
   }
 
   fn changed(&self, changes: &Changes) {
-    let now = self.clock.now();
-    self.update_cache(|cache| {
-      let mut modified = false;
-      for event in &changes.events {
-        modified |= match event {
-          Event::Put(item) => self.read_item(item).is_some_and(|record| {
-            let version = record.version;
-            cache.put(record, version, now)
-          }),
-          Event::Removed { key, version } => {
-            parse_key(key).is_some_and(|(_, node)| cache.mark_unlisted(node, *version, now))
-          }
-        };
+    let read = changes.events.iter().filter_map(|event| match event {
+      Event::Put(item) => self.take_item(item).map(DirectoryChange::Written),
+      Event::Removed { key, version } => {
+        directory_entry::node(key).map(|node| DirectoryChange::Removed(node, *version))
       }
-      cache.complete_to(changes.store_version);
-      modified
     });
+    let update = DirectoryUpdate {
+      version: changes.store_version,
+      complete: false,
+      changes: read.collect(),
+    };
+    let now = self.clock.now();
+    self.update_cache(|cache| cache.apply(&update, now));
   }
 
   fn called(&self, result: Result<(), &StoreError>) {
@@ -427,19 +385,3 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
   mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-fn encode(record: &MemberRecord) -> Bytes {
-  // Encoding cannot fail, as the entry is plain data.
-  postcard::to_stdvec(&Entry::from(record))
-    .unwrap_or_default()
-    .into()
-}
-
-fn key(data_centre: &DataCentre, node: NodeId) -> String {
-  format!("{KEY_PREFIX}{data_centre}/{node}")
-}
-
-fn parse_key(key: &str) -> Option<(DataCentre, NodeId)> {
-  let (data_centre, node) = key.strip_prefix(KEY_PREFIX)?.split_once('/')?;
-  Some((data_centre.parse().ok()?, node.parse().ok()?))
-}
--- /dev/null
+++ b/crates/cactusyoke/src/directory_entry.rs
@@ -0,0 +1,76 @@
+//! Entry of a node in the directory, as the platform's store keeps it.
+
+use {
+  bytes::Bytes,
+  cactusyoke_configuration::Item,
+  cactusyoke_decisions::membership::{MemberRecord, UpstreamState},
+  cactusyoke_model::{Connections, DataCentre, Incarnation, NodeId, ServiceName, Slots},
+  serde::{Deserialize, Serialize},
+};
+
+/// Common prefix of the keys of entries.
+const KEY_PREFIX: &str = "node/";
+
+/// Value of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+  incarnation: Incarnation,
+  service: Option<ServiceName>,
+  state: UpstreamState,
+  slots: Slots,
+  connections: Connections,
+}
+
+impl From<&MemberRecord> for Entry {
+  fn from(record: &MemberRecord) -> Self {
+    Self {
+      incarnation: record.incarnation,
+      service: record.service.clone(),
+      state: record.state,
+      slots: record.slots,
+      connections: record.connections,
+    }
+  }
+}
+
+/// Key of the entry of a node.
+pub(crate) fn key(record: &MemberRecord) -> String {
+  format!("{KEY_PREFIX}{}/{}", record.data_centre, record.node)
+}
+
+/// Value of the entry of a node.
+pub(crate) fn encode(record: &MemberRecord) -> Bytes {
+  // Encoding cannot fail, as the entry is plain data.
+  postcard::to_stdvec(&Entry::from(record))
+    .unwrap_or_default()
+    .into()
+}
+
+/// Node whose entry has this key; `None` for other keys.
+pub(crate) fn node(key: &str) -> Option<NodeId> {
+  parse_key(key).map(|(_, node)| node)
+}
+
+/// Record in an item of the store; `None` for other items and unreadable entries.
+pub(crate) fn read(item: &Item) -> Option<MemberRecord> {
+  let (data_centre, node) = parse_key(&item.key)?;
+  let Ok(entry) = postcard::from_bytes::<Entry>(&item.value) else {
+    tracing::warn!(event = "entry_unreadable", key = item.key);
+    return None;
+  };
+  Some(MemberRecord {
+    node,
+    incarnation: entry.incarnation,
+    data_centre,
+    service: entry.service,
+    state: entry.state,
+    slots: entry.slots,
+    connections: entry.connections,
+    version: item.version,
+  })
+}
+
+fn parse_key(key: &str) -> Option<(DataCentre, NodeId)> {
+  let (data_centre, node) = key.strip_prefix(KEY_PREFIX)?.split_once('/')?;
+  Some((data_centre.parse().ok()?, node.parse().ok()?))
+}
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -100,15 +100,18 @@
     let Some(budget) = &self.retry_budget else {
       return Ok(());
     };
-    let instances = self.members.view().serving(&head.service).len();
     let now = self.clock.now();
     let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
     match head.repeat {
       Repeat::No => budget.record_call(now),
       // Withholding it would waste the run that makes it.
       Repeat::Inherited => budget.record_repeat(now),
-      Repeat::Resent if budget.try_repeat(head.priority, instances, now) => {}
-      Repeat::Resent => return Err(CallFailure::not_run(NotRunReason::NoRetries)),
+      Repeat::Resent => {
+        let instances = self.members.view().serving(&head.service).len();
+        if !budget.try_repeat(head.priority, instances, now) {
+          return Err(CallFailure::not_run(NotRunReason::NoRetries));
+        }
+      }
     }
     Ok(())
   }
@@ -187,10 +190,7 @@
       priority: head.priority,
       deadline: head.deadline,
       depth: head.depth.saturating_add(1),
-      repeat: match head.repeat {
-        Repeat::No => Repeat::No,
-        Repeat::Inherited | Repeat::Resent => Repeat::Inherited,
-      },
+      repeat: head.repeat.inherited(),
     };
     Some(self.parents.register(id, parent))
   }
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -15,6 +15,7 @@
 mod core;
 mod crashes;
 mod directory_client;
+mod directory_entry;
 mod directory_follower;
 mod dispatch;
 mod event_limiter;
--- a/crates/cactusyoke/src/roster_actor.rs
+++ b/crates/cactusyoke/src/roster_actor.rs
@@ -9,19 +9,18 @@
     control::{ControlReply, ControlRequest},
   },
   cactusyoke_configuration::{Expect, StoreError},
-  cactusyoke_decisions::keys::{
-    ChangeStep, Process, Roster, RosterChange, StoreReply, WitnessReply, WitnessRequest,
+  cactusyoke_decisions::{
+    keys::{ChangeStep, Process, Roster, RosterChange, StoreReply, WitnessReply, WitnessRequest},
+    membership::rank_nodes,
   },
   cactusyoke_model::{Incarnation, NodeId},
   futures_util::stream::{FuturesUnordered, StreamExt},
   ractor::{Actor, ActorProcessingErr, ActorRef},
   std::{
-    cmp::Reverse,
     collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
   },
-  xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Time between two checks of the members.
@@ -127,13 +126,9 @@
   fn live_nodes(&self, group: u32) -> Vec<NodeId> {
     let rosters = &self.core.keyed_runs.rosters;
     let view = self.core.members.view();
-    let mut live = view
-      .live()
-      .map(|member| member.record.node)
-      .filter(|node| rosters.group_of(*node) == group)
-      .collect::<Vec<NodeId>>();
-    live.sort_by_cached_key(|node| Reverse(xxh3_64(format!("{group}/{node}").as_bytes())));
-    live
+    let live = view.live().map(|member| member.record.node);
+    let live = live.filter(|node| rosters.group_of(*node) == group);
+    rank_nodes(&group.to_string(), live)
   }
 
   /// Adopts the roster that the writer knows.
--- a/crates/cactusyoke/src/spread.rs
+++ b/crates/cactusyoke/src/spread.rs
@@ -10,18 +10,16 @@
     control::{ControlReply, ControlRequest},
   },
   cactusyoke_configuration::{ConfigUpdate, OfferResult},
-  cactusyoke_decisions::membership::Member,
+  cactusyoke_decisions::membership::{Member, rank_nodes},
   cactusyoke_model::{NodeId, Revision},
   cactusyoke_nodes::MembersView,
   ractor::{Actor, ActorProcessingErr, ActorRef},
   rand::seq::IteratorRandom,
   std::{
-    cmp::Reverse,
     collections::BTreeSet,
     sync::{Arc, OnceLock},
     time::Duration,
   },
-  xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Number of nodes per data centre that watch the platform's store.
@@ -138,14 +136,13 @@
     let own = self.core.settings.node;
     let view = self.core.members.view();
     self.forget_departed(&view);
-    let mut live = view
-      .live()
-      .map(|member| member.record.node)
-      .collect::<Vec<NodeId>>();
-    live.sort_by_cached_key(|node| Reverse(xxh3_64(format!("watch/{node}").as_bytes())));
+    let live = || view.live().map(|member| member.record.node);
     // With the platform's interface, the directory's watch also delivers the configuration.
     let watching = !self.core.settings.interface.is_platform()
-      && live.iter().take(WATCHERS).any(|node| *node == own);
+      && rank_nodes("watch", live())
+        .iter()
+        .take(WATCHERS)
+        .any(|node| *node == own);
     if watching != self.watching {
       self.watching = watching;
       tracing::info!(event = "watching", watching);
@@ -153,10 +150,7 @@
     }
     // A node without a configuration asks another node, since the platform may be down.
     if self.core.config.load().revision == Revision::default() {
-      let other = live
-        .into_iter()
-        .filter(|node| *node != own)
-        .choose(&mut rand::rng());
+      let other = live().filter(|node| *node != own).choose(&mut rand::rng());
       if let Some(node) = other {
         self.fetch(node, Revision(1)).await;
       }
--- a/crates/decisions/src/load/level_controller.rs
+++ b/crates/decisions/src/load/level_controller.rs
@@ -136,7 +136,7 @@
     let half = priority.half_index().min(HALVES - 1);
     self.half_count = self.half_count.max(half + 1);
     self.half_arrivals[half].record((priority.0 & SUB_LEVEL_MASK) as u8);
-    self.class_arrivals[half / 2].record(priority.0 as u8);
+    self.class_arrivals[half / 2].record(priority.sub_level());
   }
 
   /// Admits everything again, after a time without traffic.
--- a/crates/decisions/src/load/retry_budget.rs
+++ b/crates/decisions/src/load/retry_budget.rs
@@ -78,7 +78,7 @@
       (SHARED_SHARE, OPEN_SHARE)
     };
     let cutoff = ((end - used).max(0.0) / (end - narrowing)).sqrt();
-    let sub_level = f64::from(priority.0 & 0xff) / 256.0;
+    let sub_level = f64::from(priority.sub_level()) / 256.0;
     if used > end || sub_level > cutoff {
       return false;
     }
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -19,6 +19,7 @@
 mod members;
 mod members_config;
 pub mod message;
+mod node_ranking;
 mod prober;
 mod receive;
 mod remote_centres;
@@ -35,6 +36,7 @@
   member_record::{MemberRecord, UpstreamInfo, UpstreamState},
   members::Members,
   members_config::MembersConfig,
+  node_ranking::rank_nodes,
   send_budget::BURST_BYTES,
   source_choice::{SourceChoice, Sources},
 };
--- a/crates/decisions/src/membership/source_choice.rs
+++ b/crates/decisions/src/membership/source_choice.rs
@@ -8,14 +8,12 @@
 //! that is not needed, and a node whose sources fail or are out of date watches the store itself.
 
 use {
-  super::Member,
+  super::{Member, rank_nodes},
   cactusyoke_model::{DataCentre, NodeId},
   std::{
-    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
   },
-  xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Number of watching nodes in all data centres together, if there are fewer data centres.
@@ -170,9 +168,7 @@
 /// Nodes of a data centre in the order in which they watch.
 fn ranked<'a>(members: impl Iterator<Item = &'a Member>, centre: &DataCentre) -> Vec<NodeId> {
   let local = members.filter(|member| member.record.data_centre == *centre);
-  let mut nodes = local.map(|member| member.record.node).collect::<Vec<_>>();
-  nodes.sort_by_cached_key(|node| Reverse(xxh3_64(node.to_string().as_bytes())));
-  nodes
+  rank_nodes("watch", local.map(|member| member.record.node))
 }
 
 /// The data centre after `centre` in the order of names, after the last the first; `None` if it is
--- a/crates/decisions/tests/directory_model/mod.rs
+++ b/crates/decisions/tests/directory_model/mod.rs
@@ -7,7 +7,7 @@
   },
   cactusyoke_model::{Incarnation, NodeId},
   std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
     time::{Duration, Instant},
   },
@@ -42,11 +42,19 @@
   }
 }
 
-/// Call or request that is under way.
+/// Watch of the store that is under way.
 #[derive(Clone, Copy, Debug)]
-enum Waiting {
-  Store(Instant, Option<u64>),
-  Peer(Instant, usize, Option<u64>),
+struct Watch {
+  since: Instant,
+  after: Option<u64>,
+}
+
+/// Request to another node that is under way.
+#[derive(Clone, Copy, Debug)]
+struct Request {
+  since: Instant,
+  peer: usize,
+  after: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -54,8 +62,8 @@
   index: usize,
   pub cache: DirectoryCache,
   choice: SourceChoice,
-  watch: Option<Waiting>,
-  request: Option<Waiting>,
+  watch: Option<Watch>,
+  request: Option<Request>,
   /// Times until which the node makes no call to the store and no request.
   pauses: [Instant; 2],
   pub calls: usize,
@@ -133,16 +141,21 @@
     self.compacted = self.version;
   }
 
-  /// Nodes with an entry in the store.
-  pub fn listed(&self) -> BTreeSet<NodeId> {
-    let mut listed = BTreeSet::new();
+  /// Entries in the store.
+  fn entries(&self) -> BTreeMap<NodeId, MemberRecord> {
+    let mut entries = BTreeMap::new();
     for (_, change) in &self.log {
       match change {
-        DirectoryChange::Written(record) => listed.insert(record.node),
-        DirectoryChange::Removed(node, _) => listed.remove(node),
+        DirectoryChange::Written(record) => entries.insert(record.node, record.clone()),
+        DirectoryChange::Removed(node, _) => entries.remove(node),
       };
     }
-    listed
+    entries
+  }
+
+  /// Nodes with an entry in the store.
+  pub fn listed(&self) -> BTreeSet<NodeId> {
+    self.entries().into_keys().collect()
   }
 
   /// Nodes with an entry, as known to a node.
@@ -210,15 +223,8 @@
       let newer = self.log.iter().filter(|(version, _)| *version > after);
       newer.map(|(_, change)| change.clone()).collect()
     } else {
-      let listed = self.listed();
-      let last = |node: &NodeId| {
-        let written = self.log.iter().rev().find_map(|(_, change)| match change {
-          DirectoryChange::Written(record) if record.node == *node => Some(change.clone()),
-          _ => None,
-        });
-        written.expect("a listed node has an entry")
-      };
-      listed.iter().map(last).collect()
+      let entries = self.entries().into_values();
+      entries.map(DirectoryChange::Written).collect()
     };
     DirectoryUpdate {
       version: self.version,
@@ -237,17 +243,20 @@
         let node = &mut self.nodes[index];
         if node.choice.choose(&members, now).store {
           node.calls += 1;
-          node.watch = Some(Waiting::Store(now, node.cache.version()));
+          node.watch = Some(Watch {
+            since: now,
+            after: node.cache.version(),
+          });
         }
       }
-      Some(Waiting::Store(since, _)) if !reachable => {
+      Some(Watch { since, .. }) if !reachable => {
         if now - since >= CALL_TIMEOUT {
           let node = &mut self.nodes[index];
           node.watch = None;
           node.pauses[0] = now + FAILURE_PAUSE;
         }
       }
-      Some(Waiting::Store(since, after)) => {
+      Some(Watch { since, after }) => {
         let ready = after.is_none_or(|after| after < self.version || after < self.compacted);
         if !ready && now - since < WATCH_WAIT {
           return;
@@ -261,7 +270,6 @@
         node.cache.apply(&update, now);
         node.choice.record_store(now);
       }
-      Some(Waiting::Peer(..)) => unreachable!("a watch is of the store"),
     }
   }
 
@@ -278,9 +286,13 @@
         let found = self.nodes.iter().find(|other| node(other.index) == peer);
         let peer = found.expect("a peer is a node").index;
         let after = self.nodes[index].cache.version();
-        self.nodes[index].request = Some(Waiting::Peer(now, peer, after));
+        self.nodes[index].request = Some(Request {
+          since: now,
+          peer,
+          after,
+        });
       }
-      Some(Waiting::Peer(since, peer, after)) => {
+      Some(Request { since, peer, after }) => {
         let reachable = self.nodes[peer].running && self.groups[peer] == self.groups[index];
         if !reachable {
           if now - since >= SILENCE {
@@ -307,7 +319,6 @@
           None => asking.choice.record_failure(node(peer), now),
         }
       }
-      Some(Waiting::Store(..)) => unreachable!("a request is to a node"),
     }
   }
 }
--- a/crates/model/src/call.rs
+++ b/crates/model/src/call.rs
@@ -19,6 +19,17 @@
   Resent,
 }
 
+impl Repeat {
+  /// What holds for the calls that a run of the call makes.
+  #[must_use]
+  pub const fn inherited(self) -> Self {
+    match self {
+      Self::No => Self::No,
+      Self::Inherited | Self::Resent => Self::Inherited,
+    }
+  }
+}
+
 /// Call without its body.
 #[derive(Clone, Debug)]
 pub struct CallHead {
--- a/crates/model/src/priority.rs
+++ b/crates/model/src/priority.rs
@@ -38,6 +38,11 @@
     (self.0 / HALF) as usize
   }
 
+  /// Sub-level within the class.
+  pub const fn sub_level(self) -> u8 {
+    self.0 as u8
+  }
+
   /// Rank of the class.
   pub const fn rank(self) -> ClassRank {
     ClassRank((self.0 >> 8) as u8)
@@ -46,6 +51,6 @@
 
 impl Display for Priority {
   fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-    write!(f, "{}.{}", self.0 >> 8, self.0 & 0xff)
+    write!(f, "{}.{}", self.rank(), self.sub_level())
   }
 }
