Log what a gate decides about root requests and nested calls

`event=overload`, once a second while a gate refuses or drops calls, counts for root requests and nested calls what was offered, started, refused by the level, dropped after the longest wait, too late or left out of a full queue, with the mean wait, the level and the use of the slots. `not_run` and `unknown` name the priority and the level known for the route.

The test of the counts is `counts_tell_the_reasons_of_refusals_apart`.

--- a/crates/cactusyoke/src/admission.rs
+++ b/crates/cactusyoke/src/admission.rs
@@ -16,6 +16,8 @@
 
 /// Longest sleep of the task that polls the queue; bounds how long it outlives the node.
 const MAX_SLEEP: Duration = Duration::from_mins(1);
+/// Shortest time between two log lines about an overload.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 type Decision = Result<(), NotRunReason>;
 
@@ -24,6 +26,8 @@
   waiting: HashMap<u64, oneshot::Sender<Decision>>,
   actions: Vec<GateAction>,
   last_ticket: u64,
+  /// Since when the gate's decisions are counted for the next log line.
+  counted_since: Instant,
 }
 
 /// Admission to the local upstream.
@@ -57,6 +61,7 @@
       waiting: HashMap::new(),
       actions: Vec::new(),
       last_ticket: 0,
+      counted_since: clock.now(),
     };
     let admission = Arc::new(Self {
       inner: Mutex::new(inner),
@@ -201,6 +206,40 @@
       }
     }
     self.actions = actions;
+    if now.saturating_duration_since(self.counted_since) >= LOG_INTERVAL {
+      self.counted_since = now;
+      self.log_overload(now);
+    }
+  }
+
+  /// Logs what the gate decided since the last time, if it refused or dropped calls.
+  fn log_overload(&mut self, now: Instant) {
+    let counts = self.gate.take_counts();
+    if counts.not_run() == 0 {
+      return;
+    }
+    let (root, nested) = (counts.root, counts.nested);
+    tracing::info!(
+      event = "overload",
+      level = %self.gate.level(now),
+      utilisation = format_args!("{:.2}", self.gate.utilisation()),
+      limit = self.gate.limit(),
+      in_flight = self.gate.in_flight(),
+      queued = self.gate.queued(),
+      root_offered = root.offered,
+      root_started = root.started,
+      root_wait_ms = root.mean_wait().as_millis() as u64,
+      root_above_level = root.above_level,
+      root_expired = root.expired,
+      root_late = root.late,
+      root_overflowed = root.overflowed,
+      nested_offered = nested.offered,
+      nested_started = nested.started,
+      nested_wait_ms = nested.mean_wait().as_millis() as u64,
+      nested_expired = nested.expired,
+      nested_late = nested.late,
+      nested_overflowed = nested.overflowed,
+    );
   }
 
   fn decide(&mut self, ticket: u64, decision: Decision) {
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -113,9 +113,9 @@
       retries: route.retries,
       ..self.base_head(&request, route, started)
     };
-    let service = head.service.clone();
+    let (service, priority) = (head.service.clone(), head.priority);
     let result = self.send(&preset, route, head, request).await;
-    self.record_outcome(route, 0, started, &result);
+    self.record_outcome(route, priority, 0, started, &result);
     result
       .map_err(|failure| failure.with_retry_delay(self.load_control.retry_delay(route, &service)))
   }
@@ -151,7 +151,7 @@
     };
     let result = self.send(&preset, route, head, request).await;
     outgoing.finish(&result);
-    self.record_outcome(route, parent.depth, started, &result);
+    self.record_outcome(route, parent.priority, parent.depth, started, &result);
     result
   }
 
@@ -159,6 +159,7 @@
   fn record_outcome(
     &self,
     route: &Route,
+    priority: Priority,
     depth: u8,
     started: Instant,
     result: &Result<Answer, CallFailure>,
@@ -178,6 +179,8 @@
         route = %route.name,
         service = %route.service(),
         rank = %route.rank,
+        %priority,
+        level = %self.load_control.level(&route.name, now),
         depth,
         waited_ms,
         omitted
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -1,7 +1,7 @@
 use {
   super::{
-    Completion, DeterministicMap, GateAction, GateConfig, Lane, LevelController, Limit, MaxWaits,
-    OfferOutcome, Queue, QueueOrder, QueuedCall, TicketState,
+    Completion, DeterministicMap, GateAction, GateConfig, GateCounts, Lane, LevelController, Limit,
+    MaxWaits, OfferOutcome, Queue, QueueOrder, QueuedCall, TicketState,
     level_controller::{HALVES, IntervalStats},
     queue::max_nested_wait,
   },
@@ -57,6 +57,7 @@
   nested_started: u32,
   nested_waited: Duration,
   last_wait: Duration,
+  counts: GateCounts,
 }
 
 impl Gate {
@@ -86,6 +87,7 @@
       nested_started: 0,
       nested_waited: Duration::ZERO,
       last_wait: Duration::ZERO,
+      counts: GateCounts::default(),
     }
   }
 
@@ -126,12 +128,16 @@
       return OfferOutcome::Refused(NotRunReason::BadRequest);
     }
     self.controller.record_arrival(priority);
+    let counts = self.counts.lane(lane.is_nested());
+    counts.offered += 1;
     if !lane.is_nested() && !self.controller.enforced_level().admits(priority) {
+      counts.above_level += 1;
       return OfferOutcome::Refused(NotRunReason::Shed);
     }
     let half = priority.half_index().min(HALVES - 1);
     let earliest_end = now + self.limit.min_latency();
     if deadline <= earliest_end {
+      counts.late += 1;
       return OfferOutcome::Refused(NotRunReason::Deadline);
     }
     if self.queue.len() == 0 && self.in_flight < self.limit.current() {
@@ -139,13 +145,16 @@
       return OfferOutcome::Start;
     }
     if deadline <= earliest_end + self.expected_wait(lane) {
+      self.counts.lane(lane.is_nested()).late += 1;
       return OfferOutcome::Refused(NotRunReason::Deadline);
     }
     let mut evicted = None;
     if self.queue.len() >= self.max_queued {
-      let Some(call) = self.queue.evict_below(lane) else {
+      let Some((evicted_lane, call)) = self.queue.evict_below(lane) else {
+        self.counts.lane(lane.is_nested()).overflowed += 1;
         return OfferOutcome::Refused(NotRunReason::QueueFull);
       };
+      self.counts.lane(evicted_lane.is_nested()).overflowed += 1;
       self.tickets.remove(&call.ticket);
       evicted = Some(call.ticket);
     }
@@ -195,6 +204,7 @@
       };
       if call.deadline <= now + self.limit.min_latency() {
         self.tickets.remove(&call.ticket);
+        self.counts.lane(lane.is_nested()).late += 1;
         actions.push(GateAction::Drop(call.ticket, NotRunReason::Deadline));
         continue;
       }
@@ -239,6 +249,11 @@
     }
   }
 
+  /// Decisions since the last call of this method.
+  pub fn take_counts(&mut self) -> GateCounts {
+    std::mem::take(&mut self.counts)
+  }
+
   /// Share of the concurrency limit in use, smoothed over about a second.
   pub const fn utilisation(&self) -> f64 {
     self.utilisation
@@ -284,6 +299,9 @@
     self.last_wait = now.saturating_duration_since(queued);
     self.waited += self.last_wait;
     self.started += 1;
+    let counts = self.counts.lane(lane.is_nested());
+    counts.started += 1;
+    counts.waited += self.last_wait;
     if lane.is_nested() {
       self.nested_waited += self.last_wait;
       self.nested_started += 1;
@@ -323,13 +341,16 @@
   fn expire(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
     let earliest_end = now + self.limit.min_latency();
     let waits = self.max_waits();
-    let tickets = &mut self.tickets;
-    self.queue.expire(now, waits, earliest_end, |call| {
+    let (tickets, counts) = (&mut self.tickets, &mut self.counts);
+    self.queue.expire(now, waits, earliest_end, |lane, call| {
       tickets.remove(&call.ticket);
+      let counts = counts.lane(lane.is_nested());
       // A call that could still meet its deadline is dropped because it waited too long.
       let reason = if call.deadline <= earliest_end {
+        counts.late += 1;
         NotRunReason::Deadline
       } else {
+        counts.expired += 1;
         NotRunReason::Shed
       };
       actions.push(GateAction::Drop(call.ticket, reason));
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -159,7 +159,7 @@
   }
 
   /// Removes the call that would start last, if its lane is less important than `lane`.
-  pub(super) fn evict_below(&mut self, lane: Lane) -> Option<QueuedCall> {
+  pub(super) fn evict_below(&mut self, lane: Lane) -> Option<(Lane, QueuedCall)> {
     if self.occupied == 0 {
       return None;
     }
@@ -173,7 +173,7 @@
       QueueOrder::NewestFirst => lane.pop_front(),
     };
     self.count_removed(last, call.is_some().into());
-    call
+    Some((last, call?))
   }
 
   pub(super) fn remove(&mut self, lane: Lane, ticket: u64) -> bool {
@@ -193,7 +193,7 @@
     now: Instant,
     waits: MaxWaits,
     earliest_end: Instant,
-    mut expired: impl FnMut(&QueuedCall),
+    mut expired: impl FnMut(Lane, &QueuedCall),
   ) {
     let mut rest = self.occupied;
     while rest != 0 {
@@ -205,7 +205,7 @@
         let keep =
           now.saturating_duration_since(call.queued) < wait && call.deadline > earliest_end;
         if !keep {
-          expired(call);
+          expired(lane, call);
         }
         keep
       });
--- a/crates/decisions/tests/gate.rs
+++ b/crates/decisions/tests/gate.rs
@@ -1,7 +1,9 @@
 //! Admission control for one upstream.
 
 use {
-  cactusyoke_decisions::load::{Completion, Gate, GateAction, GateConfig, OfferOutcome},
+  cactusyoke_decisions::load::{
+    Completion, Gate, GateAction, GateConfig, GateCounts, LaneCounts, OfferOutcome,
+  },
   cactusyoke_model::{Level, NotRunReason, Priority, Slots},
   std::time::{Duration, Instant},
   yare::parameterized,
@@ -254,3 +256,52 @@
   assert_eq!(offer, OfferOutcome::Refused(NotRunReason::BadRequest));
   assert!(!gate.cancel(1), "a started call cannot be cancelled here");
 }
+
+/// Guards against logs that do not tell why a gate refuses: by the level, by its queue or by the
+/// deadline of the call.
+#[test]
+fn counts_tell_the_reasons_of_refusals_apart() {
+  let now = Instant::now();
+  let mut gate = gate(1, 1, Duration::ZERO, now);
+  let priority = Priority(0x200);
+  let queued = OfferOutcome::Queued { evicted: None };
+  let offers = [
+    gate.offer(1, priority, now + MINUTE, now),
+    gate.offer(2, priority, now + MINUTE, now),
+    gate.offer(3, priority, now + MINUTE, now),
+    gate.offer_nested(4, priority, now + MINUTE, now),
+    gate.offer_nested(5, priority, now, now),
+  ];
+  let expected = [
+    OfferOutcome::Start,
+    queued,
+    OfferOutcome::Refused(NotRunReason::QueueFull),
+    OfferOutcome::Queued { evicted: Some(2) },
+    OfferOutcome::Refused(NotRunReason::Deadline),
+  ];
+  assert_eq!(offers, expected);
+  let later = now + ms(150);
+  gate.finish(1, Completion::Succeeded, later);
+  gate.poll(later, &mut Vec::new());
+  assert_eq!(gate.offer(6, priority, later + MINUTE, later), queued);
+  gate.poll(later + ms(250), &mut Vec::new());
+  let counts = gate.take_counts();
+  let root = LaneCounts {
+    offered: 4,
+    started: 1,
+    // The second was evicted by the nested call, the third found the queue full.
+    overflowed: 2,
+    expired: 1,
+    ..LaneCounts::default()
+  };
+  let nested = LaneCounts {
+    offered: 2,
+    started: 1,
+    late: 1,
+    waited: ms(150),
+    ..LaneCounts::default()
+  };
+  assert_eq!(counts, GateCounts { root, nested });
+  assert_eq!((counts.not_run(), nested.mean_wait()), (4, ms(150)));
+  assert_eq!(gate.take_counts(), GateCounts::default());
+}
