Count the waits of calls in sequence in the demand for a service

But why are there so many nested calls? 3. callers come back at the same moments: offered are 20 to 45 a second, every second; ruled out; 4. the level is strict while slots are free: utilisation is 1.00; ruled out.

Cause: nested calls wait 20 to 90 ms at `warehouse`, 4.5 are tolerated, and the level does not fall for seconds, since by the estimates the load fits. The estimate counts arrivals. A request makes its ten calls one after the other, so that calls arrive only as fast as they are served, however many requests are admitted: a closed loop, in which the rate of arrivals never shows an overload. Requests run out of time after most of their calls, and root requests, behind all calls, get nothing. Besides, the share that senders admit is read off the highest sub-level among the arrivals, which one request from a node with an older level moves to the end of the range (level 66 of 256, estimate for 128).

Change: the demand of a class counts by how much waiting slows its calls down, and the highest sub-level is not used when the mean contradicts it.

--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -2,7 +2,7 @@
   super::{
     Completion, DeterministicMap, GateAction, GateConfig, GateCounts, Lane, LevelController, Limit,
     MaxWaits, OfferOutcome, Queue, QueueOrder, QueuedCall, TicketState,
-    level_controller::{HALVES, IntervalStats},
+    level_controller::{CLASSES, HALVES, IntervalStats},
     queue::max_nested_wait,
   },
   cactusyoke_model::{InstanceLoad, Level, NotRunReason, Priority, Slots},
@@ -56,6 +56,8 @@
   /// The same for nested calls only.
   nested_started: u32,
   nested_waited: Duration,
+  /// The same by class.
+  nested_waits: [(u32, Duration); CLASSES],
   last_wait: Duration,
   counts: GateCounts,
 }
@@ -86,6 +88,7 @@
       waited: Duration::ZERO,
       nested_started: 0,
       nested_waited: Duration::ZERO,
+      nested_waits: [(0, Duration::ZERO); CLASSES],
       last_wait: Duration::ZERO,
       counts: GateCounts::default(),
     }
@@ -305,6 +308,9 @@
     if lane.is_nested() {
       self.nested_waited += self.last_wait;
       self.nested_started += 1;
+      let (started, waited) = &mut self.nested_waits[lane.class()];
+      *started += 1;
+      *waited += self.last_wait;
     }
   }
 
@@ -418,12 +424,16 @@
       run_times: &self.run_times,
       wait,
       tolerated_wait,
+      nested_waits: &self
+        .nested_waits
+        .map(|(started, waited)| mean_wait(waited, started)),
       queue: &self.queue,
     });
     self.started = 0;
     self.waited = Duration::ZERO;
     self.nested_started = 0;
     self.nested_waited = Duration::ZERO;
+    self.nested_waits = [(0, Duration::ZERO); CLASSES];
   }
 }
 
--- a/crates/decisions/src/load/level_controller.rs
+++ b/crates/decisions/src/load/level_controller.rs
@@ -3,7 +3,7 @@
   cactusyoke_model::{ClassRank, Level, Priority},
 };
 
-const CLASSES: usize = ClassRank::MAX.0 as usize + 1;
+pub(super) const CLASSES: usize = ClassRank::MAX.0 as usize + 1;
 /// Half classes in all. The two halves of a class can differ in run time.
 pub(super) const HALVES: usize = CLASSES * 2;
 /// Sub-levels of half a class.
@@ -16,6 +16,8 @@
 /// Standard deviations above which a change of the arrivals counts as significant. At 3, random
 /// variation lowered the level about once every few seconds.
 const SIGNIFICANT_DEVIATIONS: f64 = 4.0;
+/// Standard deviations by which the mean sub-level may contradict the highest one.
+const OUTLIER_DEVIATIONS: f64 = 2.0;
 /// Utilisation of the concurrency limit below which slots are free, whatever the estimates say.
 const IDLE_UTILISATION: f64 = 0.8;
 /// Share of the idle slots that one rise of the level may fill.
@@ -47,6 +49,8 @@
   pub(super) wait: f64,
   /// Tolerated mean wait of the same calls, seconds.
   pub(super) tolerated_wait: f64,
+  /// Mean wait of the nested calls that started, by class, seconds.
+  pub(super) nested_waits: &'a [f64; CLASSES],
   pub(super) queue: &'a Queue,
 }
 
@@ -55,9 +59,11 @@
 struct Arrivals {
   /// Arrivals in the current interval.
   count: u32,
-  /// Highest sub-level since the last estimate, and the number of arrivals that it was seen among.
+  /// Highest sub-level since the last estimate, the number of arrivals that it was seen among, and
+  /// the sum of their sub-levels.
   highest: u8,
   seen: u32,
+  sub_level_sum: u32,
   /// Estimated arrivals, including those that senders shed themselves.
   rate: Rate,
 }
@@ -79,7 +85,7 @@
 ///
 /// Sub-levels are hashes and therefore uniform within half a class, so that the cut-off is
 /// interpolated within it. Where senders admit only part of a half, its full arrival rate is
-/// estimated from the arrivals and the highest sub-level among them. The two halves of a class can
+/// estimated from the arrivals and their sub-levels. The two halves of a class can
 /// differ in run time, so that demand is counted in slots.
 #[derive(Debug)]
 pub(super) struct LevelController {
@@ -102,6 +108,7 @@
       count: 0,
       highest: 0,
       seen: 0,
+      sub_level_sum: 0,
       rate: Rate::new(0.0, SIGNIFICANT_DEVIATIONS),
     };
     Self {
@@ -208,14 +215,14 @@
       return vec![Segment {
         start: SUB_LEVELS_PER_HALF * halves[0] as f64,
         sub_levels: SUB_LEVELS_PER_HALF * 2.0,
-        rate: self.class_arrivals[class].rate.value(),
+        rate: self.class_arrivals[class].rate.value() * stats.slowdown(class),
         run_time: f64::midpoint(first, second),
       }];
     }
     let segment = |half: usize| Segment {
       start: SUB_LEVELS_PER_HALF * half as f64,
       sub_levels: SUB_LEVELS_PER_HALF,
-      rate: self.half_arrivals[half].rate.value(),
+      rate: self.half_arrivals[half].rate.value() * stats.slowdown(class),
       run_time: stats.half_run_time(half),
     };
     halves.map(segment).to_vec()
@@ -275,6 +282,19 @@
 }
 
 impl IntervalStats<'_> {
+  /// Factor by which waiting slows down the calls of a class. A request makes its next call when
+  /// the last one has ended, so that calls arrive more rarely the longer they wait: the rate of
+  /// arrivals alone never shows more than fits. The upstream is assumed to work about as long
+  /// between two calls as one takes.
+  fn slowdown(&self, class: usize) -> f64 {
+    let cycle = 2.0 * self.run_time + self.tolerated_wait;
+    let excess = self.nested_waits[class] - self.tolerated_wait;
+    if excess <= 0.0 || cycle <= 0.0 {
+      return 1.0;
+    }
+    1.0 + excess / cycle
+  }
+
   /// Mean run time of the calls of a half class, seconds.
   fn half_run_time(&self, half: usize) -> f64 {
     match self.run_times[half] {
@@ -288,18 +308,16 @@
   fn record(&mut self, sub_level: u8) {
     self.count += 1;
     self.highest = self.highest.max(sub_level);
+    self.seen += 1;
+    self.sub_level_sum += u32::from(sub_level);
   }
 
   /// Ends an interval. The arrivals are uniform over `sub_levels`.
   fn end_interval(&mut self, elapsed: f64, sub_levels: f64) {
-    self.seen += self.count;
-    let seen = f64::from(self.seen);
-    // The highest of n uniform values is expected to lie 1/(n+1) of their range below its end.
-    let range_end = (f64::from(self.highest) + 1.0) * (seen + 1.0) / seen.max(1.0);
     let share = if self.seen == 0 {
       1.0
     } else {
-      (range_end / sub_levels).min(1.0)
+      (self.range_end() / sub_levels).min(1.0)
     };
     let ended = self
       .rate
@@ -308,6 +326,23 @@
     if ended {
       self.seen = 0;
       self.highest = 0;
+      self.sub_level_sum = 0;
+    }
+  }
+
+  /// End of the range of sub-levels that senders admit.
+  fn range_end(&self) -> f64 {
+    let seen = f64::from(self.seen);
+    // The highest of n uniform values is expected to lie 1/(n+1) of their range below its end.
+    let by_highest = (f64::from(self.highest) + 1.0) * (seen + 1.0) / seen;
+    // Their mean lies half the range below it, with a standard deviation of 1/sqrt(3n) of twice the
+    // mean. The highest says more, but a single call from a sender with an older level moves it.
+    let by_mean = 2.0 * f64::from(self.sub_level_sum) / seen + 1.0;
+    let deviation = 1.0 / (3.0 * seen).sqrt();
+    if by_mean < by_highest * (1.0 - OUTLIER_DEVIATIONS * deviation) {
+      by_mean
+    } else {
+      by_highest
     }
   }
 }
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -32,7 +32,7 @@
     self.0.is_multiple_of(LANES_PER_CLASS)
   }
 
-  const fn class(self) -> usize {
+  pub(super) const fn class(self) -> usize {
     self.0 / LANES_PER_CLASS
   }
 }
