--- a/crates/decisions/tests/shared_bottleneck.rs
+++ b/crates/decisions/tests/shared_bottleneck.rs
@@ -70,7 +70,7 @@
     work: 160.0,
     gap: 4.0,
     calls: 5,
-    time_limit: Duration::from_millis(1000),
+    time_limit: Duration::from_secs(1),
   },
   Kind {
     name: "check",
