Keep the rate of requests that an upstream states in its answers

Cause: the header was not known. An upstream's load was bounded by its slots only, and a slow start of the rate shows there last: with free slots, every node goes on to send.

Ruled out as a place to count: the senders. Each would have a part of the rate, few know each other's, and they come and go. All requests for an upstream pass the node beside it, repeats, nested calls and those of nodes that have just started too, so its gate keeps the rate alone, whatever others know; nothing has to be agreed on, and a restart of any other node changes nothing.

Change: `RateLimit`, a token bucket with a tenth of a second to make up for requests that were not sent. A smaller rate holds at once; a larger one, or none, counts only in an answer to a request that was sent after the rate in force was last stated, since answers overtake each other. Refusals state it too. 0.5 requests a second are sent at any rate, as only an answer can lift it. The gate reports itself as used up, so that senders go elsewhere; what it can't start in the time that calls may wait is refused at once (`limit`) and goes to another instance of the service, a request with a key only to its own.

--- a/crates/cactusyoke/src/admission.rs
+++ b/crates/cactusyoke/src/admission.rs
@@ -5,6 +5,7 @@
 use {
   cactusyoke_decisions::load::{Completion, Gate, GateAction, GateConfig, OfferOutcome},
   cactusyoke_model::{CallFailure, Clock, Level, NotRunReason, Priority, Report, Slots},
+  cactusyoke_upstreams::UpstreamNotice,
   std::{
     collections::HashMap,
     fmt,
@@ -101,6 +102,29 @@
     inner.poll(now);
   }
 
+  /// Applies what an answer says about the rate of requests that the upstream takes.
+  pub(crate) fn apply_notice(&self, notice: UpstreamNotice) {
+    let now = self.clock.now();
+    let mut inner = self.lock();
+    let before = inner.gate.rate_limit();
+    inner
+      .gate
+      .set_rate_limit(notice.rate_limit, notice.sent, now);
+    let rate = inner.gate.rate_limit();
+    if rate == before {
+      return;
+    }
+    inner.poll(now);
+    drop(inner);
+    if let Some(rate) = rate {
+      tracing::info!(event = "rate_limited", requests_per_second = rate);
+    } else {
+      tracing::info!(event = "rate_limit_lifted");
+    }
+    // The task that polls the queue sleeps until a time that no longer holds.
+    self.queue_change.notify_one();
+  }
+
   /// Sets the longest wait in the queue.
   pub(crate) fn set_queue_wait(&self, wait: Duration) {
     self.lock().gate.set_queue_wait(wait);
@@ -232,12 +256,14 @@
       root_above_level = root.above_level,
       root_expired = root.expired,
       root_late = root.late,
+      root_over_rate = root.over_rate,
       root_overflowed = root.overflowed,
       nested_offered = nested.offered,
       nested_started = nested.started,
       nested_wait_ms = nested.mean_wait().as_millis() as u64,
       nested_expired = nested.expired,
       nested_late = nested.late,
+      nested_over_rate = nested.over_rate,
       nested_overflowed = nested.overflowed,
     );
   }
--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -112,17 +112,15 @@
       .announce_config(&settings, watcher.config(), Arc::clone(&clock));
   let upstream_view = start_announcements(announce_config, settings.announce, stop.clone()).await?;
   let crashes = Arc::new(Crashes::new(Arc::clone(&clock)));
-  let reports = Arc::clone(&crashes);
-  let upstream_config = UpstreamConfig {
-    on_lost_connection: Arc::new(move |lost| reports.record_lost(&lost)),
-    clock: Arc::clone(&clock),
-    header_names: names,
-    ..UpstreamConfig::new(upstream_view.clone())
-  };
   let admission = Admission::new(
     upstream_follower::initial_gate(&settings),
     Arc::clone(&clock),
   );
+  let upstream_config = UpstreamConfig {
+    clock: Arc::clone(&clock),
+    header_names: names,
+    ..upstream_config(&upstream_view, &crashes, &admission)
+  };
   let member = Process {
     node: settings.node,
     incarnation,
@@ -169,6 +167,20 @@
   }))
 }
 
+/// Settings of the upstream client that reports to the parts of the node.
+fn upstream_config(
+  view: &ViewHandle,
+  crashes: &Arc<Crashes>,
+  admission: &Arc<Admission>,
+) -> UpstreamConfig {
+  let (crashes, admission) = (Arc::clone(crashes), Arc::clone(admission));
+  UpstreamConfig {
+    on_lost_connection: Arc::new(move |lost| crashes.record_lost(&lost)),
+    on_notice: Arc::new(move |notice| admission.apply_notice(notice)),
+    ..UpstreamConfig::new(view.clone())
+  }
+}
+
 fn incarnation(wall: SystemTime) -> Incarnation {
   let since = wall
     .duration_since(SystemTime::UNIX_EPOCH)
--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -306,6 +306,8 @@
         NotRunReason::Connection | NotRunReason::Draining | NotRunReason::NoUpstream => {
           self.may_reroute()
         }
+        // A key is bound to its instances, an upstream's limit on the rate is not.
+        NotRunReason::Limit if self.head.key.is_none() => self.may_reroute(),
         NotRunReason::Refused => self.may_retry(true, now),
         _ => false,
       },
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -1,6 +1,8 @@
 //! Fixture for tests with the platform's interface: real nodes, with stand-ins of the platform's
 //! store and of upstreams.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use {
   super::common::{NodeProcess, eventually},
   cactusyoke_platform::{document, header_names},
--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod queue;
 mod rate;
+mod rate_limit;
 mod retry_budget;
 mod retry_delay;
 mod retry_ratio;
@@ -60,6 +61,7 @@
   limit::Limit,
   queue::{Lane, MaxWaits, Queue, QueuedCall},
   rate::Rate,
+  rate_limit::RateLimit,
   std::{
     collections::HashMap,
     hash::{BuildHasherDefault, DefaultHasher},
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -1,11 +1,11 @@
 use {
   super::{
     Completion, DeterministicMap, GateAction, GateConfig, GateCounts, Lane, LevelController, Limit,
-    MaxWaits, OfferOutcome, Queue, QueueOrder, QueuedCall, TicketState,
+    MaxWaits, OfferOutcome, Queue, QueueOrder, QueuedCall, RateLimit, TicketState,
     level_controller::{CLASSES, HALVES, IntervalStats},
     queue::max_nested_wait,
   },
-  cactusyoke_model::{InstanceLoad, Level, NotRunReason, Priority, Slots},
+  cactusyoke_model::{InstanceLoad, Level, NotRunReason, Priority, RequestRate, Slots},
   std::time::{Duration, Instant},
 };
 
@@ -39,6 +39,8 @@
   tickets: DeterministicMap<u64, TicketState>,
   in_flight: u32,
   limit: Limit,
+  /// Limit that the upstream has stated.
+  rate_limit: Option<RateLimit>,
   controller: LevelController,
   /// Smoothed run time by half class, seconds; zero while unknown.
   run_times: [f64; HALVES],
@@ -50,6 +52,8 @@
   level_updated: Instant,
   /// No queued call expires before this time; it may be too early, never too late.
   earliest_expiry: Option<Instant>,
+  /// Calls started since the last adaptation of the limit, while the rate is limited.
+  sent: u32,
   /// Calls started since the last update of the level, and the sum of their waits.
   started: u32,
   waited: Duration,
@@ -78,12 +82,14 @@
       tickets: DeterministicMap::default(),
       in_flight: 0,
       limit: Limit::new(config.slots, config.cold_start, config.adaptive_limit, now),
+      rate_limit: None,
       controller: LevelController::new(),
       run_times: [0.0; HALVES],
       utilisation: 0.0,
       last_tick: now,
       level_updated: now,
       earliest_expiry: None,
+      sent: 0,
       started: 0,
       waited: Duration::ZERO,
       nested_started: 0,
@@ -134,6 +140,10 @@
     let counts = self.counts.lane(lane.is_nested());
     counts.offered += 1;
     if !lane.is_nested() && !self.controller.enforced_level().admits(priority) {
+      if self.rate_limit.is_some() {
+        counts.over_rate += 1;
+        return OfferOutcome::Refused(NotRunReason::Limit);
+      }
       counts.above_level += 1;
       return OfferOutcome::Refused(NotRunReason::Shed);
     }
@@ -143,11 +153,16 @@
       counts.late += 1;
       return OfferOutcome::Refused(NotRunReason::Deadline);
     }
-    if self.queue.len() == 0 && self.in_flight < self.limit.current() {
+    if self.queue.len() == 0 && self.can_start(now) {
       self.start(ticket, half, lane, now, now);
       return OfferOutcome::Start;
     }
-    if deadline <= earliest_end + self.expected_wait(lane) {
+    let expected_wait = self.expected_wait(lane);
+    if self.rate_limit.is_some() && expected_wait > self.max_waits().for_lane(lane) {
+      self.counts.lane(lane.is_nested()).over_rate += 1;
+      return OfferOutcome::Refused(NotRunReason::Limit);
+    }
+    if deadline <= earliest_end + expected_wait {
       self.counts.lane(lane.is_nested()).late += 1;
       return OfferOutcome::Refused(NotRunReason::Deadline);
     }
@@ -201,7 +216,7 @@
     if self.earliest_expiry.is_some_and(|expiry| expiry <= now) {
       self.expire(now, actions);
     }
-    while self.in_flight < self.limit.current() {
+    while self.can_start(now) {
       let Some((lane, call)) = self.queue.pop() else {
         break;
       };
@@ -223,7 +238,10 @@
   pub fn next_poll(&self) -> Option<Instant> {
     let busy = self.queue.len() > 0 || self.controller.reported_level() != Level::ALL;
     let tick = busy.then(|| self.last_tick + TICK_INTERVAL);
-    self.earliest_expiry.into_iter().chain(tick).min()
+    let limited = self.rate_limit.filter(|_| self.queue.len() > 0);
+    let sendable = limited.map(|limit| limit.next());
+    let times = [self.earliest_expiry, tick, sendable];
+    times.into_iter().flatten().min()
   }
 
   /// Admission level to report to senders.
@@ -242,13 +260,15 @@
   /// Load to report to senders.
   pub fn load(&self) -> InstanceLoad {
     let interval = |capacity: f64| Duration::from_secs_f64(1.0 / capacity);
+    let free_slots = self.limit.current().saturating_sub(self.outstanding());
+    let sendable = self.rate_limit.map_or(u32::MAX, |limit| limit.available());
     InstanceLoad {
       outstanding: self.outstanding(),
       queued: self.queued(),
       queued_nested: self.queue.nested_len() as u32,
       utilisation: (self.utilisation.clamp(0.0, 1.0) * 255.0) as u8,
-      free_slots: self.limit.current().saturating_sub(self.outstanding()),
-      completion_interval: self.limit.capacity().map_or(Duration::ZERO, interval),
+      free_slots: free_slots.min(sendable),
+      completion_interval: self.capacity().map_or(Duration::ZERO, interval),
     }
   }
 
@@ -287,14 +307,40 @@
     self.limit.set_slots(slots, now);
   }
 
+  /// Applies what an answer of the upstream says about the rate of requests that it takes; `None`
+  /// when it says nothing. `sent` is when the answered request was sent.
+  pub fn set_rate_limit(&mut self, rate: Option<RequestRate>, sent: Instant, now: Instant) {
+    self.rate_limit = RateLimit::after_answer(self.rate_limit, rate, sent, now);
+  }
+
+  /// Requests per second that the upstream takes, as it has stated.
+  pub fn rate_limit(&self) -> Option<f64> {
+    self.rate_limit.map(|limit| limit.per_second())
+  }
+
   /// Replaces the longest allowed wait, also for calls already queued.
   pub fn set_queue_wait(&mut self, queue_wait: Duration) {
     self.queue_wait = queue_wait;
     self.earliest_expiry = self.next_expiry();
   }
 
+  fn can_start(&mut self, now: Instant) -> bool {
+    let limit = self.rate_limit.as_mut();
+    self.in_flight < self.limit.current() && limit.is_none_or(|limit| limit.admits(now))
+  }
+
+  /// Calls per second that the upstream can take, once known.
+  fn capacity(&self) -> Option<f64> {
+    let capacities = [self.limit.capacity(), self.rate_limit()];
+    capacities.into_iter().flatten().reduce(f64::min)
+  }
+
   fn start(&mut self, ticket: u64, half: usize, lane: Lane, queued: Instant, now: Instant) {
     self.limit.observe(self.in_flight, now);
+    if let Some(limit) = &mut self.rate_limit {
+      limit.record_sent();
+      self.sent += 1;
+    }
     self.in_flight += 1;
     self
       .tickets
@@ -339,7 +385,7 @@
 
   fn expected_wait(&self, lane: Lane) -> Duration {
     let ahead = self.queue.ahead(lane) as f64;
-    self.limit.capacity().map_or(Duration::ZERO, |capacity| {
+    self.capacity().map_or(Duration::ZERO, |capacity| {
       Duration::from_secs_f64(ahead / capacity)
     })
   }
@@ -348,6 +394,7 @@
     let earliest_end = now + self.limit.min_latency();
     let waits = self.max_waits();
     let (tickets, counts) = (&mut self.tickets, &mut self.counts);
+    let limited = self.rate_limit.is_some();
     self.queue.expire(now, waits, earliest_end, |lane, call| {
       tickets.remove(&call.ticket);
       let counts = counts.lane(lane.is_nested());
@@ -355,6 +402,9 @@
       let reason = if call.deadline <= earliest_end {
         counts.late += 1;
         NotRunReason::Deadline
+      } else if limited {
+        counts.over_rate += 1;
+        NotRunReason::Limit
       } else {
         counts.expired += 1;
         NotRunReason::Shed
@@ -392,7 +442,15 @@
     self.last_tick = now;
     self.limit.observe(self.in_flight, now);
     self.limit.tick(now);
-    self.utilisation += (self.limit.utilisation() - self.utilisation) * UTILISATION_WEIGHT;
+    let utilisation = match &self.rate_limit {
+      Some(limit) => {
+        let sendable = limit.per_second() * elapsed.as_secs_f64();
+        let sent = f64::from(std::mem::take(&mut self.sent)) / sendable;
+        self.limit.utilisation().max(sent.min(1.0))
+      }
+      None => self.limit.utilisation(),
+    };
+    self.utilisation += (utilisation - self.utilisation) * UTILISATION_WEIGHT;
     if elapsed >= OUTDATED_AFTER && self.queue.len() == 0 {
       self.controller.reset();
     }
--- a/crates/decisions/src/load/gate_counts.rs
+++ b/crates/decisions/src/load/gate_counts.rs
@@ -11,6 +11,8 @@
   pub late: u32,
   /// Dropped after the longest allowed wait.
   pub expired: u32,
+  /// Refused or dropped because the upstream limits the rate of requests.
+  pub over_rate: u32,
   /// Refused or evicted because the queue was full.
   pub overflowed: u32,
   /// Started.
@@ -22,7 +24,7 @@
 impl LaneCounts {
   /// Refused or dropped, for any reason.
   pub const fn not_run(&self) -> u32 {
-    self.above_level + self.late + self.expired + self.overflowed
+    self.above_level + self.late + self.expired + self.over_rate + self.overflowed
   }
 
   /// Mean wait of those that started.
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -59,7 +59,7 @@
 }
 
 impl MaxWaits {
-  fn for_lane(self, lane: Lane) -> Duration {
+  pub(super) fn for_lane(self, lane: Lane) -> Duration {
     match lane.class() {
       0 if lane.is_nested() => Duration::MAX,
       _ if lane.is_nested() => max_nested_wait(self.other_classes),
--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -154,7 +154,7 @@
     NotRunReason::Limit => (
       StatusCode::TOO_MANY_REQUESTS,
       soon,
-      "a limit on keys, connections or bytes is reached; send it again after the time in `retry-after`",
+      "a limit on keys, connections, bytes or the rate of requests is reached; send it again after the time in `retry-after`",
     ),
     NotRunReason::Withdrawn => (
       unavailable,
--- a/crates/http/src/header_names.rs
+++ b/crates/http/src/header_names.rs
@@ -13,6 +13,8 @@
   pub origin: HeaderName,
   /// Set by an upstream on its answer to a request that it did not run.
   pub refused: HeaderName,
+  /// Set by an upstream on its answers while it limits the requests per second that it takes.
+  pub rate_limit: HeaderName,
   /// Context that an upstream copies to the calls that it makes; `None` when upstreams copy none.
   pub context: Option<HeaderName>,
   /// Idempotency key; `None` when callers send none.
@@ -32,6 +34,7 @@
   instance: HeaderName::from_static("cactusyoke-instance"),
   origin: HeaderName::from_static("cactusyoke-origin"),
   refused: HeaderName::from_static("cactusyoke-refused"),
+  rate_limit: HeaderName::from_static("cactusyoke-rate-limit"),
   context: Some(HeaderName::from_static(cactusyoke_model::CONTEXT_HEADER)),
   key: Some(HeaderName::from_static(cactusyoke_model::KEY_HEADER)),
   success_mark: None,
--- a/crates/model/src/failure.rs
+++ b/crates/model/src/failure.rs
@@ -120,7 +120,7 @@
     NoWitnesses => "no-witnesses",
     /// The home data centre of the idempotency key cannot be reached.
     HomeUnreachable => "home-unreachable",
-    /// A limit on keys, connections or bytes was reached.
+    /// A limit on keys, connections, bytes, or on the rate that the upstream takes was reached.
     Limit => "limit",
     /// The idempotency key was withdrawn: its run did not and will not happen.
     Withdrawn => "withdrawn",
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -27,6 +27,7 @@
 mod raw_preset;
 mod report;
 mod request_id;
+mod request_rate;
 mod route;
 mod units;
 
@@ -53,5 +54,6 @@
 pub use raw_preset::{RawCallers, RawPreset, RawRoute, RawService};
 pub use report::Report;
 pub use request_id::{RequestId, SpanId};
+pub use request_rate::{RateError, RequestRate};
 pub use route::{Backend, Route};
 pub use units::{ByteSize, Connections, Retries, Slots, UnitError};
--- a/crates/model/tests/text_forms.rs
+++ b/crates/model/tests/text_forms.rs
@@ -3,7 +3,7 @@
 use {
   cactusyoke_model::{
     ByteSize, ClassRank, Context, ContextError, DataCentre, IdempotencyKey, Level, Priority,
-    RequestId, Retries, ServiceName, SpanId,
+    RequestId, RequestRate, Retries, ServiceName, SpanId,
   },
   std::time::Duration,
   yare::parameterized,
@@ -54,6 +54,29 @@
   );
 }
 
+// Guards against a rate that would let nothing through, or any number of requests.
+#[parameterized(
+  empty = { "" },
+  negative = { "-1" },
+  not_a_number = { "NaN" },
+  infinite = { "inf" },
+  unit = { "30/s" },
+)]
+fn a_rate_that_is_no_rate_is_refused(text: &str) {
+  let error = text.parse::<RequestRate>().expect_err("not a rate");
+  assert_eq!(
+    error.to_string(),
+    format!("`{text}` is not a rate: use a decimal number of requests per second, such as `30.5`")
+  );
+}
+
+// Guards against a rate that changes between its text and its number.
+#[test]
+fn a_rate_reads_back_as_written() {
+  let rate = "30.7".parse::<RequestRate>().expect("a rate");
+  assert_eq!(rate.to_string(), "30.7");
+}
+
 // Guards against names that differ only in letter case.
 #[test]
 fn a_name_with_capitals_is_refused() {
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -74,6 +74,8 @@
   draining: AtomicBool,
   sequence: AtomicU64,
   answer_mode: Mutex<AnswerMode>,
+  /// Rate that each answer states, requests per second.
+  rate_limit: Mutex<Option<&'static str>>,
   requests: Mutex<Vec<ReceivedRequest>>,
   stop: CancellationToken,
 }
@@ -103,6 +105,7 @@
       draining: AtomicBool::new(false),
       sequence: AtomicU64::new(0),
       answer_mode: Mutex::default(),
+      rate_limit: Mutex::default(),
       requests: Mutex::default(),
       stop: CancellationToken::new(),
     });
@@ -126,6 +129,11 @@
     *lock(&self.0.answer_mode) = answer_mode;
   }
 
+  /// Sets the rate that answers state from now on, requests per second.
+  pub fn set_rate_limit(&self, rate: Option<&'static str>) {
+    *lock(&self.0.rate_limit) = rate;
+  }
+
   /// Sets the running time of later requests.
   pub fn set_service_time(&self, time: Duration) {
     *lock(&self.0.service_time) = time;
@@ -189,10 +197,20 @@
   }
 
   async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let (head, body) = request.into_parts();
-    if head.uri.path() == "/healthz" {
+    if request.uri().path() == "/healthz" {
       return self.health();
     }
+    let mut response = self.run(request).await;
+    let names = header_names();
+    if let Some(rate) = *lock(&self.rate_limit) {
+      let value = HeaderValue::from_static(rate);
+      response.headers_mut().insert(&names.rate_limit, value);
+    }
+    response
+  }
+
+  async fn run(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
     let names = header_names();
     let answer_mode = *lock(&self.answer_mode);
     let id = head.headers.get(&names.request_id).cloned();
--- a/crates/upstreams/src/call_exchange.rs
+++ b/crates/upstreams/src/call_exchange.rs
@@ -1,6 +1,7 @@
 use {
   crate::{
     AnswerBody, AnswerPart, CallTimer, Expiry, LostConnection, PooledConnection, RequestBody,
+    UpstreamNotice,
   },
   bytes::Bytes,
   cactusyoke_http::{CheckedBody, HeaderNames, remove_hop_headers},
@@ -10,7 +11,13 @@
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header},
   http_body_util::{BodyExt, Limited},
   hyper::body::Incoming,
-  std::{future::poll_fn, pin::pin, sync::Arc, task::Poll, time::Duration},
+  std::{
+    future::poll_fn,
+    pin::pin,
+    sync::Arc,
+    task::Poll,
+    time::{Duration, Instant},
+  },
   tokio::time::timeout,
 };
 
@@ -41,6 +48,7 @@
     *request.method_mut() = self.head.method.clone();
     *request.uri_mut() = uri;
     *request.headers_mut() = self.request_headers(&context)?;
+    let sent_at = self.connection.pool().config().clock.now();
     loop {
       let mut sending = pin!(self.connection.send(request));
       let state = Arc::clone(self.connection.state());
@@ -51,7 +59,7 @@
       })
       .await;
       let mut error = match sent {
-        Ok(Ok(response)) => return self.read_answer(response, id.as_ref()).await,
+        Ok(Ok(response)) => return self.read_answer(response, id.as_ref(), sent_at).await,
         Ok(Err(error)) => error,
         Err(expiry) => return Err(self.expiry_failure(expiry)),
       };
@@ -105,6 +113,7 @@
     mut self,
     response: Response<Incoming>,
     id: Option<&HeaderValue>,
+    sent_at: Instant,
   ) -> Result<Answer, CallFailure> {
     self.timer.record_progress();
     let names = self.names();
@@ -118,6 +127,7 @@
       );
       return Err(CallFailure::unknown(UnknownReason::BadAnswer));
     }
+    self.report_notice(response.headers(), sent_at);
     if is_refusal(names, &response) {
       return Err(self.read_refusal(response).await);
     }
@@ -154,6 +164,13 @@
     })
   }
 
+  /// Reports what the upstream says about itself.
+  fn report_notice(&self, headers: &HeaderMap, sent_at: Instant) {
+    let pool = self.connection.pool();
+    let notice = UpstreamNotice::read(self.names(), headers, sent_at);
+    (pool.config().on_notice)(notice);
+  }
+
   /// Reads the body of a refusal, so that the connection can be reused.
   async fn read_refusal(self, response: Response<Incoming>) -> CallFailure {
     let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -23,6 +23,7 @@
 mod tracked_io;
 mod upstream;
 mod upstream_config;
+mod upstream_notice;
 mod upstream_view;
 mod view_handle;
 
@@ -34,6 +35,7 @@
   silence_detector::SilenceDetector,
   upstream::Upstream,
   upstream_config::UpstreamConfig,
+  upstream_notice::UpstreamNotice,
   upstream_view::UpstreamView,
   view_handle::ViewHandle,
 };
--- a/crates/upstreams/src/upstream_config.rs
+++ b/crates/upstreams/src/upstream_config.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{LostConnection, ViewHandle},
+  crate::{LostConnection, UpstreamNotice, ViewHandle},
   cactusyoke_http::HeaderNames,
   cactusyoke_model::{Clock, SystemClock},
   std::{
@@ -25,12 +25,14 @@
   /// Called when the connection of a call is lost, before the call or the body of its answer
   /// returns the error.
   pub on_lost_connection: Arc<dyn Fn(LostConnection) + Send + Sync>,
+  /// Called with what each answer says about the upstream, before the call returns.
+  pub on_notice: Arc<dyn Fn(UpstreamNotice) + Send + Sync>,
   /// Names of the headers that the client reads and sets.
   pub header_names: &'static HeaderNames,
 }
 
 impl UpstreamConfig {
-  /// Default settings; lost connections are not reported.
+  /// Default settings; lost connections and notices are not reported.
   pub fn new(view_handle: ViewHandle) -> Self {
     Self {
       view_handle,
@@ -40,6 +42,7 @@
       min_silence: Duration::from_secs(3),
       idle_timeout: Duration::from_secs(30),
       on_lost_connection: Arc::new(|_lost| {}),
+      on_notice: Arc::new(|_notice| {}),
       header_names: HeaderNames::native(),
     }
   }
