Drain an upstream whose answers say that it is about to stop

Change: the node beside an upstream, which passes on all its answers, starts to drain it with the first such answer, by the life cycle that a heartbeat uses: a renewal does not end it, its entry in the directory changes, waiting calls go elsewhere as not run. An answer on a connection to an earlier process at the same address says nothing about its successor. No other node has to know: each request passes this one.

Tests: an_upstream_whose_answers_say_that_it_leaves_gets_nothing_more (real nodes, store down), an_answer_that_says_so_starts_draining (life cycle).

--- a/crates/cactusyoke/tests/upstream_notices.rs
+++ b/crates/cactusyoke/tests/upstream_notices.rs
@@ -1,12 +1,15 @@
-//! What upstreams say about themselves in their answers: the rate of requests that they take. Real
-//! node processes with stand-ins of the platform's store and of
+//! What upstreams say about themselves in their answers: the rate of requests that they take, and
+//! that they are about to stop. Real node processes with stand-ins of the platform's store and of
 //! upstreams.
 
 mod common;
 mod platform_support;
 
 use {
-  cactusyoke_standins::{platform_upstream::AnswerMode, upstream::ReceivedResponse},
+  cactusyoke_platform::header_names,
+  cactusyoke_standins::{
+    platform::Outage, platform_upstream::AnswerMode, upstream::ReceivedResponse,
+  },
   platform_support::Site,
   std::{
     sync::Arc,
@@ -25,6 +28,9 @@
 const RATE: &str = "6.5";
 const MOST: usize = 44;
 
+/// Time after which an upstream that is about to stop must get nothing more.
+const DRAIN: Duration = Duration::from_secs(2);
+
 /// Sends requests through the first node for `time` and returns their responses.
 async fn load(site: &Arc<Site>, time: Duration) -> Vec<ReceivedResponse> {
   let end = Instant::now() + time;
@@ -108,3 +114,20 @@
   let sent = site.request_counts()[0] - before;
   assert!(sent <= MOST, "{sent} requests");
 }
+
+/// Guards against sending requests to an upstream that says in its answers that it is about to stop,
+/// while the store cannot be reached and no heartbeat says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_whose_answers_say_that_it_leaves_gets_nothing_more() {
+  let site = Arc::new(Site::start(2, WORK).await);
+  site.store.faults().set_outage(Outage::Refuse);
+  site.upstreams[0].set_leaving(true);
+  let got = site.get(0).await.expect("an answer");
+  assert_eq!(got.header(header_names().leaving.as_str()), "1");
+  let responses = load(&site, DRAIN).await;
+  assert_eq!(served(&responses), responses.len());
+  let before = site.request_counts()[0];
+  let responses = load(&site, Duration::from_secs(2)).await;
+  assert_eq!(site.request_counts()[0], before);
+  assert_eq!(served(&responses), responses.len());
+}
--- a/crates/http/src/header_names.rs
+++ b/crates/http/src/header_names.rs
@@ -15,6 +15,8 @@
   pub refused: HeaderName,
   /// Set by an upstream on its answers while it limits the requests per second that it takes.
   pub rate_limit: HeaderName,
+  /// Set to 1 by an upstream on its answers once it is about to stop.
+  pub leaving: HeaderName,
   /// Context that an upstream copies to the calls that it makes; `None` when upstreams copy none.
   pub context: Option<HeaderName>,
   /// Idempotency key; `None` when callers send none.
@@ -35,6 +37,7 @@
   origin: HeaderName::from_static("cactusyoke-origin"),
   refused: HeaderName::from_static("cactusyoke-refused"),
   rate_limit: HeaderName::from_static("cactusyoke-rate-limit"),
+  leaving: HeaderName::from_static("cactusyoke-leaving"),
   context: Some(HeaderName::from_static(cactusyoke_model::CONTEXT_HEADER)),
   key: Some(HeaderName::from_static(cactusyoke_model::KEY_HEADER)),
   success_mark: None,
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -76,6 +76,7 @@
   answer_mode: Mutex<AnswerMode>,
   /// Rate that each answer states, requests per second.
   rate_limit: Mutex<Option<&'static str>>,
+  leaving: AtomicBool,
   requests: Mutex<Vec<ReceivedRequest>>,
   stop: CancellationToken,
 }
@@ -106,6 +107,7 @@
       sequence: AtomicU64::new(0),
       answer_mode: Mutex::default(),
       rate_limit: Mutex::default(),
+      leaving: AtomicBool::new(false),
       requests: Mutex::default(),
       stop: CancellationToken::new(),
     });
@@ -134,6 +136,11 @@
     *lock(&self.0.rate_limit) = rate;
   }
 
+  /// Sets whether answers say from now on that the upstream is about to stop.
+  pub fn set_leaving(&self, leaving: bool) {
+    self.0.leaving.store(leaving, Ordering::SeqCst);
+  }
+
   /// Sets the running time of later requests.
   pub fn set_service_time(&self, time: Duration) {
     *lock(&self.0.service_time) = time;
@@ -206,6 +213,10 @@
       let value = HeaderValue::from_static(rate);
       response.headers_mut().insert(&names.rate_limit, value);
     }
+    if self.leaving.load(Ordering::SeqCst) {
+      let value = HeaderValue::from_static("1");
+      response.headers_mut().insert(&names.leaving, value);
+    }
     response
   }
 
--- a/crates/upstreams/src/announce/actor.rs
+++ b/crates/upstreams/src/announce/actor.rs
@@ -103,6 +103,7 @@
         self.check_running = false;
         lifecycle.check_passed(address, now)
       }
+      AnnounceMessage::Leaving(announcement) => lifecycle.leaving(&announcement, now),
       AnnounceMessage::Refused(address) => {
         self.check_running = false;
         lifecycle.refused(address, now)
--- a/crates/upstreams/src/announce/lifecycle.rs
+++ b/crates/upstreams/src/announce/lifecycle.rs
@@ -154,6 +154,17 @@
     }
   }
 
+  /// An answer from the process of `announcement` said that it is about to stop; ignored when a later
+  /// process has taken its place.
+  #[must_use]
+  pub fn leaving(self, announcement: &Announcement, now: Instant) -> Self {
+    if self.is_same_process(announcement) {
+      self.drain(now)
+    } else {
+      self
+    }
+  }
+
   /// The process stopped or was lost.
   #[must_use]
   pub fn leave(self, now: Instant) -> Self {
--- a/crates/upstreams/src/announce/message.rs
+++ b/crates/upstreams/src/announce/message.rs
@@ -1,5 +1,8 @@
 use {
-  crate::{Hints, Phase, announce::Notice},
+  crate::{
+    Hints, Phase,
+    announce::{Announcement, Notice},
+  },
   ractor::RpcReplyPort,
   std::net::SocketAddr,
 };
@@ -11,6 +14,8 @@
   Notice(Notice, RpcReplyPort<Phase>),
   /// The announced upstream passed its check: it accepted a connection, or reported as healthy.
   CheckPassed(SocketAddr),
+  /// An answer of the upstream said that it is about to stop.
+  Leaving(Announcement),
   /// The upstream refused a connection.
   Refused(SocketAddr),
   /// The check neither passed nor found the connection refused; it is retried.
--- a/crates/upstreams/src/call_exchange.rs
+++ b/crates/upstreams/src/call_exchange.rs
@@ -164,11 +164,17 @@
     })
   }
 
-  /// Reports what the upstream says about itself.
+  /// Reports what the upstream says about itself, and starts draining it when it is about to stop.
   fn report_notice(&self, headers: &HeaderMap, sent_at: Instant) {
     let pool = self.connection.pool();
     let notice = UpstreamNotice::read(self.names(), headers, sent_at);
     (pool.config().on_notice)(notice);
+    if notice.leaving {
+      pool
+        .config()
+        .view_handle
+        .report_leaving(pool.announcement());
+    }
   }
 
   /// Reads the body of a refusal, so that the connection can be reused.
--- a/crates/upstreams/src/upstream_notice.rs
+++ b/crates/upstreams/src/upstream_notice.rs
@@ -12,6 +12,8 @@
   pub sent: Instant,
   /// Requests per second that the upstream takes; `None` when it states no limit.
   pub rate_limit: Option<RequestRate>,
+  /// True when the upstream is about to stop.
+  pub leaving: bool,
 }
 
 impl UpstreamNotice {
@@ -19,6 +21,9 @@
     Self {
       sent,
       rate_limit: headers.get(&names.rate_limit).and_then(read_rate),
+      leaving: headers
+        .get(&names.leaving)
+        .is_some_and(|value| value == "1"),
     }
   }
 }
--- a/crates/upstreams/src/view_handle.rs
+++ b/crates/upstreams/src/view_handle.rs
@@ -1,5 +1,8 @@
 use {
-  crate::{Phase, UpstreamView, announce::AnnounceMessage},
+  crate::{
+    Phase, UpstreamView,
+    announce::{AnnounceMessage, Announcement},
+  },
   arc_swap::ArcSwap,
   ractor::ActorRef,
   std::{net::SocketAddr, sync::Arc},
@@ -48,6 +51,17 @@
     self.changes.send_replace(view);
   }
 
+  /// Tells the announce actor that the upstream of `announcement` is about to stop.
+  pub(crate) fn report_leaving(&self, announcement: &Announcement) {
+    let ending = matches!(self.load().phase, Phase::Draining | Phase::Gone);
+    let Some(actor) = self.actor.as_ref().filter(|_actor| !ending) else {
+      return;
+    };
+    if let Err(error) = actor.cast(AnnounceMessage::Leaving(announcement.clone())) {
+      tracing::debug!(%error, "announce actor has stopped");
+    }
+  }
+
   /// Tells the announce actor that the upstream refused a connection at `address`.
   pub(crate) fn report_refused(&self, address: SocketAddr) {
     let gone = self.load().phase == Phase::Gone;
--- a/crates/upstreams/tests/lifecycle.rs
+++ b/crates/upstreams/tests/lifecycle.rs
@@ -177,6 +177,34 @@
   }
 }
 
+/// Guards against calls to an upstream whose answer said that it is about to stop, against renewals
+/// that end this, and against a late answer of an earlier process that stops its successor.
+#[test]
+fn an_answer_that_says_so_starts_draining() {
+  let now = Instant::now();
+  let address = "127.0.0.1:9000".parse().expect("an address");
+  let process = |instance: &str| Announcement {
+    service: service(),
+    address,
+    slots: Slots(1),
+    connections: Connections(1),
+    cold_start: Duration::ZERO,
+    instance: Some(instance.to_owned()),
+    incarnation: None,
+  };
+  let serving = Lifecycle::default()
+    .announce(process("i-2"), now)
+    .check_passed(address, now);
+  let other = serving.clone().leaving(&process("i-1"), now);
+  assert_eq!(other.phase(), Phase::Serving);
+  let leaving = serving.leaving(&process("i-2"), now);
+  assert_eq!(leaving.phase(), Phase::Draining);
+  let renewed = leaving.announce(process("i-2"), now);
+  assert_eq!(renewed.phase(), Phase::Draining);
+  let replaced = renewed.announce(process("i-3"), now);
+  assert_eq!(replaced.phase(), Phase::Announced);
+}
+
 /// Guards against taking the upstream for gone because a connection to its former address was
 /// refused.
 #[test]
