An unreadable stated rate changes nothing, and is logged once

Found by reading the change: a rate that cannot be read counted as none, so that it would have lifted the limit in force, with a log line for each answer. Now the rate in force stays, one line is logged for each announced upstream, and changes of the rate are logged at a limited rate, since an upstream may state another one in each answer. Test: an_unreadable_rate_changes_nothing.

What an answer says about the rate and about leaving are two things: `StatedRate` holds the first only.

--- a/crates/cactusyoke/src/admission.rs
+++ b/crates/cactusyoke/src/admission.rs
@@ -3,9 +3,10 @@
 //! [`Gate`] decides; this module holds the waiting calls and passes the decisions on to them.
 
 use {
+  crate::event_limiter::{EventLimiter, Verdict},
   cactusyoke_decisions::load::{Completion, Gate, GateAction, GateConfig, OfferOutcome},
   cactusyoke_model::{CallFailure, Clock, Level, NotRunReason, Priority, Report, Slots},
-  cactusyoke_upstreams::UpstreamNotice,
+  cactusyoke_upstreams::StatedRate,
   std::{
     collections::HashMap,
     fmt,
@@ -36,6 +37,8 @@
   inner: Mutex<Inner>,
   /// Wakes the task that polls the queue.
   queue_change: Notify,
+  /// Limits the log lines about stated rates.
+  rate_limiter: EventLimiter,
   clock: Arc<dyn Clock>,
 }
 
@@ -67,6 +70,7 @@
     let admission = Arc::new(Self {
       inner: Mutex::new(inner),
       queue_change: Notify::new(),
+      rate_limiter: EventLimiter::default(),
       clock,
     });
     tokio::spawn(poll_queue(Arc::downgrade(&admission)));
@@ -103,26 +107,27 @@
   }
 
   /// Applies what an answer says about the rate of requests that the upstream takes.
-  pub(crate) fn apply_notice(&self, notice: UpstreamNotice) {
+  pub(crate) fn apply_stated_rate(&self, stated: StatedRate) {
     let now = self.clock.now();
     let mut inner = self.lock();
     let before = inner.gate.rate_limit();
-    inner
-      .gate
-      .set_rate_limit(notice.rate_limit, notice.sent, now);
+    inner.gate.set_rate_limit(stated.rate, stated.sent, now);
     let rate = inner.gate.rate_limit();
     if rate == before {
       return;
     }
     inner.poll(now);
     drop(inner);
+    // The task that polls the queue sleeps until a time that no longer holds.
+    self.queue_change.notify_one();
+    let Verdict::Write { omitted } = self.rate_limiter.check(now) else {
+      return;
+    };
     if let Some(rate) = rate {
-      tracing::info!(event = "rate_limited", requests_per_second = rate);
+      tracing::info!(event = "rate_limited", requests_per_second = rate, omitted);
     } else {
-      tracing::info!(event = "rate_limit_lifted");
+      tracing::info!(event = "rate_limit_lifted", omitted);
     }
-    // The task that polls the queue sleeps until a time that no longer holds.
-    self.queue_change.notify_one();
   }
 
   /// Sets the longest wait in the queue.
--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -176,7 +176,7 @@
   let (crashes, admission) = (Arc::clone(crashes), Arc::clone(admission));
   UpstreamConfig {
     on_lost_connection: Arc::new(move |lost| crashes.record_lost(&lost)),
-    on_notice: Arc::new(move |notice| admission.apply_notice(notice)),
+    on_stated_rate: Arc::new(move |stated| admission.apply_stated_rate(stated)),
     ..UpstreamConfig::new(view.clone())
   }
 }
--- a/crates/cactusyoke/tests/upstream_notices.rs
+++ b/crates/cactusyoke/tests/upstream_notices.rs
@@ -63,7 +63,12 @@
   let responses = load(&site, Duration::from_secs(4)).await;
   let sent = site.request_counts()[0] - before;
   assert!(sent <= MOST, "{sent} requests");
-  assert_eq!(served(&responses), responses.len());
+  assert_eq!(
+    served(&responses),
+    responses.len(),
+    "{}",
+    site.nodes[0].log()
+  );
   // It is used again once its answers state no rate.
   site.upstreams[0].set_rate_limit(None);
   load(&site, Duration::from_secs(1)).await;
@@ -115,6 +120,24 @@
   assert!(sent <= MOST, "{sent} requests");
 }
 
+/// Guards against an unreadable rate that lifts the one in force, or that fills the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreadable_rate_changes_nothing() {
+  let site = Arc::new(Site::start(1, WORK).await);
+  site.upstreams[0].set_rate_limit(Some(RATE));
+  load(&site, Duration::from_secs(1)).await;
+  site.upstreams[0].set_rate_limit(Some("many"));
+  let before = site.request_counts()[0];
+  load(&site, Duration::from_secs(4)).await;
+  let sent = site.request_counts()[0] - before;
+  assert!(sent > 10 && sent <= MOST, "{sent} requests");
+  let log = site.nodes[0].log();
+  let ignored = log
+    .lines()
+    .filter(|line| line.contains("rate_limit_ignored"));
+  assert_eq!(ignored.count(), 1);
+}
+
 /// Guards against sending requests to an upstream that says in its answers that it is about to stop,
 /// while the store cannot be reached and no heartbeat says so.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/upstreams/src/call_exchange.rs
+++ b/crates/upstreams/src/call_exchange.rs
@@ -1,7 +1,7 @@
 use {
   crate::{
     AnswerBody, AnswerPart, CallTimer, Expiry, LostConnection, PooledConnection, RequestBody,
-    UpstreamNotice,
+    StatedRate,
   },
   bytes::Bytes,
   cactusyoke_http::{CheckedBody, HeaderNames, remove_hop_headers},
@@ -127,7 +127,7 @@
       );
       return Err(CallFailure::unknown(UnknownReason::BadAnswer));
     }
-    self.report_notice(response.headers(), sent_at);
+    self.report_statements(response.headers(), sent_at);
     if is_refusal(names, &response) {
       return Err(self.read_refusal(response).await);
     }
@@ -164,12 +164,21 @@
     })
   }
 
-  /// Reports what the upstream says about itself, and starts draining it when it is about to stop.
-  fn report_notice(&self, headers: &HeaderMap, sent_at: Instant) {
-    let pool = self.connection.pool();
-    let notice = UpstreamNotice::read(self.names(), headers, sent_at);
-    (pool.config().on_notice)(notice);
-    if notice.leaving {
+  /// Reports the rate of requests that the upstream states, and starts draining the upstream when it
+  /// says that it is about to stop.
+  fn report_statements(&self, headers: &HeaderMap, sent: Instant) {
+    let (names, pool) = (self.names(), self.connection.pool());
+    match StatedRate::read(names, headers, sent) {
+      Ok(stated) => (pool.config().on_stated_rate)(stated),
+      Err(error) if pool.claim_rate_report() => {
+        tracing::warn!(event = "rate_limit_ignored", service = %self.head.service, %error);
+      }
+      Err(_reported) => {}
+    }
+    if headers
+      .get(&names.leaving)
+      .is_some_and(|value| value == "1")
+    {
       pool
         .config()
         .view_handle
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -20,10 +20,10 @@
 mod pooled_connection;
 mod request_body;
 mod silence_detector;
+mod stated_rate;
 mod tracked_io;
 mod upstream;
 mod upstream_config;
-mod upstream_notice;
 mod upstream_view;
 mod view_handle;
 
@@ -33,9 +33,9 @@
   lost_connection::{AnswerPart, LostConnection},
   phase::Phase,
   silence_detector::SilenceDetector,
+  stated_rate::StatedRate,
   upstream::Upstream,
   upstream_config::UpstreamConfig,
-  upstream_notice::UpstreamNotice,
   upstream_view::UpstreamView,
   view_handle::ViewHandle,
 };
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -46,6 +46,8 @@
   /// An answer without `content-length` or `transfer-encoding` was logged; one line for each
   /// announced upstream is enough.
   framing_reported: AtomicBool,
+  /// An answer that states an unreadable rate was logged.
+  rate_reported: AtomicBool,
 }
 
 /// Limit of connections for calls: one of the announced connections stays free for `GET /health`
@@ -69,6 +71,7 @@
       silence_detector,
       keep_alive_ms: AtomicU64::new(u64::MAX),
       framing_reported: AtomicBool::new(false),
+      rate_reported: AtomicBool::new(false),
     }
   }
 
@@ -134,6 +137,11 @@
     !self.framing_reported.swap(true, Ordering::Relaxed)
   }
 
+  /// True on the first call only, so that one answer that states an unreadable rate is logged.
+  pub(crate) fn claim_rate_report(&self) -> bool {
+    !self.rate_reported.swap(true, Ordering::Relaxed)
+  }
+
   fn idle(&self) -> MutexGuard<'_, VecDeque<HttpConnection>> {
     self
       .idle
--- a/crates/upstreams/src/upstream_config.rs
+++ b/crates/upstreams/src/upstream_config.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{LostConnection, UpstreamNotice, ViewHandle},
+  crate::{LostConnection, StatedRate, ViewHandle},
   cactusyoke_http::HeaderNames,
   cactusyoke_model::{Clock, SystemClock},
   std::{
@@ -25,14 +25,14 @@
   /// Called when the connection of a call is lost, before the call or the body of its answer
   /// returns the error.
   pub on_lost_connection: Arc<dyn Fn(LostConnection) + Send + Sync>,
-  /// Called with what each answer says about the upstream, before the call returns.
-  pub on_notice: Arc<dyn Fn(UpstreamNotice) + Send + Sync>,
+  /// Called with what each answer says about the rate of requests, before the call returns.
+  pub on_stated_rate: Arc<dyn Fn(StatedRate) + Send + Sync>,
   /// Names of the headers that the client reads and sets.
   pub header_names: &'static HeaderNames,
 }
 
 impl UpstreamConfig {
-  /// Default settings; lost connections and notices are not reported.
+  /// Default settings; lost connections and stated rates are not reported.
   pub fn new(view_handle: ViewHandle) -> Self {
     Self {
       view_handle,
@@ -42,7 +42,7 @@
       min_silence: Duration::from_secs(3),
       idle_timeout: Duration::from_secs(30),
       on_lost_connection: Arc::new(|_lost| {}),
-      on_notice: Arc::new(|_notice| {}),
+      on_stated_rate: Arc::new(|_stated| {}),
       header_names: HeaderNames::native(),
     }
   }
