Keep the admission level out of waits for a stated rate

The gate's level followed the waits for the rate, with few calls down to zero. Senders apply the strictest level of a route's instances, so that one limited instance shut out the others. Ruled out: the host's load (all slots free), the retry budget (no such refusal).

Change: while a rate is stated the level stays at all; what finds no room is refused by the gate with `limit`, and goes to another instance.

Test: the_admission_level_does_not_follow_waits_for_the_rate, which failed with all three loads before.

--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -140,10 +140,6 @@
     let counts = self.counts.lane(lane.is_nested());
     counts.offered += 1;
     if !lane.is_nested() && !self.controller.enforced_level().admits(priority) {
-      if self.rate_limit.is_some() {
-        counts.over_rate += 1;
-        return OfferOutcome::Refused(NotRunReason::Limit);
-      }
       counts.above_level += 1;
       return OfferOutcome::Refused(NotRunReason::Shed);
     }
@@ -454,6 +450,13 @@
     if elapsed >= OUTDATED_AFTER && self.queue.len() == 0 {
       self.controller.reset();
     }
+    if self.rate_limit.is_some() {
+      // Calls wait for the stated rate, not for slots, and another instance may have room. Senders
+      // apply a level to all instances, so that it must not follow these waits.
+      self.controller.reset();
+      self.reset_waits(now);
+      return;
+    }
     let Some(capacity) = self.limit.capacity() else {
       return;
     };
@@ -461,7 +464,6 @@
     if elapsed < MAX_LEVEL_INTERVAL && elapsed.as_secs_f64() * capacity < MIN_INTERVAL_COMPLETIONS {
       return;
     }
-    self.level_updated = now;
     let tolerated = |wait: Duration| wait.as_secs_f64() * TOLERATED_SHARE;
     let (wait, tolerated_wait) = if self.nested_started > 0 {
       let wait = mean_wait(self.nested_waited, self.nested_started);
@@ -487,6 +489,12 @@
         .map(|(started, waited)| mean_wait(waited, started)),
       queue: &self.queue,
     });
+    self.reset_waits(now);
+  }
+
+  /// Begins another interval of the level.
+  fn reset_waits(&mut self, now: Instant) {
+    self.level_updated = now;
     self.started = 0;
     self.waited = Duration::ZERO;
     self.nested_started = 0;
--- a/crates/decisions/tests/rate_limit.rs
+++ b/crates/decisions/tests/rate_limit.rs
@@ -2,7 +2,7 @@
 
 use {
   cactusyoke_decisions::load::{Completion, Gate, GateAction, GateConfig, OfferOutcome},
-  cactusyoke_model::{NotRunReason, Priority, RequestRate, Slots},
+  cactusyoke_model::{Level, NotRunReason, Priority, RequestRate, Slots},
   std::time::{Duration, Instant},
   yare::parameterized,
 };
@@ -246,3 +246,16 @@
   assert!(load.free_slots <= 1 && load.utilisation > 200, "{load:?}");
   assert!(load.completion_interval >= ms(50), "{load:?}");
 }
+
+/// Guards against an admission level that falls because calls wait for the rate: senders would shed
+/// requests that another instance has room for.
+#[parameterized(steady = { "20", 5 }, few_calls = { "6.5", 100 }, slow = { "2", 200 })]
+fn the_admission_level_does_not_follow_waits_for_the_rate(stated: &str, gap: u64) {
+  let mut run = Run::new();
+  run.offer(Duration::from_secs(1), ms(5), None);
+  run.answer(Some(stated), Duration::ZERO);
+  for _ in 0..200 {
+    run.offer(ms(50), ms(gap), Some(stated));
+    assert_eq!(run.gate.level(run.now), Level::ALL);
+  }
+}
