Don't poll the queue without a pause while a limited upstream is full

Found by reading the change. With a stated rate, the next poll of the queue was due when the rate allows the next call, also while all slots were taken: a time in the past, so that the task that polls the queue ran without a pause until a call ended.

Test: a_full_upstream_within_its_rate_is_not_polled_without_a_pause, which found the next poll due 505 ms ago. The time counts only while a slot is free; a finished call polls the gate itself.

--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -234,7 +234,9 @@
   pub fn next_poll(&self) -> Option<Instant> {
     let busy = self.queue.len() > 0 || self.controller.reported_level() != Level::ALL;
     let tick = busy.then(|| self.last_tick + TICK_INTERVAL);
-    let limited = self.rate_limit.filter(|_| self.queue.len() > 0);
+    // A finished call polls the gate, so that no time is needed while all slots are taken.
+    let startable = self.queue.len() > 0 && self.in_flight < self.limit.current();
+    let limited = self.rate_limit.filter(|_| startable);
     let sendable = limited.map(|limit| limit.next());
     let times = [self.earliest_expiry, tick, sendable];
     times.into_iter().flatten().min()
--- a/crates/decisions/tests/rate_limit.rs
+++ b/crates/decisions/tests/rate_limit.rs
@@ -259,3 +259,21 @@
     assert_eq!(run.gate.level(run.now), Level::ALL);
   }
 }
+
+/// Guards against a node that polls its queue without a pause while calls wait for slots, not for the
+/// rate.
+#[test]
+fn a_full_upstream_within_its_rate_is_not_polled_without_a_pause() {
+  let mut run = Run::new();
+  run.answer(Some("1000"), Duration::ZERO);
+  run.now += Duration::from_secs(1);
+  for _ in 0..200 {
+    run.offer_one();
+    // All calls go on; the slots are taken before the rate is.
+    run.now += ms(5);
+    run.gate.poll(run.now, &mut Vec::new());
+  }
+  assert_eq!(run.gate.in_flight(), 100);
+  let next = run.gate.next_poll().expect("calls are queued");
+  assert!(next > run.now, "{:?} ago", run.now - next);
+}
