Reuse the error of units for rates, and one way to tell the announce actor

A text that is no rate of requests gets the message of the other units by the same error type, with the same words as before; the announce actor gets its messages from one place. Behaviour is unchanged, and so are the tests.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -27,7 +27,6 @@
 mod raw_preset;
 mod report;
 mod request_id;
-mod request_rate;
 mod route;
 mod units;
 
@@ -54,6 +53,5 @@
 pub use raw_preset::{RawCallers, RawPreset, RawRoute, RawService};
 pub use report::Report;
 pub use request_id::{RequestId, SpanId};
-pub use request_rate::{RateError, RequestRate};
 pub use route::{Backend, Route};
-pub use units::{ByteSize, Connections, Retries, Slots, UnitError};
+pub use units::{ByteSize, Connections, RequestRate, Retries, Slots, UnitError};
--- a/crates/model/src/units.rs
+++ b/crates/model/src/units.rs
@@ -1,4 +1,4 @@
-//! Sizes and counts with units.
+//! Sizes, counts and rates with units.
 
 use {
   serde::{Deserialize, Serialize},
@@ -8,7 +8,7 @@
   },
 };
 
-/// Text that is not a valid count or size.
+/// Text that is not a valid count, size or rate.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnitError {
   text: String,
@@ -135,3 +135,33 @@
     size.to_string()
   }
 }
+
+/// Requests per second; finite and not negative. Text form: a decimal number.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+  /// Requests per second.
+  pub const fn per_second(self) -> f64 {
+    self.0
+  }
+}
+
+impl Display for RequestRate {
+  fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+    self.0.fmt(f)
+  }
+}
+
+impl FromStr for RequestRate {
+  type Err = UnitError;
+
+  fn from_str(s: &str) -> Result<Self, Self::Err> {
+    let rate = s.parse::<f64>().ok();
+    let valid = rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+    valid.map(Self).ok_or_else(|| UnitError {
+      text: s.into(),
+      expected: "a rate: use a decimal number of requests per second, such as `30.5`",
+    })
+  }
+}
--- a/crates/upstreams/src/stated_rate.rs
+++ b/crates/upstreams/src/stated_rate.rs
@@ -1,6 +1,6 @@
 use {
   cactusyoke_http::HeaderNames,
-  cactusyoke_model::{RateError, RequestRate},
+  cactusyoke_model::{RequestRate, UnitError},
   http::HeaderMap,
   std::time::Instant,
 };
@@ -19,7 +19,7 @@
     names: &HeaderNames,
     headers: &HeaderMap,
     sent: Instant,
-  ) -> Result<Self, RateError> {
+  ) -> Result<Self, UnitError> {
     let value = headers.get(&names.rate_limit);
     let text = value.map(|value| value.to_str().unwrap_or_default().trim());
     Ok(Self {
--- a/crates/upstreams/src/view_handle.rs
+++ b/crates/upstreams/src/view_handle.rs
@@ -53,22 +53,23 @@
 
   /// Tells the announce actor that the upstream of `announcement` is about to stop.
   pub(crate) fn report_leaving(&self, announcement: &Announcement) {
-    let ending = matches!(self.load().phase, Phase::Draining | Phase::Gone);
-    let Some(actor) = self.actor.as_ref().filter(|_actor| !ending) else {
-      return;
-    };
-    if let Err(error) = actor.cast(AnnounceMessage::Leaving(announcement.clone())) {
-      tracing::debug!(%error, "announce actor has stopped");
+    if !matches!(self.load().phase, Phase::Draining | Phase::Gone) {
+      self.tell(AnnounceMessage::Leaving(announcement.clone()));
     }
   }
 
   /// Tells the announce actor that the upstream refused a connection at `address`.
   pub(crate) fn report_refused(&self, address: SocketAddr) {
-    let gone = self.load().phase == Phase::Gone;
-    let Some(actor) = self.actor.as_ref().filter(|_actor| !gone) else {
+    if self.load().phase != Phase::Gone {
+      self.tell(AnnounceMessage::Refused(address));
+    }
+  }
+
+  fn tell(&self, message: AnnounceMessage) {
+    let Some(actor) = &self.actor else {
       return;
     };
-    if let Err(error) = actor.cast(AnnounceMessage::Refused(address)) {
+    if let Err(error) = actor.cast(message) {
       tracing::debug!(%error, "announce actor has stopped");
     }
   }
