Split the gate, and keep each of its facts once

Its adaptation and its reports are files of their own now. What it kept twice goes: - the sums of all nested waits follow from those by class (`IntervalWaits`); - the requests sent under a stated rate belong to `RateLimit`, which knows when a limit begins, and no longer carry over to the next one; - refusals and drops are counted in one place from their reason, not beside each `return`; - the level is reset when a stated rate begins or ends, not in each tick meanwhile.

--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -17,6 +17,7 @@
 mod gate_config;
 mod gate_counts;
 mod instance_stats;
+mod interval_waits;
 mod ledger;
 mod ledgers;
 mod level_controller;
@@ -56,6 +57,7 @@
 
 use {
   instance_stats::InstanceStats,
+  interval_waits::IntervalWaits,
   ledger::Ledger,
   level_controller::LevelController,
   limit::Limit,
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -1,11 +1,13 @@
+mod adaptation;
+mod report;
+
 use {
   super::{
-    Completion, DeterministicMap, GateAction, GateConfig, GateCounts, Lane, LevelController, Limit,
-    MaxWaits, OfferOutcome, Queue, QueueOrder, QueuedCall, RateLimit, TicketState,
-    level_controller::{CLASSES, HALVES, IntervalStats},
-    queue::max_nested_wait,
+    Completion, DeterministicMap, GateAction, GateConfig, GateCounts, IntervalWaits, Lane,
+    LevelController, Limit, MaxWaits, OfferOutcome, Queue, QueueOrder, QueuedCall, RateLimit,
+    TicketState, level_controller::HALVES,
   },
-  cactusyoke_model::{InstanceLoad, Level, NotRunReason, Priority, RequestRate, Slots},
+  cactusyoke_model::{Level, NotRunReason, Priority, RequestRate, Slots},
   std::time::{Duration, Instant},
 };
 
@@ -13,17 +15,8 @@
 /// report takes to reach the senders; with shorter intervals the next step would follow before the
 /// last one takes effect.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Calls that the upstream must be able to complete between two updates of the level. With fewer,
-/// the level would move again before its last move takes effect.
-const MIN_INTERVAL_COMPLETIONS: f64 = 4.0;
-/// Longest time between two updates of the level, however few calls complete in it.
-const MAX_LEVEL_INTERVAL: Duration = Duration::from_millis(250);
-/// Share of the longest allowed wait that the mean wait may reach before the level falls.
-const TOLERATED_SHARE: f64 = 0.5;
 /// Smoothing of the run time of a half class.
 const RUN_TIME_WEIGHT: f64 = 0.05;
-/// Smoothing of the utilisation, per tick.
-const UTILISATION_WEIGHT: f64 = 0.1;
 /// Time without any event after which the measured load is outdated.
 const OUTDATED_AFTER: Duration = Duration::from_secs(1);
 
@@ -52,16 +45,8 @@
   level_updated: Instant,
   /// No queued call expires before this time; it may be too early, never too late.
   earliest_expiry: Option<Instant>,
-  /// Calls started since the last adaptation of the limit, while the rate is limited.
-  sent: u32,
-  /// Calls started since the last update of the level, and the sum of their waits.
-  started: u32,
-  waited: Duration,
-  /// The same for nested calls only.
-  nested_started: u32,
-  nested_waited: Duration,
-  /// The same by class.
-  nested_waits: [(u32, Duration); CLASSES],
+  /// Waits since the last update of the level.
+  waits: IntervalWaits,
   last_wait: Duration,
   counts: GateCounts,
 }
@@ -89,12 +74,7 @@
       last_tick: now,
       level_updated: now,
       earliest_expiry: None,
-      sent: 0,
-      started: 0,
-      waited: Duration::ZERO,
-      nested_started: 0,
-      nested_waited: Duration::ZERO,
-      nested_waits: [(0, Duration::ZERO); CLASSES],
+      waits: IntervalWaits::default(),
       last_wait: Duration::ZERO,
       counts: GateCounts::default(),
     }
@@ -137,16 +117,29 @@
       return OfferOutcome::Refused(NotRunReason::BadRequest);
     }
     self.controller.record_arrival(priority);
+    let outcome = self.decide(lane, ticket, priority, deadline, now);
     let counts = self.counts.lane(lane.is_nested());
     counts.offered += 1;
+    if let OfferOutcome::Refused(reason) = outcome {
+      counts.record_refused(reason);
+    }
+    outcome
+  }
+
+  fn decide(
+    &mut self,
+    lane: Lane,
+    ticket: u64,
+    priority: Priority,
+    deadline: Instant,
+    now: Instant,
+  ) -> OfferOutcome {
     if !lane.is_nested() && !self.controller.enforced_level().admits(priority) {
-      counts.above_level += 1;
       return OfferOutcome::Refused(NotRunReason::Shed);
     }
     let half = priority.half_index().min(HALVES - 1);
     let earliest_end = now + self.limit.min_latency();
     if deadline <= earliest_end {
-      counts.late += 1;
       return OfferOutcome::Refused(NotRunReason::Deadline);
     }
     if self.queue.len() == 0 && self.can_start(now) {
@@ -155,21 +148,19 @@
     }
     let expected_wait = self.expected_wait(lane);
     if self.rate_limit.is_some() && expected_wait > self.max_waits().for_lane(lane) {
-      self.counts.lane(lane.is_nested()).over_rate += 1;
       return OfferOutcome::Refused(NotRunReason::Limit);
     }
     if deadline <= earliest_end + expected_wait {
-      self.counts.lane(lane.is_nested()).late += 1;
       return OfferOutcome::Refused(NotRunReason::Deadline);
     }
     let mut evicted = None;
     if self.queue.len() >= self.max_queued {
-      let Some((evicted_lane, call)) = self.queue.evict_below(lane) else {
-        self.counts.lane(lane.is_nested()).overflowed += 1;
+      let Some((lane, call)) = self.queue.evict_below(lane) else {
         return OfferOutcome::Refused(NotRunReason::QueueFull);
       };
-      self.counts.lane(evicted_lane.is_nested()).overflowed += 1;
       self.tickets.remove(&call.ticket);
+      let counts = self.counts.lane(lane.is_nested());
+      counts.record_dropped(NotRunReason::Evicted);
       evicted = Some(call.ticket);
     }
     self.enqueue(lane, ticket, half, deadline, now);
@@ -217,9 +208,10 @@
         break;
       };
       if call.deadline <= now + self.limit.min_latency() {
+        let reason = NotRunReason::Deadline;
         self.tickets.remove(&call.ticket);
-        self.counts.lane(lane.is_nested()).late += 1;
-        actions.push(GateAction::Drop(call.ticket, NotRunReason::Deadline));
+        self.counts.lane(lane.is_nested()).record_dropped(reason);
+        actions.push(GateAction::Drop(call.ticket, reason));
         continue;
       }
       self.start(call.ticket, call.half, lane, call.queued, now);
@@ -242,64 +234,6 @@
     times.into_iter().flatten().min()
   }
 
-  /// Admission level to report to senders.
-  pub fn level(&self, now: Instant) -> Level {
-    if self.queue.len() == 0 && now.saturating_duration_since(self.last_tick) >= OUTDATED_AFTER {
-      return Level::ALL;
-    }
-    self.controller.reported_level()
-  }
-
-  /// Calls in flight and queued.
-  pub fn outstanding(&self) -> u32 {
-    self.in_flight + self.queued()
-  }
-
-  /// Load to report to senders.
-  pub fn load(&self) -> InstanceLoad {
-    let interval = |capacity: f64| Duration::from_secs_f64(1.0 / capacity);
-    let free_slots = self.limit.current().saturating_sub(self.outstanding());
-    let sendable = self.rate_limit.map_or(u32::MAX, |limit| limit.available());
-    InstanceLoad {
-      outstanding: self.outstanding(),
-      queued: self.queued(),
-      queued_nested: self.queue.nested_len() as u32,
-      utilisation: (self.utilisation.clamp(0.0, 1.0) * 255.0) as u8,
-      free_slots: free_slots.min(sendable),
-      completion_interval: self.capacity().map_or(Duration::ZERO, interval),
-    }
-  }
-
-  /// Decisions since the last call of this method.
-  pub fn take_counts(&mut self) -> GateCounts {
-    std::mem::take(&mut self.counts)
-  }
-
-  /// Share of the concurrency limit in use, smoothed over about a second.
-  pub const fn utilisation(&self) -> f64 {
-    self.utilisation
-  }
-
-  /// Concurrency limit, calls.
-  pub fn limit(&self) -> u32 {
-    self.limit.current()
-  }
-
-  /// Calls in flight.
-  pub const fn in_flight(&self) -> u32 {
-    self.in_flight
-  }
-
-  /// Calls queued.
-  pub fn queued(&self) -> u32 {
-    self.queue.len() as u32
-  }
-
-  /// Wait of the most recently started call.
-  pub const fn last_wait(&self) -> Duration {
-    self.last_wait
-  }
-
   /// Replaces the announced slots. Calls in flight beyond them are left to finish.
   pub fn set_slots(&mut self, slots: Slots, now: Instant) {
     self.limit.set_slots(slots, now);
@@ -308,12 +242,12 @@
   /// Applies what an answer of the upstream says about the rate of requests that it takes; `None`
   /// when it says nothing. `sent` is when the answered request was sent.
   pub fn set_rate_limit(&mut self, rate: Option<RequestRate>, sent: Instant, now: Instant) {
+    let limited = self.rate_limit.is_some();
     self.rate_limit = RateLimit::after_answer(self.rate_limit, rate, sent, now);
-  }
-
-  /// Requests per second that the upstream takes, as it has stated.
-  pub fn rate_limit(&self) -> Option<f64> {
-    self.rate_limit.map(|limit| limit.per_second())
+    if self.rate_limit.is_some() != limited {
+      self.controller.reset();
+      self.begin_interval(now);
+    }
   }
 
   /// Replaces the longest allowed wait, also for calls already queued.
@@ -337,25 +271,16 @@
     self.limit.observe(self.in_flight, now);
     if let Some(limit) = &mut self.rate_limit {
       limit.record_sent();
-      self.sent += 1;
     }
     self.in_flight += 1;
     self
       .tickets
       .insert(ticket, TicketState::Running { half, since: now });
     self.last_wait = now.saturating_duration_since(queued);
-    self.waited += self.last_wait;
-    self.started += 1;
+    self.waits.record(lane, self.last_wait);
     let counts = self.counts.lane(lane.is_nested());
     counts.started += 1;
     counts.waited += self.last_wait;
-    if lane.is_nested() {
-      self.nested_waited += self.last_wait;
-      self.nested_started += 1;
-      let (started, waited) = &mut self.nested_waits[lane.class()];
-      *started += 1;
-      *waited += self.last_wait;
-    }
   }
 
   fn enqueue(&mut self, lane: Lane, ticket: u64, half: usize, deadline: Instant, now: Instant) {
@@ -395,18 +320,15 @@
     let limited = self.rate_limit.is_some();
     self.queue.expire(now, waits, earliest_end, |lane, call| {
       tickets.remove(&call.ticket);
-      let counts = counts.lane(lane.is_nested());
       // A call that could still meet its deadline is dropped because it waited too long.
       let reason = if call.deadline <= earliest_end {
-        counts.late += 1;
         NotRunReason::Deadline
       } else if limited {
-        counts.over_rate += 1;
         NotRunReason::Limit
       } else {
-        counts.expired += 1;
         NotRunReason::Shed
       };
+      counts.lane(lane.is_nested()).record_dropped(reason);
       actions.push(GateAction::Drop(call.ticket, reason));
     });
     self.earliest_expiry = self.next_expiry();
@@ -431,81 +353,4 @@
       .queue
       .next_expiry(self.max_waits(), self.limit.min_latency())
   }
-
-  fn tick(&mut self, now: Instant) {
-    let elapsed = now.saturating_duration_since(self.last_tick);
-    if elapsed < TICK_INTERVAL {
-      return;
-    }
-    self.last_tick = now;
-    self.limit.observe(self.in_flight, now);
-    self.limit.tick(now);
-    let utilisation = match &self.rate_limit {
-      Some(limit) => {
-        let sendable = limit.per_second() * elapsed.as_secs_f64();
-        let sent = f64::from(std::mem::take(&mut self.sent)) / sendable;
-        self.limit.utilisation().max(sent.min(1.0))
-      }
-      None => self.limit.utilisation(),
-    };
-    self.utilisation += (utilisation - self.utilisation) * UTILISATION_WEIGHT;
-    if elapsed >= OUTDATED_AFTER && self.queue.len() == 0 {
-      self.controller.reset();
-    }
-    if self.rate_limit.is_some() {
-      // Calls wait for the stated rate, not for slots, and another instance may have room. Senders
-      // apply a level to all instances, so that it must not follow these waits.
-      self.controller.reset();
-      self.reset_waits(now);
-      return;
-    }
-    let Some(capacity) = self.limit.capacity() else {
-      return;
-    };
-    let elapsed = now.saturating_duration_since(self.level_updated);
-    if elapsed < MAX_LEVEL_INTERVAL && elapsed.as_secs_f64() * capacity < MIN_INTERVAL_COMPLETIONS {
-      return;
-    }
-    let tolerated = |wait: Duration| wait.as_secs_f64() * TOLERATED_SHARE;
-    let (wait, tolerated_wait) = if self.nested_started > 0 {
-      let wait = mean_wait(self.nested_waited, self.nested_started);
-      let run_time = f64::from(self.limit.current()) / capacity;
-      let tolerated = tolerated(max_nested_wait(self.queue_wait));
-      (wait, (run_time * self.nested_wait).min(tolerated))
-    } else {
-      (
-        mean_wait(self.waited, self.started),
-        tolerated(self.queue_wait),
-      )
-    };
-    self.controller.update(&IntervalStats {
-      elapsed: elapsed.as_secs_f64(),
-      utilisation: self.limit.utilisation(),
-      slots: f64::from(self.limit.current()),
-      run_time: f64::from(self.limit.current()) / capacity,
-      run_times: &self.run_times,
-      wait,
-      tolerated_wait,
-      nested_waits: &self
-        .nested_waits
-        .map(|(started, waited)| mean_wait(waited, started)),
-      queue: &self.queue,
-    });
-    self.reset_waits(now);
-  }
-
-  /// Begins another interval of the level.
-  fn reset_waits(&mut self, now: Instant) {
-    self.level_updated = now;
-    self.started = 0;
-    self.waited = Duration::ZERO;
-    self.nested_started = 0;
-    self.nested_waited = Duration::ZERO;
-    self.nested_waits = [(0, Duration::ZERO); CLASSES];
-  }
-}
-
-/// Mean wait, seconds.
-fn mean_wait(waited: Duration, started: u32) -> f64 {
-  waited.as_secs_f64() / f64::from(started.max(1))
 }
--- a/crates/decisions/src/load/gate_counts.rs
+++ b/crates/decisions/src/load/gate_counts.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {cactusyoke_model::NotRunReason, std::time::Duration};
 
 /// Decisions of a gate about root requests or about nested calls, since they were last taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,6 +27,26 @@
     self.above_level + self.late + self.expired + self.over_rate + self.overflowed
   }
 
+  /// Counts one that was refused when it was offered.
+  pub(super) const fn record_refused(&mut self, reason: NotRunReason) {
+    match reason {
+      NotRunReason::Shed => self.above_level += 1,
+      NotRunReason::Limit => self.over_rate += 1,
+      NotRunReason::QueueFull => self.overflowed += 1,
+      _ => self.late += 1,
+    }
+  }
+
+  /// Counts one that was dropped from the queue.
+  pub(super) const fn record_dropped(&mut self, reason: NotRunReason) {
+    match reason {
+      NotRunReason::Shed => self.expired += 1,
+      NotRunReason::Limit => self.over_rate += 1,
+      NotRunReason::Evicted => self.overflowed += 1,
+      _ => self.late += 1,
+    }
+  }
+
   /// Mean wait of those that started.
   pub fn mean_wait(&self) -> Duration {
     self.waited / self.started.max(1)
--- a/crates/decisions/src/load/rate_limit.rs
+++ b/crates/decisions/src/load/rate_limit.rs
@@ -23,6 +23,8 @@
   /// Requests that may be sent now.
   tokens: f64,
   updated: Instant,
+  /// Requests sent since the use was last taken.
+  sent: u32,
 }
 
 impl RateLimit {
@@ -33,6 +35,7 @@
       stated: now,
       tokens: 0.0,
       updated: now,
+      sent: 0,
     }
   }
 
@@ -79,6 +82,13 @@
   /// Counts a request that is sent.
   pub(super) fn record_sent(&mut self) {
     self.tokens -= 1.0;
+    self.sent += 1;
+  }
+
+  /// Share of the limit that was used in the last `elapsed` time, since the last call of this method.
+  pub(super) fn take_utilisation(&mut self, elapsed: Duration) -> f64 {
+    let sendable = self.per_second() * elapsed.as_secs_f64();
+    (f64::from(std::mem::take(&mut self.sent)) / sendable).min(1.0)
   }
 
   /// When the next request may be sent.
