--- a/crates/decisions/tests/shared_bottleneck.rs
+++ b/crates/decisions/tests/shared_bottleneck.rs
@@ -6,388 +6,27 @@
 //! times as long as a call: 1.7 times what fits. Look-ups have 0.8 s. A caller whose request is
 //! refused or fails tries once more.
 
+mod shared_bottleneck {
+  pub mod simulation;
+}
+
 use {
-  cactusyoke_decisions::load::{
-    Completion, Costs, Gate, GateAction, GateConfig, GateCounts, Levels, OfferOutcome,
-  },
-  cactusyoke_model::{Bottleneck, ClassRank, Level, Priority, RequestId, RouteName, Slots},
-  rand::{Rng, SeedableRng, rngs::SmallRng},
-  std::{
-    cmp::Reverse,
-    collections::BinaryHeap,
-    ops::RangeInclusive,
-    time::{Duration, Instant},
-  },
+  shared_bottleneck::simulation::{Outcomes, Simulation},
+  std::{ops::RangeInclusive, sync::LazyLock},
 };
 
 const SEEDS: RangeInclusive<u64> = 1..=30;
-const WARM_UP: Duration = Duration::from_secs(5);
-const END: Duration = Duration::from_secs(35);
-const SLOTS: Slots = Slots(22);
-/// Run time of a nested call, milliseconds.
-const CALL_TIME: f64 = 18.0;
-/// One way between two nodes.
-const LATENCY: Duration = Duration::from_millis(1);
-/// Nodes at which requests enter.
-const ENTRIES: usize = 13;
-/// Wait before a caller tries again.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
-
-fn ms(millis: f64) -> Duration {
-  Duration::from_secs_f64(millis / 1000.0)
-}
-
-/// Requests of one route.
-#[derive(Clone, Copy, Debug)]
-struct Kind {
-  name: &'static str,
-  rank: ClassRank,
-  /// New requests per second.
-  rate: f64,
-  /// Work before the first call, milliseconds.
-  work: f64,
-  /// Work between two calls, milliseconds.
-  gap: f64,
-  /// Calls to the tightest service; zero for requests that start there.
-  calls: u32,
-  time_limit: Duration,
-}
-
-const KINDS: [Kind; 3] = [
-  Kind {
-    name: "look-up",
-    rank: ClassRank(2),
-    rate: 128.0,
-    work: 120.0,
-    gap: 8.0,
-    calls: 10,
-    time_limit: Duration::from_millis(800),
-  },
-  Kind {
-    name: "order",
-    rank: ClassRank(0),
-    rate: 47.0,
-    work: 160.0,
-    gap: 4.0,
-    calls: 5,
-    time_limit: Duration::from_secs(1),
-  },
-  Kind {
-    name: "check",
-    rank: ClassRank(2),
-    rate: 31.0,
-    work: 290.0,
-    gap: 0.0,
-    calls: 0,
-    time_limit: Duration::from_millis(2500),
-  },
-];
-
-/// What a node at which requests enter knows.
-#[derive(Debug)]
-struct Entry {
-  levels: Levels,
-  costs: Costs,
-}
-
-struct Request {
-  kind: usize,
-  entry: usize,
-  priority: Priority,
-  sent: Instant,
-  retried: bool,
-  calls_left: u32,
-  /// Time in slots of the tightest service.
-  slot_time: Duration,
-  /// Strictest level that its calls reported.
-  level: Level,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-  Arrival(usize),
-  Retry(usize),
-  /// A request calls the tightest service, or arrives there.
-  Offer(usize),
-  /// The run of a call or request at the tightest service ends.
-  Done(usize),
-  Poll,
-}
-
-/// Requests of one kind that were sent after the warm-up.
-#[derive(Clone, Copy, Debug, Default)]
-struct Outcomes {
-  callers: u32,
-  served: u32,
-  /// Failed after admission, at the cost of the work done for them.
-  failed: u32,
-}
-
-impl Outcomes {
-  fn served_share(self) -> f64 {
-    f64::from(self.served) / f64::from(self.callers)
-  }
-}
-
-impl Entry {
-  fn new(now: Instant) -> Self {
-    Self {
-      levels: Levels::new(now),
-      costs: Costs::new(),
-    }
-  }
-}
 
-struct Simulation {
-  start: Instant,
-  now: Instant,
-  rng: SmallRng,
-  events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
-  sequence: u64,
-  gate: Gate,
-  entries: Vec<Entry>,
-  routes: [RouteName; 3],
-  requests: Vec<Request>,
-  outcomes: [Outcomes; 3],
-  counts: GateCounts,
-}
-
-impl Simulation {
-  fn run(seed: u64) -> Self {
-    let start = Instant::now();
-    let config = GateConfig {
-      slots: SLOTS,
-      max_queued: 1000,
-      queue_wait: Duration::from_millis(150),
-      cold_start: Duration::ZERO,
-      adaptive_limit: false,
-      nested_wait: 0.25,
-    };
-    let mut simulation = Self {
-      start,
-      now: start,
-      rng: SmallRng::seed_from_u64(seed),
-      events: BinaryHeap::new(),
-      sequence: 0,
-      gate: Gate::new(config, start),
-      entries: (0..ENTRIES).map(|_| Entry::new(start)).collect(),
-      routes: KINDS.map(|kind| kind.name.parse().expect("a valid name")),
-      requests: Vec::new(),
-      outcomes: [Outcomes::default(); 3],
-      counts: GateCounts::default(),
-    };
-    for kind in 0..KINDS.len() {
-      simulation.schedule(start, Event::Arrival(kind));
-    }
-    simulation.schedule(start, Event::Poll);
-    while let Some(Reverse((at, _, event))) = simulation.events.pop() {
-      if at > start + END {
-        break;
-      }
-      simulation.now = at;
-      simulation.handle(event);
-    }
-    simulation.counts = simulation.gate.take_counts();
-    simulation
-  }
-
-  fn schedule(&mut self, at: Instant, event: Event) {
-    self.sequence += 1;
-    self.events.push(Reverse((at, self.sequence, event)));
-  }
-
-  fn handle(&mut self, event: Event) {
-    match event {
-      Event::Arrival(kind) => {
-        let gap = -self.rng.random::<f64>().max(1e-12).ln() / KINDS[kind].rate;
-        self.schedule(self.now + ms(gap * 1000.0), Event::Arrival(kind));
-        self.send(kind, false);
-      }
-      Event::Retry(kind) => self.send(kind, true),
-      Event::Offer(request) => self.offer(request),
-      Event::Done(request) => self.done(request),
-      Event::Poll => {
-        self.poll();
-        self.schedule(self.now + Duration::from_millis(5), Event::Poll);
-      }
-    }
-  }
-
-  fn outcomes(&mut self, request: usize) -> Option<&mut Outcomes> {
-    let Request { kind, sent, .. } = self.requests[request];
-    (sent >= self.start + WARM_UP).then(|| &mut self.outcomes[kind])
-  }
-
-  fn send(&mut self, kind: usize, retried: bool) {
-    let root = RequestId::random(&mut self.rng);
-    let Kind {
-      rank, calls, work, ..
-    } = KINDS[kind];
-    let route = &self.routes[kind];
-    let entry = self.rng.random_range(0..ENTRIES);
-    let Entry { levels, costs } = &self.entries[entry];
-    let priority = costs.priority(route, rank, root, self.now);
-    let admitted = levels.admits(route, priority, self.now);
-    self.requests.push(Request {
-      kind,
-      entry,
-      priority,
-      sent: self.now,
-      retried,
-      calls_left: calls,
-      slot_time: Duration::ZERO,
-      level: Level::ALL,
-    });
-    let request = self.requests.len() - 1;
-    if !retried && let Some(outcomes) = self.outcomes(request) {
-      outcomes.callers += 1;
-    }
-    if !admitted {
-      self.refuse(request);
-    } else if calls == 0 {
-      self.schedule(self.now + LATENCY, Event::Offer(request));
-    } else {
-      let work = work * self.rng.random_range(0.5..1.5);
-      self.schedule(self.now + ms(work), Event::Offer(request));
-    }
-  }
-
-  /// The caller of a refused or failed request tries again, unless it did already.
-  fn refuse(&mut self, request: usize) {
-    let Request { kind, retried, .. } = self.requests[request];
-    if !retried {
-      self.schedule(self.now + RETRY_DELAY, Event::Retry(kind));
-    }
-  }
-
-  fn offer(&mut self, request: usize) {
-    let Request {
-      kind,
-      priority,
-      sent,
-      ..
-    } = self.requests[request];
-    let Kind {
-      calls, time_limit, ..
-    } = KINDS[kind];
-    let (ticket, deadline) = (request as u64, sent + time_limit);
-    let offer = if calls == 0 {
-      self.gate.offer(ticket, priority, deadline, self.now)
-    } else {
-      self.gate.offer_nested(ticket, priority, deadline, self.now)
-    };
-    match offer {
-      OfferOutcome::Start => self.start(request),
-      OfferOutcome::Queued { evicted } => assert_eq!(evicted, None),
-      OfferOutcome::Refused(_) => self.drop_call(request),
-    }
-    self.poll();
-  }
-
-  fn start(&mut self, request: usize) {
-    let Kind { calls, work, .. } = KINDS[self.requests[request].kind];
-    let mean = if calls == 0 { work } else { CALL_TIME };
-    let time = ms(mean * self.rng.random_range(0.5..1.5));
-    self.requests[request].slot_time += time;
-    self.schedule(self.now + time, Event::Done(request));
-  }
-
-  fn done(&mut self, request: usize) {
-    self
-      .gate
-      .finish(request as u64, Completion::Succeeded, self.now);
-    self.observe(request);
-    let Request {
-      kind,
-      sent,
-      calls_left,
-      ..
-    } = self.requests[request];
-    let in_time = self.now <= sent + KINDS[kind].time_limit;
-    if calls_left > 1 && in_time {
-      self.requests[request].calls_left -= 1;
-      let gap = ms(KINDS[kind].gap) + LATENCY * 2;
-      self.schedule(self.now + gap, Event::Offer(request));
-    } else {
-      self.end(request, in_time);
-    }
-    self.poll();
-  }
-
-  /// Takes the level of the gate for the answer of the request.
-  fn observe(&mut self, request: usize) {
-    let level = self.gate.level(self.now);
-    let known = &mut self.requests[request].level;
-    *known = level.min(*known);
-  }
-
-  /// The answer or refusal of a request reports the strictest level of its calls.
-  fn report(&mut self, request: usize) {
-    let Request {
-      kind, entry, level, ..
-    } = self.requests[request];
-    let levels = &mut self.entries[entry].levels;
-    levels.observe(&self.routes[kind], level, Duration::ZERO, self.now);
-  }
-
-  /// Ends a request that was answered, by success or by a failure of its upstream.
-  fn end(&mut self, request: usize, success: bool) {
-    let Request {
-      kind,
-      entry,
-      slot_time,
-      ..
-    } = self.requests[request];
-    self.report(request);
-    let entry = &mut self.entries[entry];
-    if success {
-      let service = "warehouse".parse().expect("a valid name");
-      let bottleneck = Bottleneck::new(&service, 1.0, slot_time);
-      entry
-        .costs
-        .record(&self.routes[kind], KINDS[kind].rank, bottleneck, self.now);
-    } else {
-      self.refuse(request);
-    }
-    if let Some(outcomes) = self.outcomes(request) {
-      if success {
-        outcomes.served += 1;
-      } else {
-        outcomes.failed += 1;
-      }
-    }
-  }
-
-  /// Refuses a root request, or fails the request of a nested call.
-  fn drop_call(&mut self, request: usize) {
-    self.observe(request);
-    if KINDS[self.requests[request].kind].calls > 0 {
-      self.end(request, false);
-      return;
-    }
-    self.report(request);
-    self.refuse(request);
-  }
-
-  fn poll(&mut self) {
-    let mut actions = Vec::new();
-    self.gate.poll(self.now, &mut actions);
-    for action in actions {
-      match action {
-        GateAction::Start(ticket) => self.start(ticket as usize),
-        GateAction::Drop(ticket, _) => self.drop_call(ticket as usize),
-      }
-    }
-  }
-}
+/// Simulations by seed, which all tests look at.
+static RUNS: LazyLock<Vec<(u64, Simulation)>> =
+  LazyLock::new(|| SEEDS.map(|seed| (seed, Simulation::run(seed))).collect());
 
 /// Guards against an overload in which requests that start at the tightest service wait behind the
 /// calls of requests that were admitted elsewhere, and hardly any is served: SHORT in issue 23. The
 /// bound is the criterion that a day passes by.
 #[test]
 fn requests_that_start_at_the_bottleneck_are_served_too() {
-  for seed in SEEDS {
-    let simulation = Simulation::run(seed);
+  for (seed, simulation) in RUNS.iter() {
     let [lookup, order, check] = simulation.outcomes;
     let all = Outcomes {
       callers: lookup.callers + order.callers + check.callers,
@@ -409,8 +48,8 @@
 /// 0.56 of each route of the class would be served.
 #[test]
 fn half_of_the_callers_whose_requests_make_many_calls_are_served() {
-  for seed in SEEDS {
-    let [lookup, ..] = Simulation::run(seed).outcomes;
+  for (seed, simulation) in RUNS.iter() {
+    let [lookup, ..] = simulation.outcomes;
     assert!(lookup.served_share() >= 0.5, "seed {seed}: {lookup:?}");
   }
 }
@@ -420,8 +59,8 @@
 #[test]
 fn requests_that_make_many_calls_rarely_fail_after_admission() {
   let mut misses = Vec::new();
-  for seed in SEEDS {
-    let [lookup, ..] = Simulation::run(seed).outcomes;
+  for (seed, simulation) in RUNS.iter() {
+    let [lookup, ..] = simulation.outcomes;
     let failed = f64::from(lookup.failed) / f64::from(lookup.served + lookup.failed);
     if failed >= 0.03 {
       misses.push(format!("seed {seed}: {failed:.3}"));
