A node that has lost the store says so, and its followers replace it

Cause: the three nodes that watch the store had all lost it, and went on answering the others with what they knew. These noticed by its age only, after 6 to 8 s. The logs rule out lost notifications (no node adopted the version before a follower began to watch) and a watch without its event (store_lost comes first).

Each reply now states how the node is kept up to date, at once when that changes. A watch waits 0.75 s and fails 0.5 s later, so that silence is noticed in time. Nodes without a source watch the store themselves, in an order that bounds their calls to 500 a second, until the nodes that have to watch reach it again. After a watch without an answer, everything is listed.

The stand-in of the store can now refuse single nodes and leave watches unanswered.

Tried first: substitutes that end their watch when any node keeps them up to date. They relied on each other and stopped and began again once a second.

The log lines source, sources_lost and duty tell which node relies on what.

--- a/crates/cactusyoke/src/control.rs
+++ b/crates/cactusyoke/src/control.rs
@@ -6,7 +6,7 @@
   cactusyoke_decisions::{
     keys::{Process, Roster, RunId, WitnessReply, WitnessRequest},
     load::{Fingerprint, QuarantineNotice},
-    membership::DirectoryUpdate,
+    membership::{DirectoryUpdate, Freshness},
   },
   cactusyoke_model::{IdempotencyKey, NodeId, Revision},
   serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -51,7 +51,9 @@
   Directory {
     /// Version up to which the asking node knows the directory; `None` for all entries.
     after: Option<u64>,
-    /// Time for which the asked node waits for changes.
+    /// How the asked node was kept up to date when it last replied; `None` for the first request.
+    known: Option<Freshness>,
+    /// Time for which the asked node waits for changes, also of how it is kept up to date.
     wait: Duration,
   },
 }
@@ -82,8 +84,8 @@
 pub(crate) struct DirectoryReply {
   /// What the asking node lacks.
   pub(crate) update: DirectoryUpdate,
-  /// Time since which the answering node may lack changes.
-  pub(crate) age: Duration,
+  /// How the answering node is kept up to date.
+  pub(crate) freshness: Freshness,
   /// Adopted revision of the configuration.
   pub(crate) revision: Revision,
 }
--- a/crates/cactusyoke/src/control_requests.rs
+++ b/crates/cactusyoke/src/control_requests.rs
@@ -102,8 +102,8 @@
         self.adopt_quarantine(notice);
         ControlReply::Done
       }
-      ControlRequest::Directory { after, wait } => {
-        ControlReply::Directory(self.directory_since(after, wait).await)
+      ControlRequest::Directory { after, known, wait } => {
+        ControlReply::Directory(self.directory_since(after, known, wait).await)
       }
     };
     Some(control::encode(&reply))
--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -11,13 +11,12 @@
     Changes, Event, Feed, FeedSink, Item, LeaseStore, Listing, Registration, StoreError, Watcher,
   },
   cactusyoke_decisions::membership::{
-    DirectoryCache, DirectoryChange, DirectoryUpdate, Member, MemberRecord, SourceChoice, Sources,
-    Status, UpstreamInfo,
+    DirectoryCache, DirectoryChange, DirectoryUpdate, Freshness, Member, MemberRecord, PeerReply,
+    SourceChoice, Sources, Status, UpstreamInfo,
   },
   cactusyoke_model::{Clock, NodeId},
   cactusyoke_nodes::MembersView,
   cactusyoke_platform::document,
-  rand::Rng,
   std::{
     fmt,
     sync::{
@@ -40,19 +39,21 @@
 /// Time for which a starting node waits for its upstream before it writes an entry without one.
 const ANNOUNCEMENT_WAIT: Duration = Duration::from_secs(2);
 
-/// Age of what is known of the directory from which on a node watches the store itself; a random
-/// time of up to as much as [`MAX_AGE_SPREAD`] is added. A watch without changes takes 3 s.
-const MAX_AGE: Duration = Duration::from_secs(6);
-
-/// See [`MAX_AGE`].
-const MAX_AGE_SPREAD: Duration = Duration::from_secs(2);
-
 /// Time between two checks whether this node has to watch the store.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time limit for ending the lease when the node stops.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// What a node knows of the directory.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Known {
+  /// Version up to which all changes are known; `None` before the first listing.
+  version: Option<u64>,
+  /// How the node is kept up to date.
+  freshness: Freshness,
+}
+
 /// Client of the directory: keeps the entry of this node and follows those of the others.
 pub(crate) struct DirectoryClient {
   /// Record of this node, and the time of the last change of its upstream's state.
@@ -69,10 +70,10 @@
   reachable: AtomicBool,
   watcher: Watcher,
   choice: Mutex<SourceChoice>,
-  /// Version of the directory up to which this node knows it.
-  version: watch::Sender<Option<u64>>,
-  /// Notified when a source has failed, so that others may be needed.
-  source_failed: Notify,
+  /// What this node knows of the directory.
+  known: watch::Sender<Known>,
+  /// Notified when a source was lost, so that others may be needed.
+  source_lost: Notify,
   registration: Mutex<Option<JoinHandle<()>>>,
   /// Tasks that follow the store and other nodes.
   followers: Mutex<Vec<JoinHandle<()>>>,
@@ -97,10 +98,9 @@
     let key = directory_entry::key(&own);
     let (entry, value) = watch::channel(directory_entry::encode(&own));
     let removed = Arc::<Notify>::default();
-    let max_age = MAX_AGE + MAX_AGE_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
     let directory = Arc::new(Self {
       view: ArcSwap::from_pointee(MembersView::new(own.clone(), Vec::new(), Vec::new())),
-      choice: Mutex::new(SourceChoice::new(own.node, max_age)),
+      choice: Mutex::new(SourceChoice::new(own.node, clock.now())),
       own: Mutex::new((own, clock.now())),
       cache: Mutex::default(),
       clock,
@@ -109,8 +109,8 @@
       key: key.clone(),
       reachable: AtomicBool::new(true),
       watcher,
-      version: watch::Sender::new(None),
-      source_failed: Notify::new(),
+      known: watch::Sender::default(),
+      source_lost: Notify::new(),
       registration: Mutex::default(),
       followers: Mutex::default(),
     });
@@ -133,18 +133,26 @@
     let mut feed = Feed::new(store, String::new());
     let mut watching = false;
     loop {
-      let needed = self.sources().store;
+      let sources = self.sources();
+      let now = self.clock.now();
+      let needed = sources.needs_store(now);
       if needed != watching {
         watching = needed;
-        tracing::info!(event = "watching", watching);
+        tracing::info!(event = "watching", watching, duty = sources.duty);
       }
       if needed {
         feed.read(self.version(), &*self).await;
-      } else {
-        tokio::select! {
-          () = sleep(CHOICE_INTERVAL) => {}
-          () = self.source_failed.notified() => {}
-        }
+        continue;
+      }
+      self.update_choice(|choice, _now| choice.stop_store());
+      feed.pause();
+      let until_turn = sources
+        .store
+        .map(|from| from.saturating_duration_since(now));
+      let pause = until_turn.map_or(CHOICE_INTERVAL, |turn| turn.min(CHOICE_INTERVAL));
+      tokio::select! {
+        () = sleep(pause) => {}
+        () = self.source_lost.notified() => {}
       }
     }
   }
@@ -168,47 +176,72 @@
 
   /// Version of the directory up to which this node knows it; `None` before the first listing.
   pub(crate) fn version(&self) -> Option<u64> {
-    *self.version.borrow()
-  }
-
-  /// Age of what this node knows of the directory; `None` before the first listing.
-  pub(crate) fn age(&self) -> Option<Duration> {
-    lock(&self.choice).age(self.clock.now())
+    self.known.borrow().version
   }
 
-  /// Waits at most `wait` until this node knows changes after a version, and returns them.
+  /// Waits at most `wait` until this node knows changes after a version, or is not kept up to date
+  /// as `known`. Returns the changes and how it is kept up to date.
   pub(crate) async fn update_since(
     &self,
     after: Option<u64>,
+    known: Option<Freshness>,
     wait: Duration,
-  ) -> Option<DirectoryUpdate> {
-    let mut version = self.version.subscribe();
-    let newer = version.wait_for(|version| *version > after);
-    drop(timeout(wait, newer).await);
-    lock(&self.cache).update_since(after)
+  ) -> Option<(DirectoryUpdate, Freshness)> {
+    let mut state = self.known.subscribe();
+    let news = state.wait_for(|own| {
+      let differs = own.version > after || Some(own.freshness) != known;
+      own.version.is_some() && differs
+    });
+    drop(timeout(wait, news).await);
+    // Read before the changes: they may only be newer.
+    let freshness = self.known.borrow().freshness;
+    let update = lock(&self.cache).update_since(after)?;
+    Some((update, freshness))
   }
 
-  /// Applies what another node, asked for changes after a version, knew of the directory `age` ago.
+  /// Applies what another node, asked for changes after a version, knew of the directory.
   pub(crate) fn apply_update(
     &self,
     peer: NodeId,
     after: Option<u64>,
     update: &DirectoryUpdate,
-    age: Duration,
+    reply: PeerReply,
   ) {
-    let now = self.clock.now();
-    let mut choice = lock(&self.choice);
-    if !choice.record_reply(peer, after, update.version, age, now) {
-      self.source_failed.notify_one();
-    }
-    drop(choice);
-    self.update_cache(|cache| cache.apply(update, now));
+    // The changes come first, so that a node that is up to date knows them.
+    self.update_cache(|cache| cache.apply(update, self.clock.now()));
+    self.update_choice(|choice, now| {
+      choice.record_reply(peer, after, reply, now);
+    });
   }
 
   /// Records that another node did not answer.
   pub(crate) fn record_peer_failure(&self, peer: NodeId) {
-    lock(&self.choice).record_failure(peer, self.clock.now());
-    self.source_failed.notify_one();
+    self.update_choice(|choice, now| choice.record_failure(peer, now));
+  }
+
+  /// Records that there is no other node to follow.
+  pub(crate) fn lose_peer(&self) {
+    self.update_choice(SourceChoice::lose_peer);
+  }
+
+  /// Changes the choice of sources, and publishes how this node is kept up to date.
+  fn update_choice(&self, change: impl FnOnce(&mut SourceChoice, Instant)) {
+    let mut choice = lock(&self.choice);
+    change(&mut choice, self.clock.now());
+    let freshness = choice.freshness();
+    // Sent under the lock, so that no older state replaces a newer one.
+    let before = self.known.borrow().freshness;
+    if freshness == before {
+      return;
+    }
+    self.known.send_modify(|known| known.freshness = freshness);
+    drop(choice);
+    if freshness == Freshness::Lost {
+      tracing::warn!(event = "sources_lost", ?before);
+    } else {
+      tracing::info!(event = "source", ?freshness, ?before);
+    }
+    self.source_lost.notify_one();
   }
 
   /// Changes the cache and publishes the result.
@@ -226,9 +259,9 @@
     if changed {
       self.publish();
     }
-    self.version.send_if_modified(|known| {
-      let newer = version > *known;
-      *known = version.max(*known);
+    self.known.send_if_modified(|known| {
+      let newer = version > known.version;
+      known.version = version.max(known.version);
       newer
     });
   }
@@ -370,9 +403,11 @@
   }
 
   fn called(&self, result: Result<(), &StoreError>) {
-    if result.is_ok() {
-      lock(&self.choice).record_store(self.clock.now());
-    }
+    let members = self.view().members().len();
+    self.update_choice(|choice, now| match result {
+      Ok(()) => choice.record_store(),
+      Err(_) => choice.record_store_failure(members, now),
+    });
     let before = self.reachable.swap(result.is_ok(), Ordering::Relaxed);
     match result {
       Ok(()) if !before => tracing::info!(event = "store_reached"),
--- a/crates/cactusyoke/src/directory_follower.rs
+++ b/crates/cactusyoke/src/directory_follower.rs
@@ -7,6 +7,7 @@
     directory_client::DirectoryClient,
     member_source::MemberSource,
   },
+  cactusyoke_decisions::membership::{Freshness, PeerReply},
   cactusyoke_model::NodeId,
   std::{sync::Arc, time::Duration},
   tokio::time::sleep,
@@ -34,52 +35,69 @@
 }
 
 async fn follow(core: Arc<Core>, directory: Arc<DirectoryClient>) {
+  let mut last = None;
   loop {
-    match directory.sources().peer {
-      Some(peer) => {
-        core.fetch_directory(&directory, peer).await;
-        sleep(REQUEST_PAUSE).await;
-      }
-      None => sleep(NO_PEER_PAUSE).await,
-    }
+    let Some(peer) = directory.sources().peer else {
+      directory.lose_peer();
+      sleep(NO_PEER_PAUSE).await;
+      continue;
+    };
+    let known = last.and_then(|(node, freshness)| (node == peer).then_some(freshness));
+    let freshness = core.fetch_directory(&directory, peer, known).await;
+    last = freshness.map(|freshness| (peer, freshness));
+    sleep(REQUEST_PAUSE).await;
   }
 }
 
 impl Core {
-  async fn fetch_directory(&self, directory: &DirectoryClient, peer: NodeId) {
+  /// Fetches changes from a peer, and returns how that one is kept up to date; `known` is what it
+  /// last said about that.
+  async fn fetch_directory(
+    &self,
+    directory: &DirectoryClient,
+    peer: NodeId,
+    known: Option<Freshness>,
+  ) -> Option<Freshness> {
     let after = directory.version();
     let request = ControlRequest::Directory {
       after,
+      known,
       wait: CHANGES_WAIT,
     };
     let limit = CHANGES_WAIT + REPLY_TIMEOUT;
     let reply = self.send_control(peer, &request, limit).await;
     let Some(ControlReply::Directory(Some(reply))) = reply else {
       directory.record_peer_failure(peer);
-      return;
+      return None;
+    };
+    let stated = PeerReply {
+      version: reply.update.version,
+      freshness: reply.freshness,
+      before: known,
     };
-    directory.apply_update(peer, after, &reply.update, reply.age);
+    directory.apply_update(peer, after, &reply.update, stated);
     if reply.revision > self.config.load().revision {
       self.spread.report_newer(peer, reply.revision);
     }
+    Some(reply.freshness)
   }
 
-  /// What a node lacks that knows the directory up to version `after`; `None` if this node does not
-  /// know the directory.
+  /// What a node lacks that knows the directory up to version `after`, and that this one is kept up
+  /// to date as `known`; `None` if this node does not know the directory.
   pub(crate) async fn directory_since(
     &self,
     after: Option<u64>,
+    known: Option<Freshness>,
     wait: Duration,
   ) -> Option<DirectoryReply> {
     let MemberSource::Directory(directory) = &self.members else {
       return None;
     };
-    let update = directory
-      .update_since(after, wait.min(CHANGES_WAIT))
-      .await?;
+    let wait = wait.min(CHANGES_WAIT);
+    let (update, freshness) = directory.update_since(after, known, wait).await?;
     Some(DirectoryReply {
       update,
-      age: directory.age()?,
+      freshness,
       revision: self.config.load().revision,
     })
   }
--- a/crates/cactusyoke/tests/platform.rs
+++ b/crates/cactusyoke/tests/platform.rs
@@ -61,14 +61,11 @@
     }
     tokio::time::sleep(Duration::from_millis(100)).await;
   }
-  let renamed = DOCUMENT
-    .replace("/read/", "/renamed/")
-    .replace("\"version\": 7", "\"version\": 9");
-  site.store.write(document::KEY, renamed);
+  site.rename_route(9);
   site.store.faults().set_outage(Outage::None);
   for node in 0..2 {
     eventually("the change is in force", || async {
-      site.get(node).await.is_ok_and(|got| got.status == 404)
+      site.is_renamed(node).await
     })
     .await;
   }
@@ -79,29 +76,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn few_nodes_watch_the_store_and_all_learn_of_changes() {
   let site = Site::start(8, NO_WORK).await;
-  let watches = |node: usize| {
-    let log = site.nodes[node].log();
-    let last = log
-      .lines()
-      .rev()
-      .find(|line| line.contains("event=watching"));
-    last.is_some_and(|line| line.contains("watching=true"))
-  };
-  let watching = || (0..8).filter(|node| watches(*node)).collect::<Vec<_>>();
   // Two in each of the two data centres.
-  eventually("few nodes watch", || async { watching().len() == 4 }).await;
-  let paused = watching()[0];
+  eventually("few nodes watch", || async { site.watching().len() == 4 }).await;
+  let paused = site.watching()[0];
   site.nodes[paused].signal(Signal::STOP);
   let changed = Instant::now();
-  site.store.write(
-    document::KEY,
-    DOCUMENT
-      .replace("/read/", "/renamed/")
-      .replace("\"version\": 7", "\"version\": 8"),
-  );
+  site.rename_route(8);
   for node in (0..8).filter(|node| *node != paused) {
     eventually("the change is in force", || async {
-      site.get(node).await.is_ok_and(|got| got.status == 404)
+      site.is_renamed(node).await
     })
     .await;
   }
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -8,7 +8,7 @@
   cactusyoke_platform::{document, header_names},
   cactusyoke_standins::{
     Addresses,
-    platform::Platform,
+    platform::{Entry, Platform},
     platform_upstream::PlatformUpstream,
     upstream::{Client, ClientError, ReceivedResponse},
   },
@@ -28,6 +28,8 @@
 pub struct Site {
   pub addresses: Addresses,
   pub store: Platform,
+  /// Address of the store for each node.
+  pub entries: Vec<Entry>,
   pub nodes: Vec<NodeProcess>,
   pub upstreams: Vec<PlatformUpstream>,
   client: Client,
@@ -43,6 +45,7 @@
     let mut site = Self {
       addresses: Addresses::default(),
       store,
+      entries: Vec::new(),
       nodes: Vec::new(),
       upstreams: Vec::new(),
       client: Client::default(),
@@ -67,6 +70,8 @@
   }
 
   async fn add(&mut self, number: u8, work: Duration) {
+    let entry = self.store.add_entry().await;
+    let entry = entry.expect("a loopback port is free");
     let at = |port| self.addresses.listener(number, port);
     let yaml = format!(
       "node: {}\ndata_centre: dc-{}\ndata_centres:\n  dc-1: {{region: r}}\n  dc-2: {{region: r}}\n\
@@ -79,9 +84,11 @@
       at(7103),
       at(7104),
       at(7105),
-      self.store.address(),
+      entry.address(),
       at(7106),
     );
+    self.entries.push(entry);
+    let at = |port| self.addresses.listener(number, port);
     let name = format!("platform-{}", at(7101));
     let (control, upstream) = (at(7104), at(7106));
     self.nodes.push(NodeProcess::start(&name, &yaml));
@@ -90,6 +97,30 @@
     self.upstreams.push(started.expect("the port is free"));
   }
 
+  /// Nodes that watch the store, as their logs say.
+  pub fn watching(&self) -> Vec<usize> {
+    let watches = |node: &usize| {
+      let log = self.nodes[*node].log();
+      let mut lines = log.lines().rev();
+      let last = lines.find(|line| line.contains("event=watching"));
+      last.is_some_and(|line| line.contains("watching=true"))
+    };
+    (0..self.nodes.len()).filter(watches).collect()
+  }
+
+  /// Writes a document in which the path of the read route has changed.
+  pub fn rename_route(&self, version: u32) {
+    let document = DOCUMENT
+      .replace("/read/", "/renamed/")
+      .replace("\"version\": 7", &format!("\"version\": {version}"));
+    self.store.write(document::KEY, document);
+  }
+
+  /// True when the document of [`Site::rename_route`] is in force at the node.
+  pub async fn is_renamed(&self, node: usize) -> bool {
+    self.get(node).await.is_ok_and(|got| got.status == 404)
+  }
+
   fn at(&self, node: usize, port: u16) -> SocketAddr {
     self.addresses.listener(node as u8 + 1, port)
   }
--- a/crates/configuration/src/feed.rs
+++ b/crates/configuration/src/feed.rs
@@ -8,9 +8,9 @@
 };
 
 /// Longest wait of one watch. A connection that no longer delivers data is noticed once this wait
-/// and the timeout of a call have passed, which must leave time for a change to be in force within
-/// 4 s.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
+/// and the timeout of a watch have passed, which must leave time for another node to read a change
+/// and for the change to be in force within 2 s.
+const WATCH_WAIT: Duration = Duration::from_millis(750);
 /// Shortest backoff after the first failure; doubles with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 /// The store is called again within 1 s of its recovery.
@@ -21,8 +21,8 @@
 /// Wait after changes before the next watch, which then brings all changes of that time at once.
 const CHANGES_PAUSE: Duration = Duration::from_millis(250);
 
-/// Wait after a listing before the first watch. While many nodes start, each write of one of them
-/// would end the watches of all others.
+/// Wait after the first listing before the first watch. While many nodes start, each write of one of
+/// them would end the watches of all others.
 const LISTING_PAUSE: Duration = Duration::from_secs(1);
 
 /// Receiver of what the feed reads.
@@ -33,7 +33,8 @@
   /// Changes after the version that was asked for; there may be none.
   fn changed(&self, changes: &Changes);
 
-  /// A call to the store has ended with this result.
+  /// A call to the store has ended with this result. Lost history is no failure of the store and is
+  /// not reported: a listing follows at once.
   fn called(&self, result: Result<(), &StoreError>);
 }
 
@@ -44,8 +45,10 @@
   prefix: String,
   /// Failed calls in a row.
   failures: u32,
-  /// The store no longer has the changes that are needed.
-  compacted: bool,
+  /// The last call succeeded.
+  confirmed: bool,
+  /// A watch cannot report what is needed: the store no longer has the changes, or did not answer.
+  relist: bool,
 }
 
 impl Feed {
@@ -55,40 +58,61 @@
       store,
       prefix,
       failures: 0,
-      compacted: false,
+      confirmed: false,
+      relist: false,
     }
   }
 
+  /// Notes that no calls follow for some time, so that the next one has to be answered at once.
+  pub const fn pause(&mut self) {
+    self.confirmed = false;
+  }
+
   /// Makes one call for the changes after a version of the store, or a listing without one. Pauses
   /// after changes and failures.
   pub async fn read(&mut self, after: Option<u64>, sink: &dyn FeedSink) {
-    let result = match after {
-      Some(after) if !self.compacted => self.watch(after, sink).await,
-      Some(_) | None => self.list(sink).await,
+    let watch = after.filter(|_after| !self.relist);
+    let result = match watch {
+      Some(after) => self.watch(after, sink).await,
+      None => self.list(after, sink).await,
     };
-    sink.called(result.as_ref().map(|_pause| ()));
     match result {
       Ok(pause) => {
+        sink.called(Ok(()));
         self.failures = 0;
-        self.compacted = false;
+        self.confirmed = true;
+        self.relist = false;
         sleep(pause).await;
       }
-      Err(StoreError::Compacted) => self.compacted = true,
+      Err(StoreError::Compacted) => {
+        tracing::info!(event = "history_lost");
+        self.relist = true;
+      }
       Err(error) => {
+        sink.called(Err(&error));
         self.failures = self.failures.saturating_add(1);
+        self.confirmed = false;
+        self.relist = watch.is_some() && error == StoreError::TimedOut;
         sleep(backoff(self.failures, &error)).await;
       }
     }
   }
 
-  async fn list(&self, sink: &dyn FeedSink) -> Result<Duration, StoreError> {
+  async fn list(&self, after: Option<u64>, sink: &dyn FeedSink) -> Result<Duration, StoreError> {
     let listing = self.store.list(&self.prefix).await?;
     sink.listed(&listing);
-    Ok(LISTING_PAUSE)
+    Ok(after.map_or(LISTING_PAUSE, |_after| CHANGES_PAUSE))
   }
 
+  /// Waits for changes only if the last call succeeded: otherwise it is more urgent to know whether
+  /// the store answers.
   async fn watch(&self, after: u64, sink: &dyn FeedSink) -> Result<Duration, StoreError> {
-    let changes = self.store.changes(&self.prefix, after, WATCH_WAIT).await?;
+    let wait = if self.confirmed {
+      WATCH_WAIT
+    } else {
+      Duration::ZERO
+    };
+    let changes = self.store.changes(&self.prefix, after, wait).await?;
     sink.changed(&changes);
     Ok(if changes.events.is_empty() {
       Duration::ZERO
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -12,6 +12,7 @@
 mod datagram_error;
 mod directory_cache;
 mod directory_update;
+mod freshness;
 mod gossip_queue;
 mod member;
 mod member_record;
@@ -32,13 +33,14 @@
   datagram_error::DatagramError,
   directory_cache::DirectoryCache,
   directory_update::{DirectoryChange, DirectoryUpdate},
+  freshness::Freshness,
   member::{Member, Status},
   member_record::{MemberRecord, UpstreamInfo, UpstreamState},
   members::Members,
   members_config::MembersConfig,
   node_ranking::rank_nodes,
   send_budget::BURST_BYTES,
-  source_choice::{SourceChoice, Sources},
+  source_choice::{PeerReply, SourceChoice, Sources},
 };
 use {
   gossip_queue::GossipQueue,
--- a/crates/decisions/tests/directory.rs
+++ b/crates/decisions/tests/directory.rs
@@ -3,7 +3,9 @@
 mod directory_model;
 
 use {
-  cactusyoke_decisions::membership::{DirectoryCache, Member, SourceChoice, Sources, Status},
+  cactusyoke_decisions::membership::{
+    DirectoryCache, Freshness, Member, PeerReply, SourceChoice, Sources, Status,
+  },
   directory_model::{Model, node, record},
   proptest::{
     prelude::*,
@@ -16,9 +18,6 @@
   yare::parameterized,
 };
 
-/// Longest age of what a node knows.
-const MAX_AGE: Duration = Duration::from_secs(6);
-
 /// Time within which a change must be known when one node has failed: less than the shortest bound
 /// of a deployment on a change of its configuration.
 const CHANGE_LIMIT: Duration = Duration::from_secs(2);
@@ -35,6 +34,14 @@
   members
 }
 
+fn reply(version: u64, freshness: Freshness) -> PeerReply {
+  PeerReply {
+    version,
+    freshness,
+    before: None,
+  }
+}
+
 /// Guards against calls to the store that grow with the square of the fleet: each change wakes each
 /// watching node once.
 #[parameterized(
@@ -54,22 +61,28 @@
     .iter()
     .filter(|member| member.record.data_centre == *first)
   {
-    let mut choice = SourceChoice::new(member.record.node, MAX_AGE);
-    choice.record_store(now);
+    let mut choice = SourceChoice::new(member.record.node, now);
+    let peer = choice.choose(&members, now).peer;
+    let peer = peer.expect("each node follows another");
+    assert!(choice.record_reply(peer, None, reply(1, Freshness::Store), now));
     sources.insert(member.record.node, choice.choose(&members, now));
   }
-  let watchers = sources.values().filter(|sources| sources.store).count();
+  let watchers = sources.values().filter(|sources| sources.needs_store(now));
+  let watchers = watchers.count();
   assert_eq!(watchers * centres, centres.max(3));
   let mut followers = HashMap::<_, usize>::new();
   for (node, own) in &sources {
     let mut hops = 0;
     let mut at = *own;
-    while let Sources { store: false, peer } = at {
+    while let Sources {
+      store: None, peer, ..
+    } = at
+    {
       hops += 1;
       at = sources[&peer.expect("a node that does not watch follows another")];
     }
     assert!(hops <= 4, "{node} is {hops} hops from the store");
-    if let (false, Some(peer)) = (own.store, own.peer) {
+    if let (None, Some(peer)) = (own.store, own.peer) {
       *followers.entry(peer).or_default() += 1;
     }
   }
@@ -121,6 +134,25 @@
   }
 }
 
+/// Guards against a change that comes into force late because all nodes that watch the store lose
+/// it, and those that follow them do not notice.
+#[parameterized(of_12 = { 12, 3 }, of_89 = { 89, 3 }, of_195 = { 195, 5 })]
+fn the_loss_of_all_watchers_delays_no_change_beyond_the_limit(count: usize, centres: usize) {
+  // Moments at which watches are under way for different times.
+  for start in [3000, 3250, 3500, 3750, 4000] {
+    let mut model = Model::new(count, centres);
+    model.run(Duration::from_millis(start));
+    let (cut, others) = (0..count).partition::<Vec<_>, _>(|index| model.watches(*index));
+    assert_eq!(cut.len(), centres.max(3));
+    for index in &cut {
+      model.nodes[*index].cut = true;
+    }
+    model.write(0);
+    let time = model.spread_time(CHANGE_LIMIT, &others);
+    assert!(time.is_some(), "not known in time after {start} ms");
+  }
+}
+
 /// Guards against a node that has left and is used again because a node that was paused for long
 /// passes on what it knew.
 #[test]
@@ -142,22 +174,58 @@
   assert!(cache.members().is_empty());
 }
 
-// Guards against following a node that was cut off, or suspended without its clock, for long.
-#[parameterized(
-  cut_off = { MAX_AGE * 2, 9 },
-  suspended = { Duration::from_secs(1), 8 },
-)]
-fn an_outdated_node_is_not_followed(age: Duration, version: u64) {
+/// Guards against following a node that was suspended without its clock for long.
+#[test]
+fn an_outdated_node_is_not_followed() {
   let now = Instant::now();
   let members = fleet(12, 1);
-  let sources = |choice: &SourceChoice| choice.choose(&members, now).peer;
-  let mut choice = SourceChoice::new(node(2), MAX_AGE);
-  let peer = sources(&choice).expect("a peer");
-  assert!(!choice.record_reply(peer, Some(9), version, age, now));
-  assert_eq!(choice.age(now), None);
-  assert_ne!(sources(&choice), Some(peer));
-  assert!(choice.record_reply(peer, Some(9), 9, Duration::from_secs(1), now));
-  assert_eq!(sources(&choice), Some(peer));
+  let mut choice = SourceChoice::new(node(2), now);
+  let peer = choice.choose(&members, now).peer.expect("a peer");
+  assert!(!choice.record_reply(peer, Some(9), reply(8, Freshness::Store), now));
+  assert_eq!(choice.freshness(), Freshness::Lost);
+  assert_ne!(choice.choose(&members, now).peer, Some(peer));
+  assert!(choice.record_reply(peer, Some(9), reply(9, Freshness::Store), now));
+  assert_eq!(choice.choose(&members, now).peer, Some(peer));
+}
+
+/// Guards against nodes of different data centres that take each other for up to date after all of
+/// them have lost the store.
+#[test]
+fn watching_nodes_do_not_keep_each_other_up_to_date() {
+  let now = Instant::now();
+  let members = fleet(3, 3);
+  for index in 0..3 {
+    let mut choice = SourceChoice::new(node(index), now);
+    let peer = choice.choose(&members, now).peer.expect("a peer");
+    assert!(choice.record_reply(peer, None, reply(1, Freshness::Store), now));
+    choice.record_store_failure(3, now);
+    assert_eq!(choice.freshness(), Freshness::Peer);
+    assert!(choice.record_reply(peer, None, reply(1, Freshness::Peer), now));
+    assert_eq!(choice.freshness(), Freshness::Lost);
+  }
+}
+
+/// Guards against calls to the store beyond its rate when all nodes lose their sources at once.
+#[parameterized(of_195 = { 195, 5 }, of_12_000 = { 12_000, 10 })]
+fn nodes_without_sources_take_turns_at_the_store(count: usize, centres: usize) {
+  let now = Instant::now();
+  let members = fleet(count, centres);
+  let mut calls = HashMap::<u64, usize>::new();
+  let first = &members[0].record.data_centre;
+  for member in &members {
+    if member.record.data_centre != *first {
+      continue;
+    }
+    let mut choice = SourceChoice::new(member.record.node, now);
+    let from = choice.choose(&members, now).store;
+    let from = from.expect("a node without a source watches the store");
+    // The data centres are alike.
+    *calls.entry((from - now).as_secs()).or_default() += centres;
+    choice.record_store_failure(count, now);
+    let again = choice.choose(&members, now).store.expect("another call");
+    assert!(again == now || again - now >= Duration::from_millis(2) * count as u32);
+  }
+  assert!(calls.values().all(|calls| *calls <= 520), "{calls:?}");
 }
 
 /// Guards against removals that are lost when a node passes on a listing, which has only entries.
--- a/crates/decisions/tests/directory_model/mod.rs
+++ b/crates/decisions/tests/directory_model/mod.rs
@@ -2,8 +2,8 @@
 
 use {
   cactusyoke_decisions::membership::{
-    DirectoryCache, DirectoryChange, DirectoryUpdate, Member, MemberRecord, SourceChoice, Status,
-    UpstreamState,
+    DirectoryCache, DirectoryChange, DirectoryUpdate, Freshness, Member, MemberRecord, PeerReply,
+    SourceChoice, Status, UpstreamState,
   },
   cactusyoke_model::{Incarnation, NodeId},
   std::{
@@ -17,10 +17,12 @@
 pub const STEP: Duration = Duration::from_millis(50);
 
 /// Longest wait of a watch of the store.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
+const WATCH_WAIT: Duration = Duration::from_millis(750);
 
-/// Time after which a call to the store, or a request to a silent node, fails.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a call to the store fails, in addition to its wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which a request to a silent node fails.
 const SILENCE: Duration = Duration::from_millis(1200);
 
 /// Longest wait of a request to a node, and the pauses after answers and failures.
@@ -47,6 +49,7 @@
 struct Watch {
   since: Instant,
   after: Option<u64>,
+  wait: Duration,
 }
 
 /// Request to another node that is under way.
@@ -55,6 +58,8 @@
   since: Instant,
   peer: usize,
   after: Option<u64>,
+  /// What the other node last said about itself.
+  before: Option<Freshness>,
 }
 
 #[derive(Debug)]
@@ -64,6 +69,10 @@
   choice: SourceChoice,
   watch: Option<Watch>,
   request: Option<Request>,
+  /// The node that replied last, and what it said about itself.
+  peer: Option<(usize, Freshness)>,
+  /// The last call to the store succeeded.
+  confirmed: bool,
   /// Times until which the node makes no call to the store and no request.
   pauses: [Instant; 2],
   pub calls: usize,
@@ -92,19 +101,18 @@
   /// Nodes that start together; the entries of all are in the store.
   pub fn new(count: usize, centres: usize) -> Self {
     let now = Instant::now();
-    let nodes = (0..count).map(|index| {
-      let max_age = Duration::from_millis(6000 + 2000 * index as u64 / count as u64);
-      Node {
-        index,
-        cache: DirectoryCache::new(),
-        choice: SourceChoice::new(node(index), max_age),
-        watch: None,
-        request: None,
-        pauses: [now; 2],
-        calls: 0,
-        running: true,
-        cut: false,
-      }
+    let nodes = (0..count).map(|index| Node {
+      index,
+      cache: DirectoryCache::new(),
+      choice: SourceChoice::new(node(index), now),
+      watch: None,
+      request: None,
+      peer: None,
+      confirmed: false,
+      pauses: [now; 2],
+      calls: 0,
+      running: true,
+      cut: false,
     });
     let mut model = Self {
       now,
@@ -172,6 +180,13 @@
     self.nodes[index].cache.version() == Some(self.version)
   }
 
+  /// True when the node has to watch the store now.
+  pub fn watches(&mut self, index: usize) -> bool {
+    let members = self.members(index);
+    let sources = self.nodes[index].choice.choose(&members, self.now);
+    sources.needs_store(self.now)
+  }
+
   pub fn run(&mut self, time: Duration) {
     let end = self.now + time;
     while self.now < end {
@@ -241,34 +256,46 @@
       None => {
         let members = self.members(index);
         let node = &mut self.nodes[index];
-        if node.choice.choose(&members, now).store {
-          node.calls += 1;
-          node.watch = Some(Watch {
-            since: now,
-            after: node.cache.version(),
-          });
+        if !node.choice.choose(&members, now).needs_store(now) {
+          node.choice.stop_store();
+          node.confirmed = false;
+          return;
         }
+        node.calls += 1;
+        node.watch = Some(Watch {
+          since: now,
+          after: node.cache.version(),
+          wait: if node.confirmed {
+            WATCH_WAIT
+          } else {
+            Duration::ZERO
+          },
+        });
       }
-      Some(Watch { since, .. }) if !reachable => {
-        if now - since >= CALL_TIMEOUT {
+      Some(Watch { since, wait, .. }) if !reachable => {
+        if now - since >= wait + CALL_TIMEOUT {
+          let count = self.nodes.len();
           let node = &mut self.nodes[index];
           node.watch = None;
+          node.confirmed = false;
           node.pauses[0] = now + FAILURE_PAUSE;
+          node.choice.record_store_failure(count, now);
         }
       }
-      Some(Watch { since, after }) => {
+      Some(Watch { since, after, wait }) => {
         let ready = after.is_none_or(|after| after < self.version || after < self.compacted);
-        if !ready && now - since < WATCH_WAIT {
+        if !ready && now - since < wait {
           return;
         }
         let update = self.store_update(after);
         let node = &mut self.nodes[index];
         node.watch = None;
+        node.confirmed = true;
         if !update.changes.is_empty() {
           node.pauses[0] = now + CHANGES_PAUSE;
         }
         node.cache.apply(&update, now);
-        node.choice.record_store(now);
+        node.choice.record_store();
       }
     }
   }
@@ -279,46 +306,63 @@
       None if now < self.nodes[index].pauses[1] => {}
       None => {
         let members = self.members(index);
-        let choice = &self.nodes[index].choice;
-        let Some(peer) = choice.choose(&members, now).peer else {
+        let Some(peer) = self.nodes[index].choice.choose(&members, now).peer else {
+          self.nodes[index].choice.lose_peer(now);
           return;
         };
         let found = self.nodes.iter().find(|other| node(other.index) == peer);
         let peer = found.expect("a peer is a node").index;
-        let after = self.nodes[index].cache.version();
-        self.nodes[index].request = Some(Request {
+        let node = &mut self.nodes[index];
+        let known = node.peer.filter(|(known, _)| *known == peer);
+        node.request = Some(Request {
           since: now,
           peer,
-          after,
+          after: node.cache.version(),
+          before: known.map(|(_, freshness)| freshness),
         });
       }
-      Some(Request { since, peer, after }) => {
-        let reachable = self.nodes[peer].running && self.groups[peer] == self.groups[index];
-        if !reachable {
-          if now - since >= SILENCE {
-            self.nodes[index].choice.record_failure(node(peer), now);
-            self.nodes[index].request = None;
-          }
-          return;
-        }
-        let newer = self.nodes[peer].cache.version() > after;
-        if !newer && now - since < PEER_WAIT {
-          return;
-        }
-        let answer = self.nodes[peer].cache.update_since(after);
-        let age = self.nodes[peer].choice.age(now);
+      Some(request) => self.await_reply(index, request),
+    }
+  }
+
+  fn await_reply(&mut self, index: usize, request: Request) {
+    let now = self.now;
+    let Request {
+      since,
+      peer,
+      after,
+      before,
+    } = request;
+    let reachable = self.nodes[peer].running && self.groups[peer] == self.groups[index];
+    if !reachable {
+      if now - since >= SILENCE {
         let asking = &mut self.nodes[index];
+        asking.choice.record_failure(node(peer), now);
         asking.request = None;
-        match answer.zip(age) {
-          Some((update, age)) => {
-            let version = update.version;
-            let choice = &mut asking.choice;
-            choice.record_reply(node(peer), after, version, age, now);
-            asking.cache.apply(&update, now);
-          }
-          None => asking.choice.record_failure(node(peer), now),
-        }
+        asking.peer = None;
       }
+      return;
+    }
+    let freshness = self.nodes[peer].choice.freshness();
+    let newer = self.nodes[peer].cache.version() > after;
+    if !newer && before == Some(freshness) && now - since < PEER_WAIT {
+      return;
     }
+    let answer = self.nodes[peer].cache.update_since(after);
+    let asking = &mut self.nodes[index];
+    asking.request = None;
+    let Some(update) = answer else {
+      asking.choice.record_failure(node(peer), now);
+      asking.peer = None;
+      return;
+    };
+    let reply = PeerReply {
+      version: update.version,
+      freshness,
+      before,
+    };
+    asking.choice.record_reply(node(peer), after, reply, now);
+    asking.peer = Some((peer, freshness));
+    asking.cache.apply(&update, now);
   }
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -13,7 +13,7 @@
 pub use call_counts::CallCounts;
 pub use faults::{Faults, Outage};
 pub use quota::Quotas;
-pub use server::Platform;
+pub use server::{Entry, Platform};
 
 use {
   call_counts::Counters,
@@ -21,8 +21,12 @@
   faults::Delivery,
   quota::TokenBucket,
   response::{HttpResponse, empty_response, json_response, not_found, read_json},
+  std::time::Duration,
 };
 
+/// Time between checks for an outage while a watch waits or a call hangs, and for ended leases.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Largest value, bytes.
 const MAX_VALUE: usize = 1 << 20;
 
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -1,6 +1,11 @@
-use std::{
-  sync::{Mutex, PoisonError},
-  time::Duration,
+use {
+  super::POLL_INTERVAL,
+  std::{
+    io,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+  },
+  tokio::time::sleep,
 };
 
 /// Kind of outage.
@@ -13,6 +18,8 @@
   Refuse,
   /// Connections are accepted and calls are not answered while the outage lasts.
   Hang,
+  /// Watches are never answered, all other calls are.
+  MuteWatches,
 }
 
 /// Whether the answer to a write is delivered.
@@ -81,6 +88,20 @@
     self.with(|state| state.outage)
   }
 
+  /// Fails during an outage of all calls, at once or when it ends.
+  pub(crate) async fn check_outage(&self) -> io::Result<()> {
+    match self.outage() {
+      Outage::None | Outage::MuteWatches => Ok(()),
+      Outage::Refuse => Err(io::Error::other("the platform is down")),
+      Outage::Hang => {
+        while self.outage() == Outage::Hang {
+          sleep(POLL_INTERVAL).await;
+        }
+        Err(io::Error::other("the platform was down"))
+      }
+    }
+  }
+
   pub(crate) fn delay(&self) -> Duration {
     self.with(|state| state.delay)
   }
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -1,7 +1,8 @@
 use {
   super::{
-    CallCounts, Counters, Database, Delivery, Faults, HttpResponse, MAX_VALUE, Outage, Quotas,
-    TokenBucket, WriteError, empty_response, json_response, not_found, read_json,
+    CallCounts, Counters, Database, Delivery, Faults, HttpResponse, MAX_VALUE, Outage,
+    POLL_INTERVAL, Quotas, TokenBucket, WriteError, empty_response, json_response, not_found,
+    read_json,
   },
   bytes::Bytes,
   cactusyoke_platform::wire::{
@@ -28,8 +29,27 @@
 
 /// Items on one page of a range read.
 const PAGE_SIZE: usize = 50;
-/// Time between checks for an outage while a watch waits or a call hangs, and for ended leases.
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Further address of the stand-in, with an outage of its own: a node that uses it can be refused
+/// while others are served.
+#[derive(Debug)]
+pub struct Entry {
+  address: SocketAddr,
+  faults: Arc<Faults>,
+}
+
+impl Entry {
+  /// Listening address.
+  pub const fn address(&self) -> SocketAddr {
+    self.address
+  }
+
+  /// Starts or ends an outage for the users of this address, also for open connections and waiting
+  /// watches.
+  pub fn set_outage(&self, outage: Outage) {
+    self.faults.set_outage(outage);
+  }
+}
 
 /// Running stand-in of the platform; stops when dropped.
 #[derive(Debug)]
@@ -42,7 +62,7 @@
 
 #[derive(Debug)]
 struct State {
-  faults: Faults,
+  faults: Arc<Faults>,
   calls: Counters,
   read_quota: TokenBucket,
   write_quota: TokenBucket,
@@ -62,7 +82,7 @@
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let address = listener.local_addr()?;
     let state = Arc::new(State {
-      faults: Faults::default(),
+      faults: Arc::default(),
       calls: Counters::default(),
       read_quota: TokenBucket::new(quotas.reads),
       write_quota: TokenBucket::new(quotas.writes),
@@ -71,7 +91,13 @@
     });
     let stop = CancellationToken::new();
     let tasks = TaskTracker::new();
-    let accept = accept(listener, Arc::clone(&state), stop.clone(), tasks.clone());
+    let accept = accept(
+      listener,
+      Arc::clone(&state),
+      Arc::clone(&state.faults),
+      stop.clone(),
+      tasks.clone(),
+    );
     tasks.spawn(accept);
     tasks.spawn(expire(Arc::clone(&state), stop.clone()));
     Ok(Self {
@@ -82,6 +108,22 @@
     })
   }
 
+  /// Opens a further address of the stand-in.
+  pub async fn add_entry(&self) -> io::Result<Entry> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let address = listener.local_addr()?;
+    let faults = Arc::<Faults>::default();
+    let accept = accept(
+      listener,
+      Arc::clone(&self.state),
+      Arc::clone(&faults),
+      self.stop.clone(),
+      self.tasks.clone(),
+    );
+    self.tasks.spawn(accept);
+    Ok(Entry { address, faults })
+  }
+
   /// Listening address.
   pub const fn address(&self) -> SocketAddr {
     self.address
@@ -163,9 +205,9 @@
   async fn handle(
     &self,
     request: Request<Incoming>,
-    generation: u64,
+    connection: &Connection,
   ) -> Result<HttpResponse, Error> {
-    self.check_outage(generation).await?;
+    self.check_outage(connection).await?;
     sleep(self.faults.delay()).await;
     let (head, body) = request.into_parts();
     let path = head.uri.path();
@@ -174,7 +216,7 @@
     match (&head.method, path) {
       (&Method::GET, wire::KEY_PATH) => Ok(self.get(query)),
       (&Method::GET, wire::RANGE_PATH) => Ok(self.range(query)),
-      (&Method::GET, wire::WATCH_PATH) => self.watch(query, generation).await,
+      (&Method::GET, wire::WATCH_PATH) => self.watch(query, connection).await,
       (&Method::POST, wire::TXN_PATH) => self.write(body).await,
       (&Method::POST, wire::LEASE_PATH) => Ok(self.grant(body).await),
       (&Method::POST, _) => Ok(lease(wire::RENEW_PATH).map_or_else(not_found, |id| self.renew(id))),
@@ -219,7 +261,7 @@
     json_response(StatusCode::OK, &reply)
   }
 
-  async fn watch(&self, query: &str, generation: u64) -> Result<HttpResponse, Error> {
+  async fn watch(&self, query: &str, connection: &Connection) -> Result<HttpResponse, Error> {
     self.calls.watches.fetch_add(1, Relaxed);
     if !self.read_quota.take() {
       return Ok(self.refuse_over_quota());
@@ -230,7 +272,11 @@
     let end = Instant::now() + Duration::from_millis(query.wait_ms);
     let mut write_count = self.write_count.subscribe();
     loop {
-      self.check_outage(generation).await?;
+      self.check_outage(connection).await?;
+      let outages = [self.faults.outage(), connection.entry.outage()];
+      if outages.contains(&Outage::MuteWatches) {
+        pending::<()>().await;
+      }
       if let Some(response) = self.changes(&query, Instant::now() >= end) {
         return Ok(response);
       }
@@ -335,20 +381,12 @@
   }
 
   /// Fails during an outage, at once or when it ends; never returns on a silenced connection.
-  async fn check_outage(&self, generation: u64) -> Result<(), Error> {
-    if generation < self.faults.generation() {
+  async fn check_outage(&self, connection: &Connection) -> Result<(), Error> {
+    if connection.generation < self.faults.generation() {
       pending::<()>().await;
     }
-    match self.faults.outage() {
-      Outage::None => Ok(()),
-      Outage::Refuse => Err(Error::other("the platform is down")),
-      Outage::Hang => {
-        while self.faults.outage() == Outage::Hang {
-          sleep(POLL_INTERVAL).await;
-        }
-        Err(Error::other("the platform was down"))
-      }
-    }
+    self.faults.check_outage().await?;
+    connection.entry.check_outage().await
   }
 }
 
@@ -362,9 +400,19 @@
   }
 }
 
+/// What the stand-in knows of a connection.
+#[derive(Debug)]
+struct Connection {
+  /// Generation of [`Faults::silence_connections`] in which it was opened.
+  generation: u64,
+  /// Faults of the address that it was opened to.
+  entry: Arc<Faults>,
+}
+
 async fn accept(
   listener: TcpListener,
   state: Arc<State>,
+  entry: Arc<Faults>,
   stop: CancellationToken,
   tasks: TaskTracker,
 ) {
@@ -376,14 +424,22 @@
     let Ok((stream, _)) = accepted else {
       continue;
     };
-    tasks.spawn(serve(stream, Arc::clone(&state), stop.clone()));
+    tasks.spawn(serve(
+      stream,
+      Arc::clone(&state),
+      Arc::clone(&entry),
+      stop.clone(),
+    ));
   }
 }
 
-async fn serve(stream: TcpStream, state: Arc<State>, stop: CancellationToken) {
+async fn serve(stream: TcpStream, state: Arc<State>, entry: Arc<Faults>, stop: CancellationToken) {
   state.calls.connections.fetch_add(1, Relaxed);
-  let generation = state.faults.generation();
-  let service = service_fn(|request| state.handle(request, generation));
+  let connection = Connection {
+    generation: state.faults.generation(),
+    entry,
+  };
+  let service = service_fn(|request| state.handle(request, &connection));
   let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
   tokio::select! {
     _ = connection => {}
