Count every crash of an upstream, and let no repeat overtake its notice

Cause: the evidence of crashes was thrown away. A loss on a reused connection was never counted; a connection accepted before the loss, or by the restarted upstream, passed for proof that there was no crash; and a call was repeated elsewhere before the notice of its crash arrived there. Ruled out as a cause of its own: nested calls, which each node judges like others.

What the same process has completed before is no suspect. Probation begins after two crashes, so that ordinary crashes make nobody wait, and a crash on probation quarantines. Nodes remind each other of quarantines.

Open: the same request sent by several clients to several nodes at once.

--- a/crates/cactusyoke/src/control.rs
+++ b/crates/cactusyoke/src/control.rs
@@ -5,7 +5,7 @@
   cactusyoke_configuration::ConfigUpdate,
   cactusyoke_decisions::{
     keys::{Process, Roster, RunId, WitnessReply, WitnessRequest},
-    load::{Fingerprint, QuarantineNotice},
+    load::{CrashId, Fingerprint, QuarantineNotice},
     membership::{DirectoryUpdate, Freshness},
   },
   cactusyoke_model::{IdempotencyKey, NodeId, Revision},
@@ -43,10 +43,12 @@
   Changes(Revision),
   /// Asks for the revision that the node has adopted.
   Revision,
-  /// Reports a request that was in flight when an upstream crashed.
-  Suspect(Fingerprint),
-  /// Reports that a request was put in quarantine.
-  Quarantine(QuarantineNotice),
+  /// Reports the requests that were in flight when an upstream crashed.
+  Suspects(CrashId, Vec<Fingerprint>),
+  /// Reports requests in quarantine.
+  Quarantines(Vec<QuarantineNotice>),
+  /// Reports that an operator has released a request from quarantine.
+  Release(Fingerprint),
   /// Asks for changes of the directory of nodes.
   Directory {
     /// Version up to which the asking node knows the directory; `None` for all entries.
--- a/crates/cactusyoke/src/control_requests.rs
+++ b/crates/cactusyoke/src/control_requests.rs
@@ -91,15 +91,19 @@
         ControlReply::Changes(self.watcher.update_since(since).await?)
       }
       ControlRequest::Revision => ControlReply::Revision(self.config.load().revision),
-      ControlRequest::Suspect(fingerprint) => {
-        self
-          .crashes
-          .quarantine()
-          .mark_suspect(fingerprint, self.clock.now());
+      ControlRequest::Suspects(crash, suspects) => {
+        self.adopt_suspects(crash, suspects);
         ControlReply::Done
       }
-      ControlRequest::Quarantine(notice) => {
-        self.adopt_quarantine(notice);
+      ControlRequest::Quarantines(notices) => {
+        self.adopt_quarantines(notices);
+        ControlReply::Done
+      }
+      ControlRequest::Release(fingerprint) => {
+        let now = self.clock.now();
+        if self.crashes.quarantine().release(fingerprint, now) {
+          tracing::info!(event = "quarantine_released", %fingerprint, node = %from);
+        }
         ControlReply::Done
       }
       ControlRequest::Directory { after, known, wait } => {
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -175,7 +175,11 @@
           CallFailure::Unknown { .. } => Completion::Failed,
         };
         admitted.slot.finish(completion);
-        self.close_permit(admitted.permit, self.crashes.take_lost(id), false);
+        if self.crashes.take_lost(id) {
+          self.close_lost_permit(admitted.permit).await;
+        } else {
+          self.close_permit(admitted.permit, false, false);
+        }
         Err(failure)
       }
     }
--- a/crates/cactusyoke/src/operator_node.rs
+++ b/crates/cactusyoke/src/operator_node.rs
@@ -1,12 +1,12 @@
 //! Handles the operators' requests to this node.
 
 use {
-  crate::{Core, status},
+  crate::{Core, control::ControlRequest, status},
   cactusyoke_configuration::{
     AuditFilter, ChangeRequest, ConfigurationError, OfferResult, Record, RecordedEdit,
     RequestedEdit,
   },
-  cactusyoke_decisions::load::Fingerprint,
+  cactusyoke_decisions::load::{Fingerprint, QUARANTINE_CRASHES},
   cactusyoke_model::{ConfigDelta, PresetName, Revision},
   cactusyoke_operators::{
     AcceptedChange, Attribution, AuditQuery, AuditRecord, ConfigView, ConflictView, Node,
@@ -146,7 +146,7 @@
       let entries = notices.into_iter().map(|notice| QuarantineView {
         id: notice.fingerprint.to_string(),
         service: service.clone(),
-        crashes: 2,
+        crashes: QUARANTINE_CRASHES,
         remaining_seconds: notice.remaining.as_secs(),
       });
       Ok(entries.collect())
@@ -159,9 +159,12 @@
       let fingerprint = u128::from_str_radix(id, 16)
         .map(Fingerprint)
         .map_err(|_error| unknown())?;
-      if !self.0.crashes.quarantine().release(fingerprint) {
+      let now = self.0.clock.now();
+      if !self.0.crashes.quarantine().release(fingerprint, now) {
         return Err(unknown());
       }
+      let release = ControlRequest::Release(fingerprint);
+      drop(self.0.notify_service(&release));
       tracing::info!(event = "quarantine_released", %fingerprint, operator = attribution.operator, reason = attribution.reason);
       Ok(())
     })
--- a/crates/cactusyoke/src/spread.rs
+++ b/crates/cactusyoke/src/spread.rs
@@ -133,6 +133,7 @@
   /// Also updates the gauges, and fetches a configuration if this node has none.
   async fn choose_watchers(&mut self) {
     self.core.update_gauges();
+    self.core.share_quarantines();
     let own = self.core.settings.node;
     let view = self.core.members.view();
     self.forget_departed(&view);
--- a/crates/cactusyoke/src/upstream_follower.rs
+++ b/crates/cactusyoke/src/upstream_follower.rs
@@ -71,7 +71,7 @@
 }
 
 impl Core {
-  fn follow(&self, view: &UpstreamView, last: &mut Option<(Announcement, Phase)>) {
+  fn follow(self: &Arc<Self>, view: &UpstreamView, last: &mut Option<(Announcement, Phase)>) {
     publish(self);
     if matches!(view.phase, Phase::Draining | Phase::Gone) {
       self.admission.refuse_waiting();
@@ -94,6 +94,12 @@
       let policy = self.settings.interface.gate_policy();
       self.admission.set_slots(policy.usable(announcement.slots));
     }
+    let replaced = last
+      .as_ref()
+      .is_some_and(|(known, _)| !known.is_same_process(announcement));
+    if replaced {
+      self.record_restart();
+    }
     *last = Some((announcement.clone(), view.phase));
   }
 
--- a/crates/cactusyoke/tests/outcomes.rs
+++ b/crates/cactusyoke/tests/outcomes.rs
@@ -281,6 +281,88 @@
   assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
 }
 
+// Guards against crashes that do not count because they close connections in use again, against the
+// quarantine of ordinary requests that are in flight in the same crashes, and against a node that
+// starts later and runs the request once more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_is_found_among_many_on_reused_connections() {
+  let mut cluster = cluster(Duration::from_millis(20)).await;
+  for upstream in &cluster.upstreams {
+    upstream.faults().set_poison_path(Some("/front/poison"));
+  }
+  let classes = vec![
+    ClassLoad::get("lookup", "/front/a"),
+    ClassLoad::get("other", "/front/b"),
+  ];
+  let report = tokio::spawn(run(load(&cluster, classes, 200.0, 12)));
+  tokio::time::sleep(Duration::from_secs(3)).await;
+  let mut crashes = 0;
+  let mut reported = Vec::new();
+  for attempt in 0..30 {
+    let received = cluster.get(attempt % 3, "/front/poison").await;
+    reported.push(outcome(&received));
+    for upstream in &mut cluster.upstreams {
+      if upstream.is_crashed() {
+        crashes += 1;
+        upstream.restart().await.expect("its port is free");
+      }
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+  }
+  assert!(
+    (2..=3).contains(&crashes),
+    "{crashes} crashes: {reported:?}"
+  );
+  assert!(
+    reported[10..]
+      .iter()
+      .all(|reported| reported == "not-run quarantined"),
+    "{reported:?}"
+  );
+  let report = report.await.expect("the load ends");
+  for (name, class) in &report.classes {
+    let (answered, sent) = (class.answered, class.sent);
+    assert!(answered * 10 > sent * 9, "{name}: {answered} of {sent}");
+  }
+  assert_eq!(report.wrongly_not_run(&cluster.runs), Vec::<&str>::new());
+  cluster.nodes[1].restart();
+  for node in 0..3 {
+    eventually("the request is in quarantine", || async {
+      let listed = cluster.operator(node).quarantine().await;
+      listed.is_ok_and(|listed| listed.len() == 1)
+    })
+    .await;
+  }
+}
+
+// Guards against ordinary requests that wait one for the other, or are refused, after crashes that
+// none of them causes.
+#[tokio::test(flavor = "multi_thread")]
+async fn ordinary_requests_are_served_through_several_crashes() {
+  let mut cluster = cluster(Duration::from_millis(100)).await;
+  let classes = vec![
+    ClassLoad::get("lookup", "/front/a"),
+    ClassLoad::get("other", "/front/b"),
+  ];
+  let report = tokio::spawn(run(load(&cluster, classes, 200.0, 10)));
+  for round in 0..6 {
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let upstream = &mut cluster.upstreams[round % 3];
+    upstream.crash().await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    upstream.restart().await.expect("its port is free");
+  }
+  let report = report.await.expect("the load ends");
+  for (name, class) in &report.classes {
+    let (answered, sent) = (class.answered, class.sent);
+    assert!(answered * 20 > sent * 19, "{name}: {answered} of {sent}");
+  }
+  for node in 0..3 {
+    let listed = cluster.operator(node).quarantine().await;
+    assert_eq!(listed.expect("the node answers"), []);
+  }
+}
+
 // Guards against an upstream that gets no requests, or all of them, because of what it reports.
 #[tokio::test(flavor = "multi_thread")]
 async fn reported_health_and_load_do_not_affect_routing() {
--- a/crates/decisions/src/load/quarantine.rs
+++ b/crates/decisions/src/load/quarantine.rs
@@ -4,8 +4,14 @@
   std::time::{Duration, Instant},
 };
 
-/// Two crashes within this time quarantine a fingerprint. Callers retry a request that crashes its
-/// upstream within seconds to a few minutes.
+/// Number of crashes of the service after which a request that was in flight during each of them runs
+/// on probation. After one, dozens of requests are under suspicion, which are repeated at once: to
+/// run them one at a time would make an ordinary crash worse for their callers.
+const PROBATION_CRASHES: usize = 2;
+/// Number of crashes that lead to a quarantine.
+pub const QUARANTINE_CRASHES: u32 = PROBATION_CRASHES as u32 + 1;
+/// Time for which a crash counts. Callers retry a request that crashes its upstream within seconds to
+/// a few minutes.
 const CRASH_WINDOW: Duration = Duration::from_mins(5);
 /// Longer than the crash window, so that a caller that keeps retrying does not get through in
 /// between.
@@ -13,6 +19,10 @@
 /// Maximum number of entries, about 64 bytes each.
 const MAX_ENTRIES: usize = 1024;
 
+/// Identifier of one crash of one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CrashId(pub u64);
+
 /// Quarantined fingerprint, as exchanged between nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineNotice {
@@ -22,14 +32,16 @@
   pub remaining: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum State {
-  /// In flight during one crash.
-  Suspect,
+  /// In flight during these crashes, and not completed since.
+  Suspect(Vec<CrashId>),
   Quarantined,
+  /// Released by an operator; notices of other nodes do not quarantine it again.
+  Released,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Entry {
   state: State,
   until: Instant,
@@ -49,15 +61,20 @@
     Self::default()
   }
 
-  /// Records a crash during a request. The second one within `CRASH_WINDOW` quarantines the
-  /// fingerprint and returns the notice for the other nodes.
+  /// Records a crash during a request. One that crashed the upstream as the only suspect is
+  /// quarantined; returns the notice for the other nodes.
   pub fn record_crash(
     &mut self,
     fingerprint: Fingerprint,
+    crash: CrashId,
+    alone: bool,
     now: Instant,
   ) -> Option<QuarantineNotice> {
-    if self.live_entry(fingerprint, now).is_none() {
-      self.insert(fingerprint, State::Suspect, now + CRASH_WINDOW, now);
+    if !(alone && self.needs_probation(fingerprint, now)) {
+      if self.is_released(fingerprint, now) {
+        self.remove(fingerprint);
+      }
+      self.mark_suspect(fingerprint, crash, now);
       return None;
     }
     self.insert(fingerprint, State::Quarantined, now + QUARANTINE_TIME, now);
@@ -71,7 +88,7 @@
   /// a crash are suspected too. Never ends a quarantine.
   pub fn clear_suspicion(&mut self, fingerprint: Fingerprint) {
     if let Some(Entry {
-      state: State::Suspect,
+      state: State::Suspect(_),
       ..
     }) = self.entries.get(&fingerprint)
     {
@@ -79,16 +96,23 @@
     }
   }
 
-  /// Adopts another node's notice. The longer quarantine wins.
-  pub fn adopt(&mut self, notice: QuarantineNotice, now: Instant) {
+  /// Adopts another node's notice; false when it changes nothing. The longer quarantine wins.
+  pub fn adopt(&mut self, notice: QuarantineNotice, now: Instant) -> bool {
     let until = now + notice.remaining.min(QUARANTINE_TIME);
-    match self.live_entry(notice.fingerprint, now) {
+    let known = self.live_entry(notice.fingerprint, now);
+    let quarantined = known.is_some_and(|entry| matches!(entry.state, State::Quarantined));
+    match known {
       Some(Entry {
         state: State::Quarantined,
         until: own,
-      }) if own >= until => {}
-      _ => self.insert(notice.fingerprint, State::Quarantined, until, now),
+      }) if *own >= until => return false,
+      Some(Entry {
+        state: State::Released,
+        ..
+      }) => return false,
+      Some(_) | None => self.insert(notice.fingerprint, State::Quarantined, until, now),
     }
+    !quarantined
   }
 
   /// True when the request must not be run.
@@ -102,22 +126,34 @@
     )
   }
 
-  /// True when the request was in flight during one crash and has not completed since.
-  pub fn is_suspect(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+  /// True when the request was in flight during several crashes and has not completed since, so that
+  /// it may run only as the only suspect.
+  pub fn needs_probation(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
     matches!(
       self.live_entry(fingerprint, now),
       Some(Entry {
-        state: State::Suspect,
+        state: State::Suspect(crashes),
         ..
-      })
+      }) if crashes.len() >= PROBATION_CRASHES
     )
   }
 
-  /// Marks a request as suspect, such as after a first crash that another node reports.
-  pub fn mark_suspect(&mut self, fingerprint: Fingerprint, now: Instant) {
-    if self.live_entry(fingerprint, now).is_none() {
-      self.insert(fingerprint, State::Suspect, now + CRASH_WINDOW, now);
+  /// Marks a request as suspect that was in flight during a crash, of this or another upstream.
+  pub fn mark_suspect(&mut self, fingerprint: Fingerprint, crash: CrashId, now: Instant) {
+    let mut crashes = match self.live_entry(fingerprint, now).map(|entry| &entry.state) {
+      Some(State::Suspect(crashes)) => crashes.clone(),
+      Some(State::Quarantined | State::Released) => return,
+      None => Vec::new(),
+    };
+    if !crashes.contains(&crash) && crashes.len() < PROBATION_CRASHES {
+      crashes.push(crash);
     }
+    self.insert(
+      fingerprint,
+      State::Suspect(crashes),
+      now + CRASH_WINDOW,
+      now,
+    );
   }
 
   /// True when any entry has this method and path, so that the body of such a request has to be
@@ -142,17 +178,25 @@
   }
 
   /// Ends a quarantine or suspicion early; false when the fingerprint is unknown.
-  pub fn release(&mut self, fingerprint: Fingerprint) -> bool {
-    self.remove(fingerprint)
+  pub fn release(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+    match self.live_entry(fingerprint, now).map(|entry| &entry.state) {
+      None | Some(State::Released) => return false,
+      Some(State::Suspect(_) | State::Quarantined) => {}
+    }
+    self.insert(fingerprint, State::Released, now + QUARANTINE_TIME, now);
+    true
   }
 
-  fn live_entry(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<Entry> {
-    let entry = *self.entries.get(&fingerprint)?;
-    if entry.until <= now {
+  fn is_released(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+    let entry = self.live_entry(fingerprint, now);
+    entry.is_some_and(|entry| matches!(entry.state, State::Released))
+  }
+
+  fn live_entry(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<&Entry> {
+    if self.entries.get(&fingerprint)?.until <= now {
       self.remove(fingerprint);
-      return None;
     }
-    Some(entry)
+    self.entries.get(&fingerprint)
   }
 
   fn insert(&mut self, fingerprint: Fingerprint, state: State, until: Instant, now: Instant) {
@@ -178,7 +222,8 @@
   }
 
   /// When the map is full, removes the expired entries or, if there are none, one other: a suspect
-  /// before a quarantined one, and of these the one that expires first.
+  /// before a quarantined one, one of fewer crashes before one of more, and of these the one that
+  /// expires first.
   fn make_room(&mut self, now: Instant) {
     if self.entries.len() < MAX_ENTRIES {
       return;
@@ -199,11 +244,12 @@
       .entries
       .iter()
       .min_by_key(|(fingerprint, entry)| {
-        (
-          matches!(entry.state, State::Quarantined),
-          entry.until,
-          **fingerprint,
-        )
+        let crashes = match &entry.state {
+          State::Released => 0,
+          State::Suspect(crashes) => crashes.len(),
+          State::Quarantined => usize::MAX,
+        };
+        (crashes, entry.until, **fingerprint)
       })
       .map(|(fingerprint, _)| *fingerprint);
     if let Some(fingerprint) = victim {
