Order the versions of the store by its era

Cause: revisions of two histories were compared. The directory kept the higher revision that it knew, so that watches asked for changes after it: refused at first, then, once the store had reached that number again, answered from a point in the new history. What was written below it was skipped. Ruled out by the logs: failed listings, a refused document.

A version is now the era, which each answer names, and the revision. A watch that crosses eras lists everything; late answers of an earlier era are not used; leases end with their era, since another one may have the id; a condition on a version of an earlier era is a conflict.

The stand-in of the store can go back to a copy.

--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -116,6 +116,13 @@
     self.store.write(document::KEY, document);
   }
 
+  /// Writes a document in which the path of the read route is the first one again.
+  pub fn restore_route(&self, version: u32) {
+    let version = format!("\"version\": {version}");
+    let document = DOCUMENT.replace("\"version\": 7", &version);
+    self.store.write(document::KEY, document);
+  }
+
   /// True when the document of [`Site::rename_route`] is in force at the node.
   pub async fn is_renamed(&self, node: usize) -> bool {
     self.get(node).await.is_ok_and(|got| got.status == 404)
--- a/crates/configuration/src/lease_store.rs
+++ b/crates/configuration/src/lease_store.rs
@@ -9,11 +9,16 @@
 
 /// Identifier of a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+  /// Era of the store in which the lease was granted; ids are unique within it.
+  pub era: u64,
+  /// Id within the era.
+  pub id: u64,
+}
 
 impl Display for LeaseId {
   fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-    self.0.fmt(f)
+    self.id.fmt(f)
   }
 }
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -13,7 +13,7 @@
 pub use call_counts::CallCounts;
 pub use faults::{Faults, Outage};
 pub use quota::Quotas;
-pub use server::{Entry, Platform};
+pub use server::{Entry, Platform, StoreCopy};
 
 use {
   call_counts::Counters,
--- a/crates/standins/src/platform/database.rs
+++ b/crates/standins/src/platform/database.rs
@@ -36,8 +36,10 @@
 }
 
 /// Keys with their latest versions, the ordered log of changes, and leases.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Database {
+  /// Number of times that the database came back from a copy.
+  era: u64,
   revision: u64,
   keys: BTreeMap<String, VecDeque<Version>>,
   log: Vec<Event>,
@@ -48,6 +50,18 @@
 }
 
 impl Database {
+  pub(crate) const fn era(&self) -> u64 {
+    self.era
+  }
+
+  /// Replaces everything with a copy, and begins a new era.
+  pub(crate) fn restore(&mut self, copy: Self) {
+    let era = self.era + 1;
+    *self = Self { era, ..copy };
+    // Watches from revisions of the lost changes cannot be served.
+    self.compact();
+  }
+
   pub(crate) const fn revision(&self) -> u64 {
     self.revision
   }
@@ -70,7 +84,7 @@
 
   /// Changes after a revision of keys with a prefix; `None` when the log no longer holds them.
   pub(crate) fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Event>> {
-    if after < self.compacted {
+    if after < self.compacted || after > self.revision {
       return None;
     }
     let newer = self.log.iter().filter(|event| event.revision > after);
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -9,7 +9,7 @@
     self, ConflictReply, KeyQuery, LeaseReply, LeaseRequest, Put, RangeQuery, RangeReply, TxnReply,
     TxnRequest, WatchQuery, WatchReply,
   },
-  http::{Method, Request, StatusCode},
+  http::{HeaderValue, Method, Request, StatusCode},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::rt::TokioIo,
   std::{
@@ -51,6 +51,10 @@
   }
 }
 
+/// Copy of everything in the store.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(Database);
+
 /// Running stand-in of the platform; stops when dropped.
 #[derive(Debug)]
 pub struct Platform {
@@ -172,6 +176,18 @@
     self.state.notify_watches();
   }
 
+  /// Copy of everything in the store, for [`Platform::restore`].
+  pub fn copy(&self) -> StoreCopy {
+    StoreCopy(self.state.database().clone())
+  }
+
+  /// Goes back to a copy: all changes and leases since then are lost, and their numbers are given out
+  /// again. Begins a new era.
+  pub fn restore(&self, copy: StoreCopy) {
+    self.state.database().restore(copy.0);
+    self.state.notify_watches();
+  }
+
   /// Keys that begin with `prefix`.
   pub fn keys(&self, prefix: &str) -> Vec<String> {
     let items = self.state.database().range(prefix, None, 0);
@@ -209,6 +225,17 @@
   ) -> Result<HttpResponse, Error> {
     self.check_outage(connection).await?;
     sleep(self.faults.delay()).await;
+    let mut response = self.route(request, connection).await?;
+    let era = HeaderValue::from(self.database().era());
+    response.headers_mut().insert(wire::ERA_HEADER, era);
+    Ok(response)
+  }
+
+  async fn route(
+    &self,
+    request: Request<Incoming>,
+    connection: &Connection,
+  ) -> Result<HttpResponse, Error> {
     let (head, body) = request.into_parts();
     let path = head.uri.path();
     let query = head.uri.query().unwrap_or_default();
