Refuse new requests of a stopping node once its linger time has passed

Cause: with a linger time, requests were accepted until the listeners closed, which waits for the runs of the upstream, whatever time was left. Refusing is true (nothing was sent) and lets callers go to another node at once; calls of running requests are served on. Holding on to late requests that would fit in the time left was considered: their running time is not known.

--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -136,11 +136,12 @@
     contacts
   }
 
-  /// Begins a root request; refused while the node drains, unless `linger` keeps callers served.
+  /// Begins a root request; refused while the node drains, since it could be cut off at the shutdown
+  /// limit. Calls of requests that are running are served on.
   pub(crate) fn enter(&self) -> Result<InFlightGuard<'_>, CallFailure> {
     let entered = self.in_flight.enter();
     // Checked after the count was raised, so that a shutdown that starts now waits for it.
-    if self.draining.load(Ordering::SeqCst) && self.settings.linger.is_zero() {
+    if self.is_draining() {
       return Err(CallFailure::not_run(NotRunReason::Draining));
     }
     Ok(entered)
--- a/crates/cactusyoke/tests/platform.rs
+++ b/crates/cactusyoke/tests/platform.rs
@@ -221,6 +221,46 @@
   assert!(site.nodes[0].wait(left).is_some(), "the node has ended");
 }
 
+/// Guards against a request that is taken late in the grace time of a stop and cut off at its end,
+/// although it may not be repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_late_in_the_grace_time_is_answered_or_truly_not_run() {
+  let site = Site::start(2, NO_WORK).await;
+  let document = DOCUMENT
+    .replace("\"timeout_s\": 2", "\"timeout_s\": 60")
+    .replace("\"version\": 7", "\"version\": 8");
+  site.store.write(document::KEY, document);
+  for upstream in &site.upstreams {
+    upstream.set_service_time(Duration::from_millis(3200));
+  }
+  eventually("the new time limit is in force", || async {
+    let log = site.nodes[0].log();
+    log.contains("revision=8")
+  })
+  .await;
+  let deadline = Duration::from_secs(20);
+  // Keep the upstream beside the node busy.
+  let in_flight = (0..6).map(|_| site.get_within(0, deadline));
+  let in_flight = futures_util::future::join_all(in_flight);
+  let late = async {
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    site.nodes[0].signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(2600)).await;
+    let before = site.request_counts().iter().sum::<usize>();
+    let answer = site.charge_within(0, deadline).await;
+    (answer, site.request_counts().iter().sum::<usize>() - before)
+  };
+  let (answers, (answer, runs)) = tokio::join!(in_flight, late);
+  for answer in answers {
+    assert_eq!(answer.expect("a whole answer").status, 200);
+  }
+  let status = answer.map(|answer| answer.status.as_u16());
+  assert!(
+    matches!((&status, runs), (Ok(200), 1) | (Ok(503) | Err(_), 0)),
+    "{status:?} after {runs} runs"
+  );
+}
+
 /// Guards against a node that ends at SIGHUP, or that adopts an invalid settings file.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hang_up_cuts_off_no_request() {
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -196,6 +196,17 @@
       .await
   }
 
+  /// Sends a non-idempotent request through a node for whose answer the client waits a given time.
+  pub async fn charge_within(
+    &self,
+    node: usize,
+    deadline: Duration,
+  ) -> Result<ReceivedResponse, ClientError> {
+    self
+      .send_within(node, Method::POST, "/charge/a", "", deadline)
+      .await
+  }
+
   async fn send_within(
     &self,
     node: usize,
