Send no call over a connection on which the upstream refused it before

Cause: a refused call goes to the same upstream again when no other is left, with the same id, possibly on the same connection. The id cannot tell the repeated refusal from a new one. A refusal with another id or none was already rejected, as the tests show that passed before.

--- a/crates/upstreams/src/call_exchange.rs
+++ b/crates/upstreams/src/call_exchange.rs
@@ -129,7 +129,7 @@
     }
     self.report_statements(response.headers(), sent_at);
     if is_refusal(names, &response) {
-      return Err(self.read_refusal(response).await);
+      return Err(self.read_refusal(response, id).await);
     }
     if !is_trusted(names, &response) {
       tracing::warn!(
@@ -187,10 +187,14 @@
   }
 
   /// Reads the body of a refusal, so that the connection can be reused.
-  async fn read_refusal(self, response: Response<Incoming>) -> CallFailure {
+  async fn read_refusal(
+    self,
+    response: Response<Incoming>,
+    id: Option<&HeaderValue>,
+  ) -> CallFailure {
     let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
     if matches!(timeout(REFUSAL_READ_TIMEOUT, body).await, Ok(Ok(_))) {
-      self.connection.release();
+      self.connection.release_refused(id);
     }
     CallFailure::not_run(NotRunReason::Refused)
   }
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -4,6 +4,7 @@
     announce::Announcement, http_connection::HttpConnection,
   },
   cactusyoke_model::{Connections, NotRunReason},
+  http::HeaderValue,
   hyper::client::conn::http1::Builder,
   hyper_util::rt::TokioIo,
   std::{
@@ -155,9 +156,10 @@
     self.idle().clear();
   }
 
-  /// Takes an idle connection, or opens a new one.
+  /// Takes an idle connection that a call with this id may use, or opens a new one.
   pub(crate) async fn acquire(
     self: &Arc<Self>,
+    id: Option<&HeaderValue>,
     deadline: time::Instant,
   ) -> Result<PooledConnection, NotRunReason> {
     let permit = Arc::clone(&self.call_permits)
@@ -165,9 +167,7 @@
       .await
       .map_err(|_closed| NotRunReason::NoUpstream)?;
     loop {
-      // The most recently used connection is the least likely to have been closed by the upstream.
-      let idle = self.idle().pop_back();
-      let Some(mut idle) = idle else {
+      let Some(mut idle) = self.take_idle(id) else {
         break;
       };
       if self
@@ -195,6 +195,14 @@
     self.connect(permit, deadline).await
   }
 
+  /// Most recently used connection that a call with this id may use: it is the least likely to have
+  /// been closed by the upstream.
+  fn take_idle(&self, id: Option<&HeaderValue>) -> Option<HttpConnection> {
+    let mut idle = self.idle();
+    let index = idle.iter().rposition(|connection| connection.accepts(id))?;
+    idle.remove(index)
+  }
+
   /// Opens a new connection.
   pub(crate) async fn connect(
     self: &Arc<Self>,
@@ -246,6 +254,7 @@
       state,
       driver: driver.abort_handle(),
       last_used: self.config.clock.now(),
+      refused: Vec::new(),
     };
     Ok(PooledConnection::new(
       connection,
--- a/crates/upstreams/src/pooled_connection.rs
+++ b/crates/upstreams/src/pooled_connection.rs
@@ -1,12 +1,15 @@
 use {
   crate::{ConnectionState, Pool, RequestBody, http_connection::HttpConnection},
   cactusyoke_model::NotRunReason,
-  http::{Request, Response},
+  http::{HeaderValue, Request, Response},
   hyper::{body::Incoming, client::conn::TrySendError},
   std::{mem, sync::Arc},
   tokio::{sync::OwnedSemaphorePermit, time::Instant},
 };
 
+/// Number of refusals on one connection after which it is closed, which bounds the ids that it keeps.
+const MAX_REFUSED: usize = 64;
+
 /// Pooled connection in use by one call; closed when dropped, unless released.
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
@@ -71,6 +74,15 @@
     pool.connect(permit, deadline).await
   }
 
+  /// Like [`PooledConnection::release`], after the upstream refused the request with this id.
+  pub(crate) fn release_refused(mut self, id: Option<&HeaderValue>) {
+    let refused = &mut self.connection.refused;
+    refused.extend(id.cloned());
+    if refused.len() <= MAX_REFUSED {
+      self.release();
+    }
+  }
+
   /// Returns the connection to the pool if the request body was sent to its end, else closes it.
   /// Called when the answer has been read to its end.
   pub(crate) fn release(self) {
--- a/crates/upstreams/src/upstream.rs
+++ b/crates/upstreams/src/upstream.rs
@@ -42,7 +42,8 @@
       return Err(deadline_passed());
     }
     let deadline = Instant::now() + remaining;
-    let connection = timeout_at(deadline, pool.acquire(deadline))
+    let id = head.headers.get(&self.config.header_names.request_id);
+    let connection = timeout_at(deadline, pool.acquire(id, deadline))
       .await
       .map_err(|_elapsed| deadline_passed())?
       .map_err(CallFailure::not_run)?;
