--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -7,22 +7,16 @@
   crate::directory_entry,
   arc_swap::ArcSwap,
   bytes::Bytes,
-  cactusyoke_configuration::{
-    Changes, Event, Feed, FeedSink, Item, LeaseStore, Listing, Registration, StoreError, Watcher,
-  },
+  cactusyoke_configuration::{Feed, LeaseStore, Registration, Watcher},
   cactusyoke_decisions::membership::{
-    DirectoryCache, DirectoryChange, DirectoryUpdate, Freshness, Member, MemberRecord, PeerReply,
-    SourceChoice, Sources, Status, UpstreamInfo,
+    DirectoryCache, DirectoryUpdate, Freshness, Member, MemberRecord, PeerReply, SourceChoice,
+    Sources, Status, UpstreamInfo,
   },
   cactusyoke_model::{Clock, NodeId},
   cactusyoke_nodes::MembersView,
-  cactusyoke_platform::document,
   std::{
     fmt,
-    sync::{
-      Arc, Mutex, MutexGuard, PoisonError,
-      atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
     time::{Duration, Instant},
   },
   tokio::{
@@ -60,15 +54,15 @@
   own: Mutex<(MemberRecord, Instant)>,
   cache: Mutex<DirectoryCache>,
   view: ArcSwap<MembersView>,
-  clock: Arc<dyn Clock>,
+  pub(crate) clock: Arc<dyn Clock>,
   /// Sender of the value of this node's entry; `None` once the node leaves.
   entry: Mutex<Option<watch::Sender<Bytes>>>,
   /// Notified when the store has no entry of this node.
   removed: Arc<Notify>,
   key: String,
   /// Whether the last call to the store succeeded.
-  reachable: AtomicBool,
-  watcher: Watcher,
+  pub(crate) reachable: AtomicBool,
+  pub(crate) watcher: Watcher,
   choice: Mutex<SourceChoice>,
   /// What this node knows of the directory.
   known: watch::Sender<Known>,
@@ -225,7 +219,7 @@
   }
 
   /// Changes the choice of sources, and publishes how this node is kept up to date.
-  fn update_choice(&self, change: impl FnOnce(&mut SourceChoice, Instant)) {
+  pub(crate) fn update_choice(&self, change: impl FnOnce(&mut SourceChoice, Instant)) {
     let mut choice = lock(&self.choice);
     change(&mut choice, self.clock.now());
     let freshness = choice.freshness();
@@ -245,7 +239,7 @@
   }
 
   /// Changes the cache and publishes the result.
-  fn update_cache(&self, change: impl FnOnce(&mut DirectoryCache) -> bool) {
+  pub(crate) fn update_cache(&self, change: impl FnOnce(&mut DirectoryCache) -> bool) {
     let own = lock(&self.own).0.node;
     let mut cache = lock(&self.cache);
     let listed = cache.is_listed(own);
@@ -338,83 +332,6 @@
     let view = MembersView::new(own, members, Vec::new());
     self.view.store(Arc::new(view));
   }
-
-  /// Takes an item of the store: offers the operator's document, and returns the record in an entry.
-  fn take_item(&self, item: &Item) -> Option<MemberRecord> {
-    if item.key == document::KEY {
-      self.offer_document(&item.value);
-      return None;
-    }
-    directory_entry::read(item)
-  }
-
-  /// Offers the operator's document to the watcher. An invalid document changes nothing.
-  fn offer_document(&self, value: &Bytes) {
-    let snapshot = match document::read(value) {
-      Ok(snapshot) => snapshot,
-      Err(error) => {
-        tracing::warn!(event = "document_refused", %error);
-        return;
-      }
-    };
-    if snapshot.revision <= self.watcher.config().load().revision {
-      return;
-    }
-    let watcher = self.watcher.clone();
-    tokio::spawn(async move {
-      // The watcher logs the result.
-      drop(watcher.offer_snapshot(snapshot).await);
-    });
-  }
-}
-
-impl FeedSink for DirectoryClient {
-  fn listed(&self, listing: &Listing) {
-    let now = self.clock.now();
-    let records = listing.items.iter().filter_map(|item| self.take_item(item));
-    let records = records.collect::<Vec<_>>();
-    // An unreadable entry changes nothing, so its node counts as listed.
-    let keys = listing.items.iter().map(|item| item.key.as_str());
-    let listed = keys.filter_map(directory_entry::node).collect::<Vec<_>>();
-    self.update_cache(|cache| {
-      let mut changed = false;
-      for record in records {
-        let version = record.version;
-        changed |= cache.put(record, version, now);
-      }
-      changed | cache.apply_listing(&listed, listing.store_version, now)
-    });
-  }
-
-  fn changed(&self, changes: &Changes) {
-    let read = changes.events.iter().filter_map(|event| match event {
-      Event::Put(item) => self.take_item(item).map(DirectoryChange::Written),
-      Event::Removed { key, version } => {
-        directory_entry::node(key).map(|node| DirectoryChange::Removed(node, *version))
-      }
-    });
-    let update = DirectoryUpdate {
-      version: changes.store_version,
-      complete: false,
-      changes: read.collect(),
-    };
-    let now = self.clock.now();
-    self.update_cache(|cache| cache.apply(&update, now));
-  }
-
-  fn called(&self, result: Result<(), &StoreError>) {
-    let members = self.view().members().len();
-    self.update_choice(|choice, now| match result {
-      Ok(()) => choice.record_store(),
-      Err(_) => choice.record_store_failure(members, now),
-    });
-    let before = self.reachable.swap(result.is_ok(), Ordering::Relaxed);
-    match result {
-      Ok(()) if !before => tracing::info!(event = "store_reached"),
-      Err(error) if before => tracing::warn!(event = "store_lost", %error),
-      Ok(()) | Err(_) => {}
-    }
-  }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -16,6 +16,7 @@
 mod crashes;
 mod directory_client;
 mod directory_entry;
+mod directory_feed;
 mod directory_follower;
 mod dispatch;
 mod event_limiter;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -5,19 +5,22 @@
 
 mod call_counts;
 mod database;
+mod entry;
 mod faults;
 mod quota;
 mod response;
 mod server;
 
 pub use call_counts::CallCounts;
+pub use entry::Entry;
 pub use faults::{Faults, Outage};
 pub use quota::Quotas;
-pub use server::{Entry, Platform, StoreCopy};
+pub use server::{Platform, StoreCopy};
 
 use {
   call_counts::Counters,
   database::{Database, WriteError},
+  entry::Connection,
   faults::Delivery,
   quota::TokenBucket,
   response::{HttpResponse, empty_response, json_response, not_found, read_json},
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -1,8 +1,8 @@
 use {
   super::{
-    CallCounts, Counters, Database, Delivery, Faults, HttpResponse, MAX_VALUE, Outage,
-    POLL_INTERVAL, Quotas, TokenBucket, WriteError, empty_response, json_response, not_found,
-    read_json,
+    CallCounts, Connection, Counters, Database, Delivery, Entry, Faults, HttpResponse, MAX_VALUE,
+    Outage, POLL_INTERVAL, Quotas, TokenBucket, WriteError, empty_response, json_response,
+    not_found, read_json,
   },
   bytes::Bytes,
   cactusyoke_platform::wire::{
@@ -30,27 +30,6 @@
 /// Items on one page of a range read.
 const PAGE_SIZE: usize = 50;
 
-/// Further address of the stand-in, with an outage of its own: a node that uses it can be refused
-/// while others are served.
-#[derive(Debug)]
-pub struct Entry {
-  address: SocketAddr,
-  faults: Arc<Faults>,
-}
-
-impl Entry {
-  /// Listening address.
-  pub const fn address(&self) -> SocketAddr {
-    self.address
-  }
-
-  /// Starts or ends an outage for the users of this address, also for open connections and waiting
-  /// watches.
-  pub fn set_outage(&self, outage: Outage) {
-    self.faults.set_outage(outage);
-  }
-}
-
 /// Copy of everything in the store.
 #[derive(Clone, Debug)]
 pub struct StoreCopy(Database);
@@ -427,15 +406,6 @@
   }
 }
 
-/// What the stand-in knows of a connection.
-#[derive(Debug)]
-struct Connection {
-  /// Generation of [`Faults::silence_connections`] in which it was opened.
-  generation: u64,
-  /// Faults of the address that it was opened to.
-  entry: Arc<Faults>,
-}
-
 async fn accept(
   listener: TcpListener,
   state: Arc<State>,
