--- a/crates/cactusyoke/src/crashes.rs
+++ b/crates/cactusyoke/src/crashes.rs
@@ -35,8 +35,8 @@
 /// Time between two such connections.
 const CHECK_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time for which the failure of a call waits until the other nodes know of the crash. The call is
-/// repeated at once, and must not run there as if it were under no suspicion.
+/// Time for which the failure of an idempotent call waits until the other nodes know of the crash. The
+/// call is repeated at once, and must not run there as if it were under no suspicion.
 const SPREAD_WAIT: Duration = Duration::from_millis(100);
 
 /// Timeout of a message about a crash to another node.
@@ -188,7 +188,7 @@
     }
   }
 
-  /// Like [`Core::close_permit`] for a call whose connection was lost, and waits for a short time until
+  /// Like [`Core::close_permit`] for a call that is repeated after its connection was lost, and waits for a short time until
   /// all nodes of the service know whether that was a crash.
   pub(crate) async fn close_lost_permit(self: &Arc<Self>, permit: Permit) {
     let Permit {
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -142,7 +142,7 @@
     let span = OpenSpan::open(self, &call.head);
     let id = span.id;
     let parent = self.register_parent(&call.head, id);
-    let deadline = call.head.deadline;
+    let (deadline, idempotent) = (call.head.deadline, call.head.idempotent);
     let context = Context {
       root: call.head.root,
       span: id,
@@ -175,10 +175,11 @@
           CallFailure::Unknown { .. } => Completion::Failed,
         };
         admitted.slot.finish(completion);
-        if self.crashes.take_lost(id) {
+        let lost = self.crashes.take_lost(id);
+        if lost && idempotent {
           self.close_lost_permit(admitted.permit).await;
         } else {
-          self.close_permit(admitted.permit, false, false);
+          self.close_permit(admitted.permit, lost, false);
         }
         Err(failure)
       }
