--- a/crates/cactusyoke/tests/outcomes.rs
+++ b/crates/cactusyoke/tests/outcomes.rs
@@ -236,16 +236,9 @@
   }
 }
 
-// Guards against a request that crashes one upstream after the other while its caller sends it
-// again, and against a quarantine of requests that were merely in flight.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_poison_request_is_quarantined_and_others_go_on() {
-  let mut cluster = cluster(Duration::from_millis(20)).await;
-  for upstream in &cluster.upstreams {
-    upstream.faults().set_poison_path(Some("/front/poison"));
-  }
-  let classes = vec![ClassLoad::get("lookup", "/front/a")];
-  let report = tokio::spawn(run(load(&cluster, classes, 50.0, 8)));
+/// Sends the request that crashes upstreams 30 times, and restarts each upstream that it crashed.
+/// Returns the number of crashes and the reported outcomes.
+async fn repeat_poison(cluster: &mut Cluster) -> (usize, Vec<String>) {
   let mut crashes = 0;
   let mut reported = Vec::new();
   for attempt in 0..30 {
@@ -259,6 +252,20 @@
     }
     tokio::time::sleep(Duration::from_millis(200)).await;
   }
+  (crashes, reported)
+}
+
+// Guards against a request that crashes one upstream after the other while its caller sends it
+// again, and against a quarantine of requests that were merely in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_is_quarantined_and_others_go_on() {
+  let mut cluster = cluster(Duration::from_millis(20)).await;
+  for upstream in &cluster.upstreams {
+    upstream.faults().set_poison_path(Some("/front/poison"));
+  }
+  let classes = vec![ClassLoad::get("lookup", "/front/a")];
+  let report = tokio::spawn(run(load(&cluster, classes, 50.0, 8)));
+  let (crashes, reported) = repeat_poison(&mut cluster).await;
   // One crash makes the request suspect; each node may learn of that only after running it once.
   assert!(
     (2..=3).contains(&crashes),
@@ -296,19 +303,7 @@
   ];
   let report = tokio::spawn(run(load(&cluster, classes, 200.0, 12)));
   tokio::time::sleep(Duration::from_secs(3)).await;
-  let mut crashes = 0;
-  let mut reported = Vec::new();
-  for attempt in 0..30 {
-    let received = cluster.get(attempt % 3, "/front/poison").await;
-    reported.push(outcome(&received));
-    for upstream in &mut cluster.upstreams {
-      if upstream.is_crashed() {
-        crashes += 1;
-        upstream.restart().await.expect("its port is free");
-      }
-    }
-    tokio::time::sleep(Duration::from_millis(200)).await;
-  }
+  let (crashes, reported) = repeat_poison(&mut cluster).await;
   assert!(
     (2..=3).contains(&crashes),
     "{crashes} crashes: {reported:?}"
