--- a/crates/cactusyoke/src/crashes.rs
+++ b/crates/cactusyoke/src/crashes.rs
@@ -189,13 +189,19 @@
   }
 
   /// Like [`Core::close_permit`] for a call that is repeated after its connection was lost, and waits for a short time until
-  /// all nodes of the service know whether that was a crash.
+  /// all nodes of the service know whether that was a crash. Does not wait while the upstream loses
+  /// connections for another reason: each of its repeats would be late.
   pub(crate) async fn close_lost_permit(self: &Arc<Self>, permit: Permit) {
     let Permit {
       fingerprint,
       probation,
     } = permit;
+    let now = self.clock.now();
+    let unlikely = self.crashes.losses().log.has_accepted_lately(now);
     let number = self.record_loss(fingerprint, probation);
+    if unlikely {
+      return;
+    }
     let mut checked = self.crashes.checked.subscribe();
     let covered = checked.wait_for(|checked| *checked >= number);
     drop(timeout(SPREAD_WAIT, covered).await);
--- a/crates/decisions/src/load/crash_log.rs
+++ b/crates/decisions/src/load/crash_log.rs
@@ -23,6 +23,12 @@
 /// Maximum number of lost connections on record.
 const MAX_LOSSES: usize = 1024;
 
+/// Time after an accepted connection for which further losses are most likely no crash either.
+const ACCEPT_VALIDITY: Duration = Duration::from_secs(1);
+
+/// Number of accepted connections in a row that make a crash unlikely.
+const UNLIKELY_AFTER: u32 = 5;
+
 /// Number of completed requests after which the older half of them is forgotten.
 const MAX_COMPLETED: usize = 2048;
 
@@ -52,6 +58,8 @@
   losses: Vec<Loss>,
   /// Time of the last connection that the upstream accepted.
   accepted: Option<Instant>,
+  /// Connections accepted since the last crash.
+  accepts: u32,
   /// Crash since which the upstream has accepted no connection.
   current: Option<CrashId>,
   /// Requests that the current process has completed: the latest, and those before.
@@ -92,16 +100,25 @@
   /// are due to a crash only if the upstream turns out to be another process.
   pub fn record_accept(&mut self, attempted: Instant) {
     self.accepted = self.accepted.max(Some(attempted));
+    self.accepts = self.accepts.saturating_add(1);
     if self.current.take().is_some() {
       // The upstream was restarted since it crashed.
       self.completed = Default::default();
     }
   }
 
+  /// True when the upstream loses connections and accepted several lately, so that a crash is unlikely.
+  pub fn has_accepted_lately(&self, now: Instant) -> bool {
+    let age = |at: Instant| now.saturating_duration_since(at);
+    let lately = self.accepted.is_some_and(|at| age(at) < ACCEPT_VALIDITY);
+    lately && self.accepts >= UNLIKELY_AFTER
+  }
+
   /// Records that the upstream refused a connection; returns the crash that explains the losses
   /// since it last accepted one. `id` identifies the crash if it is a new one.
   pub fn record_refusal(&mut self, id: CrashId) -> Crash {
     let id = *self.current.get_or_insert(id);
+    self.accepts = 0;
     let mut losses = mem::take(&mut self.losses);
     losses.retain(|loss| self.is_unchecked(loss) && !self.has_completed(loss));
     Crash { id, losses }
