--- a/crates/cactusyoke/src/crashes.rs
+++ b/crates/cactusyoke/src/crashes.rs
@@ -188,9 +188,9 @@
     }
   }
 
-  /// Like [`Core::close_permit`] for a call that is repeated after its connection was lost, and waits for a short time until
-  /// all nodes of the service know whether that was a crash. Does not wait while the upstream loses
-  /// connections for another reason: each of its repeats would be late.
+  /// Like [`Core::close_permit`] for a call that is repeated after its connection was lost, and waits
+  /// for a short time until all nodes of the service know whether that was a crash. Does not wait
+  /// while the upstream loses connections for another reason: each of its repeats would be late.
   pub(crate) async fn close_lost_permit(self: &Arc<Self>, permit: Permit) {
     let Permit {
       fingerprint,
