--- a/review/harness.rs
+++ b/review/harness.rs
@@ -821,8 +821,7 @@
   sequence: AtomicU64,
   up: AtomicBool,
   pub draining: AtomicBool,
-  /// While true, the server sends no heartbeats.
-  pub mute: AtomicBool,
+  listening: AtomicBool,
   /// Open connections.
   streams: Mutex<HashMap<u64, TcpStream>>,
 }
@@ -856,7 +855,7 @@
     let beating = Arc::clone(&server);
     thread::spawn(move || loop {
       let boot = Arc::clone(&lock(&beating.boot));
-      if boot.up.load(SeqCst) && !boot.mute.load(SeqCst) {
+      if boot.up.load(SeqCst) {
         beating.beat(&boot);
       }
       sleep_ms(1500);
@@ -882,18 +881,22 @@
           Err(_) => sleep_ms(1),
         }
       }
+      drop(listener);
+      boot.listening.store(false, SeqCst);
     });
   }
 
-  /// Ends all connections and the listener, as the end of the process does.
+  /// Closes the listener and then all connections, as the end of the process does.
   pub fn crash(&self, boot: &Boot) -> bool {
     if !boot.up.swap(false, SeqCst) {
       return false;
     }
+    while boot.listening.load(SeqCst) {
+      thread::sleep(Duration::from_micros(100));
+    }
     for (_, stream) in lock(&boot.streams).drain() {
       let _ = stream.shutdown(std::net::Shutdown::Both);
     }
-    sleep_ms(5);
     true
   }
 
@@ -1001,7 +1004,7 @@
     sequence: AtomicU64::new(0),
     up: AtomicBool::new(up),
     draining: AtomicBool::new(false),
-    mute: AtomicBool::new(false),
+    listening: AtomicBool::new(up),
     streams: Mutex::default(),
   })
 }
