--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -41,24 +41,41 @@
     route("r-order", "/order/", "non_idempotent", "order-desk", 0),
     route("r-lookup", "/lookup/", "idempotent", "status-desk", 1),
   ];
-  store.write("op/config", &document(7, &routes, &["order-desk", "status-desk"]));
+  store.write(
+    "op/config",
+    &document(7, &routes, &["order-desk", "status-desk"]),
+  );
   let machines = [Machine::new(), Machine::new()];
   let services = ["status-desk", "order-desk"];
   let nodes = [0, 1].map(|number| {
     let zone = ["zone-a", "zone-b"][number];
-    Node::start(&format!("node-{number}"), zone, services[number], machines[number], store.address)
+    Node::start(
+      &format!("node-{number}"),
+      zone,
+      services[number],
+      machines[number],
+      store.address,
+    )
   });
   let given_up = Arc::new(Mutex::new(Vec::<String>::new()));
   let servers = [0, 1].map(|number| {
     let given_up = Arc::clone(&given_up);
-    let handler = move |server: &Server, _boot: &Arc<Boot>, request: &Request, stream: &mut std::net::TcpStream| {
+    let handler = move |server: &Server,
+                        _boot: &Arc<Boot>,
+                        request: &Request,
+                        stream: &mut std::net::TcpStream| {
       let id = request.header("x-attempt-id").to_owned();
       let long = request.path().ends_with("/long");
       if long {
-        server.record.line(&format!("{} begins to run {id}", server.name));
+        server
+          .record
+          .line(&format!("{} begins to run {id}", server.name));
       }
       if !server.work(stream, if long { LONG_WORK_MS } else { WORK_MS }) {
-        server.record.line(&format!("{}: the connection of {id} was closed while it was at work", server.name));
+        server.record.line(&format!(
+          "{}: the connection of {id} was closed while it was at work",
+          server.name
+        ));
         lock(&given_up).push(id);
         return false;
       }
@@ -67,12 +84,26 @@
       }
       reply(stream, "200 OK", &own_headers(request), b"done").is_ok()
     };
-    Server::start(&format!("server-{number}"), services[number], 139, machines[number], &record, Box::new(handler))
+    Server::start(
+      &format!("server-{number}"),
+      services[number],
+      139,
+      machines[number],
+      &record,
+      Box::new(handler),
+    )
   });
   wait_until_served(&nodes, "/lookup/warm", 5);
   wait_until("orders are served", 20, || {
     nodes.iter().all(|node| {
-      let got = send(node.machine.outbound, "POST", "/order/warm", &new_request_id(), 2000, b"order");
+      let got = send(
+        node.machine.outbound,
+        "POST",
+        "/order/warm",
+        &new_request_id(),
+        2000,
+        b"order",
+      );
       got.is_ok_and(|answer| answer.status == 200)
     })
   });
@@ -83,7 +114,14 @@
     let (node, stop) = (Arc::clone(&nodes[1]), Arc::clone(&stop));
     thread::spawn(move || {
       while !stop.load(SeqCst) {
-        let _ = send(node.machine.outbound, "POST", "/order/ordinary", &new_request_id(), BUDGET_MS, b"order");
+        let _ = send(
+          node.machine.outbound,
+          "POST",
+          "/order/ordinary",
+          &new_request_id(),
+          BUDGET_MS,
+          b"order",
+        );
         sleep_ms(80);
       }
     })
@@ -99,7 +137,14 @@
       sleep_ms(longest - before);
       let id = new_request_id();
       record.line(&format!("long order {id} sent to {}", node.name));
-      let got = send(node.machine.outbound, "POST", "/order/long", &id, BUDGET_MS, b"order");
+      let got = send(
+        node.machine.outbound,
+        "POST",
+        "/order/long",
+        &id,
+        BUDGET_MS,
+        b"order",
+      );
       let ended = record.now();
       let status = match &got {
         Ok(answer) => answer.status.to_string(),
@@ -131,7 +176,9 @@
     let at_work = given_up.contains(id);
     if !whole && trouble() && at_work && after < LAST_SIXTH_S {
       broken += 1;
-      record.line(&format!("{id} was broken off {after:.2} s after SIGTERM while its server was at work: {status}"));
+      record.line(&format!(
+        "{id} was broken off {after:.2} s after SIGTERM while its server was at work: {status}"
+      ));
     }
   }
   let whole = results.iter().filter(|result| result.2).count();
