--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -48,17 +48,31 @@
   let machines = [Machine::new(), Machine::new()];
   let nodes = [0, 1].map(|number| {
     let zone = ["zone-a", "zone-b"][number];
-    Node::start(&format!("node-{number}"), zone, services[number], machines[number], store.address)
+    Node::start(
+      &format!("node-{number}"),
+      zone,
+      services[number],
+      machines[number],
+      store.address,
+    )
   });
   let runs = Arc::new(Mutex::new(Vec::<(String, &'static str)>::new()));
   let servers = [0, 1].map(|number| {
     let runs = Arc::clone(&runs);
-    let handler = move |server: &Server, _boot: &Arc<Boot>, request: &Request, stream: &mut TcpStream| {
-      let id = request.header("x-attempt-id").to_owned();
-      lock(&runs).push((id, server.service));
-      reply(stream, "200 OK", &own_headers(request), b"done").is_ok()
-    };
-    Server::start(&format!("server-{number}"), services[number], 60, machines[number], &record, Box::new(handler))
+    let handler =
+      move |server: &Server, _boot: &Arc<Boot>, request: &Request, stream: &mut TcpStream| {
+        let id = request.header("x-attempt-id").to_owned();
+        lock(&runs).push((id, server.service));
+        reply(stream, "200 OK", &own_headers(request), b"done").is_ok()
+      };
+    Server::start(
+      &format!("server-{number}"),
+      services[number],
+      60,
+      machines[number],
+      &record,
+      Box::new(handler),
+    )
   });
   for path in ["/moved/a", "/dropped/a", "/kept/a"] {
     wait_until_served(&nodes, path, 3);
@@ -73,7 +87,12 @@
     route("r-kept".into(), "/kept/".into(), services[1], rank(1)),
   ];
   for number in 2..ROUTES {
-    second.push(route(format!("r-added{number}"), format!("/added{number}/"), services[number as usize % 2], rank(number)));
+    second.push(route(
+      format!("r-added{number}"),
+      format!("/added{number}/"),
+      services[number as usize % 2],
+      rank(number),
+    ));
   }
   store.write("op/config", &document(8, &second, &services));
   record.line("the store has acknowledged version 8");
@@ -93,8 +112,16 @@
     };
     sent += 1;
     old += usize::from(as_before);
-    let verdict = if as_before { "as only version 7 allows" } else { "" };
-    record.line(&format!("{id} {path} at {}: {status}, run by {} {verdict}", node.name, ran.unwrap_or("nobody")));
+    let verdict = if as_before {
+      "as only version 7 allows"
+    } else {
+      ""
+    };
+    record.line(&format!(
+      "{id} {path} at {}: {status}, run by {} {verdict}",
+      node.name,
+      ran.unwrap_or("nobody")
+    ));
   };
   for _ in 0..ROUNDS {
     for node in &nodes {
@@ -112,7 +139,12 @@
   record.line(&result);
   println!("{result}");
   for node in &nodes {
-    for line in node.log().lines().filter(|line| line.contains("document_refused")).take(1) {
+    for line in node
+      .log()
+      .lines()
+      .filter(|line| line.contains("document_refused"))
+      .take(1)
+    {
       record.line(&format!("log of {}: {line}", node.name));
     }
   }
