--- a/review/harness.rs
+++ b/review/harness.rs
@@ -200,10 +200,17 @@
     }
     _ => {
       let start = *at;
-      while bytes.get(*at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+      while bytes
+        .get(*at)
+        .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+      {
         *at += 1;
       }
-      std::str::from_utf8(&bytes[start..*at]).ok()?.parse().ok().map(Json::Number)
+      std::str::from_utf8(&bytes[start..*at])
+        .ok()?
+        .parse()
+        .ok()
+        .map(Json::Number)
     }
   }
 }
@@ -245,7 +252,9 @@
   let bytes = text.as_bytes();
   let (mut out, mut at) = (Vec::new(), 0);
   while at < bytes.len() {
-    let hex = text.get(at + 1..at + 3).and_then(|hex| u8::from_str_radix(hex, 16).ok());
+    let hex = text
+      .get(at + 1..at + 3)
+      .and_then(|hex| u8::from_str_radix(hex, 16).ok());
     match (bytes[at], hex) {
       (b'%', Some(byte)) => {
         out.push(byte);
@@ -276,7 +285,9 @@
 }
 
 pub fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-  let mut found = headers.iter().filter(|(known, _)| known.eq_ignore_ascii_case(name));
+  let mut found = headers
+    .iter()
+    .filter(|(known, _)| known.eq_ignore_ascii_case(name));
   found.next().map(|(_, value)| value.as_str())
 }
 
@@ -292,7 +303,9 @@
   fn query(&self) -> HashMap<String, String> {
     let query = self.target.split_once('?').map_or("", |(_, query)| query);
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), percent_decode(value))).collect()
+    pairs
+      .map(|(name, value)| (name.to_owned(), percent_decode(value)))
+      .collect()
   }
 }
 
@@ -355,7 +368,10 @@
     return Ok(None);
   };
   let mut words = first.split(' ');
-  let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+  let (method, target) = (
+    words.next().unwrap_or_default(),
+    words.next().unwrap_or_default(),
+  );
   let body = read_body(reader, &headers)?;
   Ok(Some(Request {
     method: method.to_owned(),
@@ -367,7 +383,8 @@
 
 pub fn reply(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
   let length = body.len();
-  let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes();
+  let mut bytes =
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes();
   bytes.extend_from_slice(body);
   stream.write_all(&bytes)
 }
@@ -394,7 +411,11 @@
   let Some((first, headers)) = read_head(reader)? else {
     return Err(io::ErrorKind::UnexpectedEof.into());
   };
-  let status = first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+  let status = first
+    .split(' ')
+    .nth(1)
+    .and_then(|status| status.parse().ok())
+    .unwrap_or(0);
   let framed = is_chunked(&headers) || find(&headers, "content-length").is_some();
   let body = if framed || status == 204 || status == 304 {
     read_body(reader, &headers)?
@@ -403,7 +424,11 @@
     reader.read_to_end(&mut body)?;
     body
   };
-  Ok(Answer { status, headers, body })
+  Ok(Answer {
+    status,
+    headers,
+    body,
+  })
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -429,8 +454,16 @@
 
 impl Database {
   fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
-    let created = self.items.get(key).map_or(self.revision, |item| item.created);
-    let item = Item { value, revision: self.revision, created, lease };
+    let created = self
+      .items
+      .get(key)
+      .map_or(self.revision, |item| item.created);
+    let item = Item {
+      value,
+      revision: self.revision,
+      created,
+      lease,
+    };
     self.items.insert(key.to_owned(), item.clone());
     self.log.push((self.revision, key.to_owned(), Some(item)));
   }
@@ -473,9 +506,18 @@
 
 impl Store {
   pub fn start() -> Self {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap_or_else(|error| cannot_run(&error.to_string()));
-    let address = listener.local_addr().unwrap_or_else(|error| cannot_run(&error.to_string()));
-    let state = Arc::new((Mutex::new(Database { revision: 1, ..Database::default() }), Condvar::new()));
+    let listener =
+      TcpListener::bind(free_address()).unwrap_or_else(|error| cannot_run(&error.to_string()));
+    let address = listener
+      .local_addr()
+      .unwrap_or_else(|error| cannot_run(&error.to_string()));
+    let state = Arc::new((
+      Mutex::new(Database {
+        revision: 1,
+        ..Database::default()
+      }),
+      Condvar::new(),
+    ));
     let down = Arc::new(AtomicBool::new(false));
     let (serving, refusing) = (Arc::clone(&state), Arc::clone(&down));
     thread::spawn(move || {
@@ -485,18 +527,24 @@
       }
     });
     let expiring = Arc::clone(&state);
-    thread::spawn(move || loop {
-      sleep_ms(100);
-      let mut database = lock(&expiring.0);
-      let now = Instant::now();
-      let ended = database.leases.iter().filter(|(_, (_, end))| *end <= now);
-      for lease in ended.map(|(lease, _)| *lease).collect::<Vec<_>>() {
-        database.end_lease(lease);
+    thread::spawn(move || {
+      loop {
+        sleep_ms(100);
+        let mut database = lock(&expiring.0);
+        let now = Instant::now();
+        let ended = database.leases.iter().filter(|(_, (_, end))| *end <= now);
+        for lease in ended.map(|(lease, _)| *lease).collect::<Vec<_>>() {
+          database.end_lease(lease);
+        }
+        drop(database);
+        expiring.1.notify_all();
       }
-      drop(database);
-      expiring.1.notify_all();
     });
-    Self { address, state, down }
+    Self {
+      address,
+      state,
+      down,
+    }
   }
 
   /// Writes a key as the operator does.
@@ -540,10 +588,19 @@
     },
     ("GET", "/kv-range") => {
       let (prefix, after) = (text("prefix"), text("after"));
-      let found = database.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-      let items = found.map(|(key, item)| item_json(key, item)).collect::<Vec<_>>().join(",");
+      let found = database
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+      let items = found
+        .map(|(key, item)| item_json(key, item))
+        .collect::<Vec<_>>()
+        .join(",");
       let revision = database.revision;
-      ("200 OK", format!("{{\"items\":[{items}],\"has_more\":false,\"at_rev\":{revision}}}"))
+      (
+        "200 OK",
+        format!("{{\"items\":[{items}],\"has_more\":false,\"at_rev\":{revision}}}"),
+      )
     }
     ("GET", "/kv-watch") => {
       let prefix = text("prefix");
@@ -551,7 +608,10 @@
       let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or(0));
       let end = Instant::now() + wait;
       loop {
-        let changes = database.log.iter().filter(|(at, key, _)| *at > after && key.starts_with(&prefix));
+        let changes = database
+          .log
+          .iter()
+          .filter(|(at, key, _)| *at > after && key.starts_with(&prefix));
         let events = changes
           .map(|(at, key, item)| match item {
             Some(item) => item_json(key, item),
@@ -561,9 +621,19 @@
         let left = end.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
           let revision = database.revision;
-          return ("200 OK", format!("{{\"events\":[{}],\"at_rev\":{revision}}}", events.join(",")));
+          return (
+            "200 OK",
+            format!(
+              "{{\"events\":[{}],\"at_rev\":{revision}}}",
+              events.join(",")
+            ),
+          );
         }
-        database = state.1.wait_timeout(database, left).unwrap_or_else(PoisonError::into_inner).0;
+        database = state
+          .1
+          .wait_timeout(database, left)
+          .unwrap_or_else(PoisonError::into_inner)
+          .0;
       }
     }
     ("POST", "/kv-txn") => {
@@ -578,11 +648,19 @@
       if !holds {
         let items = expected.iter().map(|row| {
           let key = row.text("key");
-          let none = Item { value: Vec::new(), revision: 0, created: 0, lease: 0 };
+          let none = Item {
+            value: Vec::new(),
+            revision: 0,
+            created: 0,
+            lease: 0,
+          };
           item_json(&key, database.items.get(&key).unwrap_or(&none))
         });
         let items = items.collect::<Vec<_>>().join(",");
-        return ("412 Precondition Failed", format!("{{\"items\":[{items}]}}"));
+        return (
+          "412 Precondition Failed",
+          format!("{{\"items\":[{items}]}}"),
+        );
       }
       let puts = body.list("puts");
       let known = puts.iter().all(|put| {
@@ -617,7 +695,10 @@
       database.last_lease += 1;
       let lease = database.last_lease;
       database.leases.insert(lease, (time, Instant::now() + time));
-      ("200 OK", format!("{{\"lease_id\":{lease},\"ttl_s_time\":{ttl}}}"))
+      (
+        "200 OK",
+        format!("{{\"lease_id\":{lease},\"ttl_s_time\":{ttl}}}"),
+      )
     }
     ("POST", path) if path.starts_with("/kv-keep/") => {
       let lease = path["/kv-keep/".len()..].parse().unwrap_or(0);
@@ -625,7 +706,10 @@
         Some((time, end)) => {
           *end = Instant::now() + *time;
           let ttl = time.as_secs_f64();
-          ("200 OK", format!("{{\"lease_id\":{lease},\"ttl_s_time\":{ttl}}}"))
+          (
+            "200 OK",
+            format!("{{\"lease_id\":{lease},\"ttl_s_time\":{ttl}}}"),
+          )
         }
         None => ("404 Not Found", "{}".to_owned()),
       }
@@ -676,15 +760,34 @@
      \"header_timeout_s\":3,\"idle_timeout_s\":15}}"
       .to_owned(),
   );
-  format!("{{\"version\":{version},\"resources\":[{}]}}", entries.join(","))
+  format!(
+    "{{\"version\":{version},\"resources\":[{}]}}",
+    entries.join(",")
+  )
 }
 
 // ---------------------------------------------------------------------------------------------
 // Nodes.
 
+/// Ports below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+/// Address on which nothing listens. Each call returns another one.
 fn free_address() -> SocketAddr {
-  let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap_or_else(|error| cannot_run(&error.to_string()));
-  listener.local_addr().unwrap_or_else(|error| cannot_run(&error.to_string()))
+  static NEXT: AtomicU64 = AtomicU64::new(0);
+  for _ in 0..1000 {
+    let step = NEXT.fetch_add(1, SeqCst);
+    let offset = u64::from(std::process::id())
+      .wrapping_mul(97)
+      .wrapping_add(step);
+    let port = PORTS.start + (offset % PORTS.len() as u64) as u16;
+    if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+      return listener
+        .local_addr()
+        .unwrap_or_else(|error| cannot_run(&error.to_string()));
+    }
+  }
+  cannot_run("no free port")
 }
 
 /// Addresses on one machine.
@@ -702,7 +805,14 @@
   /// Machine with free ports.
   pub fn new() -> Self {
     let [node, inbound, outbound, ready, control, app] = [(); 6].map(|()| free_address());
-    Self { node, inbound, outbound, ready, control, app }
+    Self {
+      node,
+      inbound,
+      outbound,
+      ready,
+      control,
+      app,
+    }
   }
 }
 
@@ -716,7 +826,13 @@
 
 impl Node {
   /// Starts a node with the settings that the template of the deploy file yields.
-  pub fn start(name: &str, zone: &str, service: &str, machine: Machine, store: SocketAddr) -> Arc<Self> {
+  pub fn start(
+    name: &str,
+    zone: &str,
+    service: &str,
+    machine: Machine,
+    store: SocketAddr,
+  ) -> Arc<Self> {
     let folder = std::env::var("WORK").unwrap_or_else(|_| cannot_run("WORK names no folder"));
     let yaml = format!(
       "node: {}\ndata_centre: {zone}\ndata_centres:\n  zone-a: {{region: 'r'}}\n  zone-b: {{region: 'r'}}\ncallers: {}\n\
@@ -730,17 +846,26 @@
     if let Err(error) = fs::write(&settings, yaml) {
       cannot_run(&format!("settings: {error}"));
     }
-    let node = Arc::new(Self { machine, name: name.to_owned(), settings, log, child: Mutex::new(None) });
+    let node = Arc::new(Self {
+      machine,
+      name: name.to_owned(),
+      settings,
+      log,
+      child: Mutex::new(None),
+    });
     node.run();
     node
   }
 
   /// Starts the process; it must not run.
   pub fn run(&self) {
-    let program = std::env::var("PROGRAM").unwrap_or_else(|_| "target/release/cactusyoke".to_owned());
+    let program =
+      std::env::var("PROGRAM").unwrap_or_else(|_| "target/release/cactusyoke".to_owned());
     let log = File::options().create(true).append(true).open(&self.log);
     let log = log.unwrap_or_else(|error| cannot_run(&error.to_string()));
-    let copy = log.try_clone().unwrap_or_else(|error| cannot_run(&error.to_string()));
+    let copy = log
+      .try_clone()
+      .unwrap_or_else(|error| cannot_run(&error.to_string()));
     let child = Command::new(program)
       .args(["node", "--settings"])
       .arg(&self.settings)
@@ -761,7 +886,9 @@
   pub fn signal(&self, signal: &str) {
     let id = lock(&self.child).as_ref().map(Child::id);
     if let Some(id) = id {
-      let _ = Command::new("kill").args([&format!("-{signal}"), &id.to_string()]).status();
+      let _ = Command::new("kill")
+        .args([&format!("-{signal}"), &id.to_string()])
+        .status();
     }
   }
 
@@ -775,12 +902,18 @@
 
   /// True once the process has ended.
   pub fn has_ended(&self) -> bool {
-    lock(&self.child).as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    lock(&self.child)
+      .as_mut()
+      .is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
   }
 
   /// True when the node tells the platform that it is ready.
   pub fn ready(&self) -> bool {
-    let got = exchange(self.machine.ready, "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".as_bytes(), 1000);
+    let got = exchange(
+      self.machine.ready,
+      "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".as_bytes(),
+      1000,
+    );
     got.is_ok_and(|answer| answer.status == 200)
   }
 
@@ -841,7 +974,14 @@
 }
 
 impl Server {
-  pub fn start(name: &str, service: &'static str, slots: u32, machine: Machine, record: &Record, handler: Box<Handler>) -> Arc<Self> {
+  pub fn start(
+    name: &str,
+    service: &'static str,
+    slots: u32,
+    machine: Machine,
+    record: &Record,
+    handler: Box<Handler>,
+  ) -> Arc<Self> {
     let server = Arc::new(Self {
       name: name.to_owned(),
       service,
@@ -853,12 +993,14 @@
     });
     server.clone().restart();
     let beating = Arc::clone(&server);
-    thread::spawn(move || loop {
-      let boot = Arc::clone(&lock(&beating.boot));
-      if boot.up.load(SeqCst) {
-        beating.beat(&boot);
+    thread::spawn(move || {
+      loop {
+        let boot = Arc::clone(&lock(&beating.boot));
+        if boot.up.load(SeqCst) {
+          beating.beat(&boot);
+        }
+        sleep_ms(1500);
       }
-      sleep_ms(1500);
     });
     server
   }
@@ -866,10 +1008,13 @@
   /// Starts a new boot at the same address.
   pub fn restart(self: Arc<Self>) {
     let boot = new_boot(true);
-    let listener = TcpListener::bind(self.machine.app).unwrap_or_else(|error| cannot_run(&format!("server: {error}")));
+    let listener = TcpListener::bind(self.machine.app)
+      .unwrap_or_else(|error| cannot_run(&format!("server: {error}")));
     let _ = listener.set_nonblocking(true);
     *lock(&self.boot) = Arc::clone(&boot);
-    self.record.line(&format!("server {} starts as {}", self.name, boot.id));
+    self
+      .record
+      .line(&format!("server {} starts as {}", self.name, boot.id));
     thread::spawn(move || {
       self.beat(&boot);
       while boot.up.load(SeqCst) {
@@ -912,7 +1057,11 @@
 
   /// Sends a heartbeat; true when the node acknowledged it.
   pub fn beat(&self, boot: &Boot) -> bool {
-    let state = if boot.draining.load(SeqCst) { "draining" } else { "ready" };
+    let state = if boot.draining.load(SeqCst) {
+      "draining"
+    } else {
+      "ready"
+    };
     let body = self.beat_body(boot, state);
     self.post(&format!("/Instances.Heartbeat/{}", boot.id), &body)
   }
@@ -950,8 +1099,18 @@
 
   fn answer(&self, boot: &Arc<Boot>, request: &Request, stream: &mut TcpStream) -> bool {
     if request.path() == "/healthz" {
-      let status = if boot.draining.load(SeqCst) { "503 Service Unavailable" } else { "200 OK" };
-      return reply(stream, status, &format!("X-Instance-Id: {}\r\n", boot.id), b"").is_ok();
+      let status = if boot.draining.load(SeqCst) {
+        "503 Service Unavailable"
+      } else {
+        "200 OK"
+      };
+      return reply(
+        stream,
+        status,
+        &format!("X-Instance-Id: {}\r\n", boot.id),
+        b"",
+      )
+      .is_ok();
     }
     let id = request.header("x-attempt-id");
     if id.is_empty() {
@@ -973,7 +1132,9 @@
       if left.is_zero() {
         return true;
       }
-      let step = left.min(Duration::from_millis(20)).max(Duration::from_millis(1));
+      let step = left
+        .min(Duration::from_millis(20))
+        .max(Duration::from_millis(1));
       let _ = stream.set_read_timeout(Some(step));
       let closed = match stream.peek(&mut [0]) {
         Ok(0) => true,
@@ -981,7 +1142,10 @@
           thread::sleep(step);
           false
         }
-        Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut),
+        Err(error) => !matches!(
+          error.kind(),
+          io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+        ),
       };
       let _ = stream.set_read_timeout(None);
       if closed {
@@ -1011,24 +1175,50 @@
 
 /// Headers of a server's own answer to a request.
 pub fn own_headers(request: &Request) -> String {
-  format!("X-Attempt-Id: {}\r\nX-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n", request.header("x-attempt-id"))
+  format!(
+    "X-Attempt-Id: {}\r\nX-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n",
+    request.header("x-attempt-id")
+  )
 }
 
 // ---------------------------------------------------------------------------------------------
 // Clients.
 
 /// Request of a client as bytes; a body is sent with its length.
-pub fn client_request(method: &str, path: &str, id: &str, deadline_ms: u64, body: &[u8]) -> Vec<u8> {
-  let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
-  let head = format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n{length}\r\n");
+pub fn client_request(
+  method: &str,
+  path: &str,
+  id: &str,
+  deadline_ms: u64,
+  body: &[u8],
+) -> Vec<u8> {
+  let length = if body.is_empty() {
+    String::new()
+  } else {
+    format!("Content-Length: {}\r\n", body.len())
+  };
+  let head = format!(
+    "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n{length}\r\n"
+  );
   let mut bytes = head.into_bytes();
   bytes.extend_from_slice(body);
   bytes
 }
 
 /// Sends one request on a new connection.
-pub fn send(address: SocketAddr, method: &str, path: &str, id: &str, deadline_ms: u64, body: &[u8]) -> io::Result<Answer> {
-  exchange(address, &client_request(method, path, id, deadline_ms, body), deadline_ms + 1000)
+pub fn send(
+  address: SocketAddr,
+  method: &str,
+  path: &str,
+  id: &str,
+  deadline_ms: u64,
+  body: &[u8],
+) -> io::Result<Answer> {
+  exchange(
+    address,
+    &client_request(method, path, id, deadline_ms, body),
+    deadline_ms + 1000,
+  )
 }
 
 /// Waits until a condition holds; ends the script when it does not within the time.
@@ -1046,15 +1236,26 @@
 pub fn wait_until_served(nodes: &[Arc<Node>], path: &str, rounds: u32) {
   for node in nodes {
     let mut in_row = 0;
-    wait_until(&format!("requests are served through {}", node.name), 20, || {
-      let id = format!("warm{}", NEXT_ID.fetch_add(1, SeqCst));
-      let got = send(node.machine.outbound, "GET", path, &id, 1000, b"");
-      in_row = if got.is_ok_and(|answer| answer.status == 200) { in_row + 1 } else { 0 };
-      in_row >= rounds
-    });
+    wait_until(
+      &format!("requests are served through {}", node.name),
+      20,
+      || {
+        let id = format!("warm{}", NEXT_ID.fetch_add(1, SeqCst));
+        let got = send(node.machine.outbound, "GET", path, &id, 1000, b"");
+        in_row = if got.is_ok_and(|answer| answer.status == 200) {
+          in_row + 1
+        } else {
+          0
+        };
+        in_row >= rounds
+      },
+    );
   }
 }
 
 pub fn new_request_id() -> String {
-  format!("{:016x}", 0x9c41_d07b_0000_0000 + NEXT_ID.fetch_add(1, SeqCst))
+  format!(
+    "{:016x}",
+    0x9c41_d07b_0000_0000 + NEXT_ID.fetch_add(1, SeqCst)
+  )
 }
