Don't take an upstream's silence for a broken connection

Cause: SilenceDetector compares waits within a route. A wait of 3 s and of 8 times the longest recent one ended the call, for each kind of request, before and within the answer.

Ruled out: the stop (the orders are cut without SIGTERM too, and its own limit ends calls only 5.25 s after SIGTERM), and the links between nodes, whose heartbeats do not depend on calls.

Change: silence ends a call only if the upstream also cannot be at work on it: it has one slot and answers others, or has stated since then that none is in flight. Broken connections are found by TCP: keep-alive probes, and a limit of 3 s on the acknowledgement of short requests. The limit is lifted for requests over 16 KiB, which an upstream may read slowly.

Tests: a_long_call_is_not_taken_for_a_silent_connection failed before in both cases. The tests of silent connections are unchanged and pass. an_upstream_may_leave_a_long_request_unread fails if the limit also holds for long requests (tried).

--- a/crates/upstreams/src/announce.rs
+++ b/crates/upstreams/src/announce.rs
@@ -16,7 +16,6 @@
 mod probe;
 mod upstream_process;
 
-pub(crate) use message::AnnounceMessage;
 pub use {
   announce_config::{AnnounceConfig, Check, HealthCheck},
   announce_error::AnnounceError,
@@ -25,6 +24,7 @@
   notice::{NativeReader, Notice, NoticeError, NoticeReader},
   upstream_process::{Announced, Draining, Gone, Serving, UpstreamProcess, Warming},
 };
+pub(crate) use {message::AnnounceMessage, probe::PROBE_TIMEOUT};
 
 use {
   crate::{UpstreamView, ViewHandle, loopback::checked_address},
--- a/crates/upstreams/src/announce/probe.rs
+++ b/crates/upstreams/src/announce/probe.rs
@@ -17,7 +17,7 @@
 };
 
 /// Time limit of one check, or of polling both hints.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest accepted body of `GET /health` or `GET /load`.
 const MAX_BODY_BYTES: usize = 4096;
--- a/crates/upstreams/src/call_timer.rs
+++ b/crates/upstreams/src/call_timer.rs
@@ -19,7 +19,7 @@
 pub(crate) enum Expiry {
   /// The deadline passed.
   Deadline,
-  /// The wait counts as silence; see [`crate::SilenceDetector`].
+  /// The upstream is not at work on the call; see [`crate::SilenceDetector`].
   Silence,
 }
 
@@ -35,6 +35,8 @@
   longest_wait: Duration,
   /// Answers of the route when the current wait was first checked.
   answers_before: Option<u64>,
+  /// The answer has begun.
+  answering: bool,
 }
 
 impl CallTimer {
@@ -48,6 +50,7 @@
       wait_start: None,
       longest_wait: Duration::ZERO,
       answers_before: None,
+      answering: false,
     }
   }
 
@@ -78,7 +81,12 @@
     }
   }
 
+  /// True when the connection is silent and the upstream cannot be at work on the call. Silence
+  /// alone does not show that: the call may take longer than others of its route.
   fn is_silent(&mut self, since: Instant, state: &ConnectionState) -> bool {
+    if self.answering {
+      return false;
+    }
     let now = self.pool.config().clock.now();
     if state.is_body_waiting() {
       // The upstream cannot answer before the caller has sent the rest of the request body.
@@ -90,12 +98,14 @@
     let answers = *self
       .answers_before
       .get_or_insert_with(|| detector.answer_count(&self.route));
-    let waited = now.saturating_duration_since(since.max(state.last_transfer()));
-    detector.is_silent(&self.route, waited, answers, now)
+    let since = since.max(state.last_transfer());
+    let waited = now.saturating_duration_since(since);
+    detector.is_silent(&self.route, waited, answers, now) && self.pool.excludes_work(since)
   }
 
   /// Ends the current wait because the upstream sent something.
   pub(crate) fn record_progress(&mut self) {
+    self.answering = true;
     let Some(since) = self.wait_start.take() else {
       return;
     };
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -21,6 +21,7 @@
 mod request_body;
 mod silence_detector;
 mod stated_rate;
+mod tcp_liveness;
 mod tracked_io;
 mod upstream;
 mod upstream_config;
@@ -49,5 +50,6 @@
   pool::Pool,
   pooled_connection::PooledConnection,
   request_body::RequestBody,
+  tcp_liveness::TcpLiveness,
   tracked_io::TrackedIo,
 };
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -1,9 +1,11 @@
 use {
   crate::{
-    ConnectionState, Driver, PooledConnection, SilenceDetector, TrackedIo, UpstreamConfig,
-    announce::Announcement, http_connection::HttpConnection,
+    ConnectionState, Driver, PooledConnection, SilenceDetector, TcpLiveness, TrackedIo,
+    UpstreamConfig,
+    announce::{Announcement, PROBE_TIMEOUT},
+    http_connection::HttpConnection,
   },
-  cactusyoke_model::{Connections, NotRunReason},
+  cactusyoke_model::{Connections, NotRunReason, Slots},
   http::HeaderValue,
   hyper::client::conn::http1::Builder,
   hyper_util::rt::TokioIo,
@@ -132,6 +134,17 @@
       .expect("no thread panics while it holds the lock")
   }
 
+  /// True when the upstream, which has answered other calls since `since`, cannot be at work on a
+  /// call that was sent before: it runs one call at a time, or has stated since then that none is
+  /// in flight.
+  pub(crate) fn excludes_work(&self, since: Instant) -> bool {
+    if self.announcement.slots == Slots(1) {
+      return true;
+    }
+    let load = self.config.view_handle.load().hints.load;
+    load.is_some_and(|load| load.value == 0 && load.received >= since + PROBE_TIMEOUT)
+  }
+
   /// True on the first call only, so that one answer without `content-length` or
   /// `transfer-encoding` is logged.
   pub(crate) fn claim_framing_report(&self) -> bool {
@@ -232,10 +245,15 @@
     if let Err(error) = stream.set_nodelay(true) {
       tracing::debug!(%address, %error, "cannot set TCP_NODELAY on an upstream connection");
     }
+    let mut liveness = TcpLiveness::default();
+    if let Err(error) = liveness.start(&stream) {
+      tracing::debug!(%address, %error, "cannot detect a broken upstream connection");
+    }
     let state = Arc::new(ConnectionState::new(Arc::clone(&self.config.clock)));
     let io = TokioIo::new(TrackedIo {
       stream,
       state: Arc::clone(&state),
+      liveness,
       write_failed: false,
     });
     let (sender, connection) = Builder::new()
--- a/crates/upstreams/src/tracked_io.rs
+++ b/crates/upstreams/src/tracked_io.rs
@@ -1,5 +1,5 @@
 use {
-  crate::ConnectionState,
+  crate::{ConnectionState, TcpLiveness},
   std::{
     io,
     pin::Pin,
@@ -17,6 +17,7 @@
 pub(crate) struct TrackedIo {
   pub(crate) stream: TcpStream,
   pub(crate) state: Arc<ConnectionState>,
+  pub(crate) liveness: TcpLiveness,
   /// A write failed after part of the request was written.
   pub(crate) write_failed: bool,
 }
@@ -34,12 +35,16 @@
       self.state.end_write(0);
       return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
     }
+    let first = !self.state.is_written();
     let result = write(Pin::new(&mut self.stream), cx);
     let bytes = match &result {
       Poll::Ready(Ok(bytes)) => *bytes,
       Poll::Ready(Err(_)) | Poll::Pending => 0,
     };
     self.state.end_write(bytes);
+    if let Err(error) = self.liveness.record_write(&self.stream, bytes, first) {
+      tracing::debug!(%error, "cannot change the time limit of an upstream connection");
+    }
     if matches!(result, Poll::Ready(Err(_))) && self.state.is_written() {
       // An upstream that rejects a request before it has read all of it answers and closes the
       // connection, so that writing the rest fails. Hiding the error lets the answer still be read;
