Accept configurations with any number of ranks

Cause: each different priority becomes a class, and Preset refused more than the 32 classes for which gates keep state. The store accepts only valid documents, so that nobody can correct one that a node refuses.

Change: classes from the 32nd on share the last rank and divide its sub-levels in their order (SubLevels). Levels therefore shed them in order, and queues start and evict calls of the shared rank by sub-level. Frames are unchanged; a node of the version before refuses such a preset and misreads nothing.

No test named the limit of 32 classes.

--- a/crates/cactusyoke/src/load_control.rs
+++ b/crates/cactusyoke/src/load_control.rs
@@ -7,7 +7,7 @@
   },
   cactusyoke_model::{
     CallFailure, CallHead, Level, NodeId, NotRunReason, Priority, Report, RequestId, Route,
-    RouteName, ServiceName,
+    RouteName, ServiceName, SubLevels,
   },
   std::{
     collections::HashMap,
@@ -100,6 +100,10 @@
 
   /// Priority of a root request.
   pub(crate) fn priority(&self, route: &Route, root: RequestId, now: Instant) -> Priority {
+    if route.sub_levels != SubLevels::ALL {
+      // The halves of a shared rank belong to different classes.
+      return Priority::within(route.rank, route.sub_levels, root);
+    }
     let inner = self.lock();
     inner.costs.priority(&route.name, route.rank, root, now)
   }
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -137,16 +137,15 @@
     if !lane.is_nested() && !self.controller.enforced_level().admits(priority) {
       return OfferOutcome::Refused(NotRunReason::Shed);
     }
-    let half = priority.half_index().min(HALVES - 1);
     let earliest_end = now + self.limit.min_latency();
     if deadline <= earliest_end {
       return OfferOutcome::Refused(NotRunReason::Deadline);
     }
     if self.queue.len() == 0 && self.can_start(now) {
-      self.start(ticket, half, lane, now, now);
+      self.start(ticket, priority, lane, now, now);
       return OfferOutcome::Start;
     }
-    let expected_wait = self.expected_wait(lane);
+    let expected_wait = self.expected_wait(lane, priority);
     if self.rate_limit.is_some() && expected_wait > self.max_waits().for_lane(lane) {
       return OfferOutcome::Refused(NotRunReason::Limit);
     }
@@ -155,7 +154,7 @@
     }
     let mut evicted = None;
     if self.queue.len() >= self.max_queued {
-      let Some((lane, call)) = self.queue.evict_below(lane) else {
+      let Some((lane, call)) = self.queue.evict_below(lane, priority) else {
         return OfferOutcome::Refused(NotRunReason::QueueFull);
       };
       self.tickets.remove(&call.ticket);
@@ -163,7 +162,7 @@
       counts.record_dropped(NotRunReason::Evicted);
       evicted = Some(call.ticket);
     }
-    self.enqueue(lane, ticket, half, deadline, now);
+    self.enqueue(lane, ticket, priority, deadline, now);
     OfferOutcome::Queued { evicted }
   }
 
@@ -214,7 +213,7 @@
         actions.push(GateAction::Drop(call.ticket, reason));
         continue;
       }
-      self.start(call.ticket, call.half, lane, call.queued, now);
+      self.start(call.ticket, call.priority, lane, call.queued, now);
       actions.push(GateAction::Start(call.ticket));
     }
     if self.queue.len() == 0 {
@@ -267,12 +266,13 @@
     capacities.into_iter().flatten().reduce(f64::min)
   }
 
-  fn start(&mut self, ticket: u64, half: usize, lane: Lane, queued: Instant, now: Instant) {
+  fn start(&mut self, ticket: u64, priority: Priority, lane: Lane, queued: Instant, now: Instant) {
     self.limit.observe(self.in_flight, now);
     if let Some(limit) = &mut self.rate_limit {
       limit.record_sent();
     }
     self.in_flight += 1;
+    let half = priority.half_index().min(HALVES - 1);
     self
       .tickets
       .insert(ticket, TicketState::Running { half, since: now });
@@ -283,13 +283,20 @@
     counts.waited += self.last_wait;
   }
 
-  fn enqueue(&mut self, lane: Lane, ticket: u64, half: usize, deadline: Instant, now: Instant) {
+  fn enqueue(
+    &mut self,
+    lane: Lane,
+    ticket: u64,
+    priority: Priority,
+    deadline: Instant,
+    now: Instant,
+  ) {
     self.tickets.insert(ticket, TicketState::Queued { lane });
     self.queue.push(
       lane,
       QueuedCall {
         ticket,
-        half,
+        priority,
         queued: now,
         deadline,
       },
@@ -306,8 +313,8 @@
     );
   }
 
-  fn expected_wait(&self, lane: Lane) -> Duration {
-    let ahead = self.queue.ahead(lane) as f64;
+  fn expected_wait(&self, lane: Lane, priority: Priority) -> Duration {
+    let ahead = self.queue.ahead(lane, priority) as f64;
     self.capacity().map_or(Duration::ZERO, |capacity| {
       Duration::from_secs_f64(ahead / capacity)
     })
--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -35,6 +35,10 @@
   pub(super) const fn class(self) -> usize {
     self.0 / LANES_PER_CLASS
   }
+
+  const fn is_shared(self) -> bool {
+    self.class() == CLASSES - 1
+  }
 }
 
 /// Order in which queued calls of equal importance start.
@@ -78,13 +82,14 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct QueuedCall {
   pub(super) ticket: u64,
-  /// Half class, as counted by [`Priority::half_index`].
-  pub(super) half: usize,
+  pub(super) priority: Priority,
   pub(super) queued: Instant,
   pub(super) deadline: Instant,
 }
 
-/// Priority queue with two lanes for each class. The gate bounds its length.
+/// Priority queue with two lanes for each rank. The gate bounds its length.
+///
+/// Classes may share the last rank, so that its lanes are ordered by priority.
 #[derive(Debug)]
 pub(super) struct Queue {
   lanes: Vec<VecDeque<QueuedCall>>,
@@ -132,16 +137,34 @@
   }
 
   /// Queued calls that would start before one that arrives in `lane` now.
-  pub(super) fn ahead(&self, lane: Lane) -> usize {
+  pub(super) fn ahead(&self, lane: Lane, priority: Priority) -> usize {
     let above = self.lanes[..lane.0].iter().map(VecDeque::len).sum();
+    if lane.is_shared() {
+      return above + self.started_before(lane, priority);
+    }
     match self.order {
       QueueOrder::OldestFirst => above + self.lanes[lane.0].len(),
       QueueOrder::NewestFirst => above,
     }
   }
 
+  /// Calls of a shared lane that start before one with this priority that arrives now.
+  fn started_before(&self, lane: Lane, priority: Priority) -> usize {
+    let calls = self.lanes[lane.0].iter().map(|call| call.priority);
+    match self.order {
+      QueueOrder::OldestFirst => calls.filter(|other| *other <= priority).count(),
+      QueueOrder::NewestFirst => calls.filter(|other| *other < priority).count(),
+    }
+  }
+
   pub(super) fn push(&mut self, lane: Lane, call: QueuedCall) {
-    self.lanes[lane.0].push_back(call);
+    let calls = self.lanes[lane.0].len();
+    let index = match self.order {
+      _ if !lane.is_shared() => calls,
+      QueueOrder::OldestFirst => self.started_before(lane, call.priority),
+      QueueOrder::NewestFirst => calls - self.started_before(lane, call.priority),
+    };
+    self.lanes[lane.0].insert(index, call);
     self.occupied |= 1 << lane.0;
     self.len += 1;
   }
@@ -158,16 +181,27 @@
     Some((first, call?))
   }
 
-  /// Removes the call that would start last, if its lane is less important than `lane`.
-  pub(super) fn evict_below(&mut self, lane: Lane) -> Option<(Lane, QueuedCall)> {
+  /// Removes the call that would start last, if it is less important than one with `priority` in
+  /// `lane`.
+  pub(super) fn evict_below(
+    &mut self,
+    lane: Lane,
+    priority: Priority,
+  ) -> Option<(Lane, QueuedCall)> {
     if self.occupied == 0 {
       return None;
     }
     let last = Lane(self.occupied.ilog2() as usize);
-    if last <= lane {
+    let calls = &mut self.lanes[last.0];
+    let end = match self.order {
+      QueueOrder::OldestFirst => calls.back(),
+      QueueOrder::NewestFirst => calls.front(),
+    };
+    let in_lane = last == lane && lane.is_shared();
+    if last <= lane && !(in_lane && end.is_some_and(|call| call.priority > priority)) {
       return None;
     }
-    let lane = &mut self.lanes[last.0];
+    let lane = calls;
     let call = match self.order {
       QueueOrder::OldestFirst => lane.pop_back(),
       QueueOrder::NewestFirst => lane.pop_front(),
--- a/crates/decisions/tests/gate.rs
+++ b/crates/decisions/tests/gate.rs
@@ -305,3 +305,32 @@
   assert_eq!((counts.not_run(), nested.mean_wait()), (4, ms(150)));
   assert_eq!(gate.take_counts(), GateCounts::default());
 }
+
+/// Guards against a class that waits for, or is dropped for, a less important one with which it
+/// shares the last rank.
+#[test]
+fn classes_of_a_shared_rank_start_in_order() {
+  let mut now = Instant::now();
+  let mut gate = gate(1, 2, Duration::ZERO, now);
+  let class = |sub_level: u16| Priority(31 << 8 | sub_level);
+  let deadline = now + MINUTE;
+  assert_eq!(gate.offer(1, class(10), deadline, now), OfferOutcome::Start);
+  let queued = OfferOutcome::Queued { evicted: None };
+  assert_eq!(gate.offer(2, class(200), deadline, now), queued);
+  assert_eq!(gate.offer(3, class(100), deadline, now), queued);
+  assert_eq!(
+    gate.offer(4, class(50), deadline, now),
+    OfferOutcome::Queued { evicted: Some(2) }
+  );
+  assert_eq!(
+    gate.offer(5, class(100), deadline, now),
+    OfferOutcome::Refused(NotRunReason::QueueFull)
+  );
+  let mut started = Vec::new();
+  for running in [1, 4] {
+    now += ms(1);
+    gate.finish(running, Completion::Succeeded, now);
+    gate.poll(now, &mut started);
+  }
+  assert_eq!(started, [GateAction::Start(4), GateAction::Start(3)]);
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -28,6 +28,7 @@
 mod report;
 mod request_id;
 mod route;
+mod sub_levels;
 mod units;
 
 pub use answer::Answer;
@@ -54,4 +55,5 @@
 pub use report::Report;
 pub use request_id::{RequestId, SpanId};
 pub use route::{Backend, Route};
+pub use sub_levels::SubLevels;
 pub use units::{ByteSize, Connections, RequestRate, Retries, Slots, UnitError};
--- a/crates/model/src/priority.rs
+++ b/crates/model/src/priority.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{ClassRank, RequestId},
+  crate::{ClassRank, RequestId, SubLevels},
   serde::{Deserialize, Serialize},
   std::fmt::{self, Display, Formatter},
 };
@@ -20,6 +20,12 @@
     Self(u16::from(rank.0) << 8 | u16::from(root.sub_level()))
   }
 
+  /// Priority of a root request whose class uses part of the sub-levels of its rank.
+  pub fn within(rank: ClassRank, sub_levels: SubLevels, root: RequestId) -> Self {
+    let sub_level = sub_levels.pick(root.sub_level());
+    Self(u16::from(rank.0) << 8 | u16::from(sub_level))
+  }
+
   /// Priority of a root request in the first half of its class, which is shed after the second
   /// half.
   pub fn first_half(rank: ClassRank, root: RequestId) -> Self {
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{ClassName, ClassRank, HostName, Retries, RouteName, ServiceName},
+  crate::{ClassName, ClassRank, HostName, Retries, RouteName, ServiceName, SubLevels},
   http::Method,
   serde::{Deserialize, Serialize},
   std::time::Duration,
@@ -32,6 +32,8 @@
   pub class: ClassName,
   /// Rank of the class.
   pub rank: ClassRank,
+  /// Sub-levels of the rank that the class uses.
+  pub sub_levels: SubLevels,
   /// The request may run more than once.
   pub idempotent: bool,
   /// Time allowed for a root request.
