End requests whose caller leaves while further bytes wait on its connection

What callers saw: nothing, they had left.

Cause: the HTTP library notices the end of a connection by reading, and reads nothing while a request is handled and further bytes wait in its buffer.

Ruled out: the cancellation on its way to the upstream, which is the same for single requests; those ended at once.

Change: Departure waits for the socket's own report of its end, which needs no read. It acts only when the last read brought bytes; while the library waits for bytes it notices the end itself. Nothing is read ahead, and back pressure stays. The stream of a caller is split into its halves, so that both the library and the watch can use it.

Tests: the six cases of work_ends_when_the_caller_leaves failed before. waiting_requests_are_answered_in_order guards what must stay.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,7 +1,7 @@
 use {
   crate::{
-    CallHandler, CallerRequest, CheckedBody, Limits, Refusal, ReturnedStream, TimeoutStream,
-    answer_response, failure_response, linger,
+    CallHandler, CallerRequest, CheckedBody, Departure, Limits, Refusal, ReturnedHalf,
+    TimeoutStream, answer_response, failure_response, linger,
   },
   bytes::Bytes,
   cactusyoke_model::full_body,
@@ -102,8 +102,16 @@
 ) where
   S: HttpService<Incoming, ResBody = CheckedBody, Error = Infallible>,
 {
-  let returned = ReturnedStream::default();
-  let io = TimeoutStream::new(stream, limits.idle, Arc::clone(&returned));
+  let (read, write) = stream.into_split();
+  let write = Arc::new(write);
+  let (returned, departure) = (ReturnedHalf::default(), Arc::new(Departure::default()));
+  let io = TimeoutStream::new(
+    read,
+    Arc::clone(&write),
+    Arc::clone(&departure),
+    limits.idle,
+    Arc::clone(&returned),
+  );
   let mut builder = Builder::new();
   builder
     .timer(TokioTimer::new())
@@ -113,17 +121,27 @@
     builder.max_headers(limits.headers);
   }
   let connection = builder.serve_connection(TokioIo::new(io), service);
-  let unfinished = match serve_until_shutdown(connection, shutdown).await {
+  let served = select! {
+    biased;
+    served = serve_until_shutdown(connection, shutdown) => served,
+    () = departure.wait(write.as_ref().as_ref()) => {
+      tracing::debug!("caller connection ended before its last request was read");
+      Ok(())
+    }
+  };
+  let unfinished = match served {
     Ok(()) => unread.load(Ordering::Relaxed),
     Err(error) => {
       tracing::debug!(%error, "caller connection ended");
       error.is_parse()
     }
   };
-  let stream = returned
+  let read = returned
     .lock()
     .expect("no thread panics while it holds the lock")
     .take();
+  let halves = read.zip(Arc::into_inner(write));
+  let stream = halves.and_then(|(read, write)| read.reunite(write).ok());
   if let Some(stream) = stream.filter(|_stream| unfinished) {
     linger(stream).await;
   }
--- /dev/null
+++ b/crates/http/src/departure.rs
@@ -0,0 +1,50 @@
+use {
+  std::{
+    future::poll_fn,
+    pin::pin,
+    sync::atomic::{AtomicBool, Ordering},
+    task::{Poll, ready},
+  },
+  tokio::{io::Interest, net::TcpStream},
+};
+
+/// Detects that a caller has closed its connection while bytes that it sent still wait there.
+///
+/// The HTTP server reads nothing while a request is handled and further bytes wait, so that it would
+/// reach the end of the connection only after them. The socket reports the end without a read.
+#[derive(Debug, Default)]
+pub(crate) struct Departure {
+  /// The last read brought bytes, so that the server need not be waiting for more.
+  unwatched: AtomicBool,
+}
+
+impl Departure {
+  /// Records whether a read brought bytes. Otherwise the server waits for them, and notices the end
+  /// of the connection itself.
+  pub(crate) fn record_read(&self, bytes: bool) {
+    self.unwatched.store(bytes, Ordering::Relaxed);
+  }
+
+  /// Waits until the caller has closed its connection, or its writing half, without the server
+  /// noticing it. Must be polled by the task that serves the connection, after the server.
+  pub(crate) async fn wait(&self, stream: &TcpStream) {
+    // Of the events of this interest, the end of the stream is the only one that callers cause.
+    let mut closing = pin!(stream.ready(Interest::PRIORITY));
+    let (mut ended, mut closed) = (false, false);
+    poll_fn(|cx| {
+      if !ended {
+        match ready!(closing.as_mut().poll(cx)) {
+          Ok(ready) => closed = ready.is_read_closed(),
+          Err(error) => tracing::debug!(%error, "cannot watch a caller connection"),
+        }
+        ended = true;
+      }
+      if closed && self.unwatched.load(Ordering::Relaxed) {
+        Poll::Ready(())
+      } else {
+        Poll::Pending
+      }
+    })
+    .await;
+  }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_request;
 mod checked_body;
 mod connection;
+mod departure;
 mod failure_response;
 mod header_names;
 mod hop_headers;
@@ -35,9 +36,10 @@
   acceptor::Acceptor,
   answer_response::answer_response,
   connection::Connection,
+  departure::Departure,
   failure_response::failure_response,
   linger::linger,
   received_body::ReceivedBody,
   stall_timer::StallTimer,
-  timeout_stream::{ReturnedStream, TimeoutStream},
+  timeout_stream::{ReturnedHalf, TimeoutStream},
 };
--- a/crates/http/src/timeout_stream.rs
+++ b/crates/http/src/timeout_stream.rs
@@ -1,7 +1,9 @@
 use {
-  crate::StallTimer,
+  crate::{Departure, StallTimer},
+  socket2::SockRef,
   std::{
     io,
+    net::Shutdown,
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll, ready},
@@ -9,51 +11,66 @@
   },
   tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{
+      TcpStream,
+      tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
   },
 };
 
-/// Receives the stream of a connection when the connection is dropped.
-pub(crate) type ReturnedStream = Arc<Mutex<Option<TcpStream>>>;
+/// Receives the read half of a connection when the connection is dropped.
+pub(crate) type ReturnedHalf = Arc<Mutex<Option<OwnedReadHalf>>>;
 
 /// TCP stream whose writes fail when the peer stops reading for too long.
 #[derive(Debug)]
 pub(crate) struct TimeoutStream {
   /// `None` only in the destructor.
-  stream: Option<TcpStream>,
+  read: Option<OwnedReadHalf>,
+  write: Arc<OwnedWriteHalf>,
+  departure: Arc<Departure>,
   stall_timer: StallTimer,
-  returned: ReturnedStream,
+  returned: ReturnedHalf,
 }
 
 impl TimeoutStream {
-  pub(crate) const fn new(stream: TcpStream, limit: Duration, returned: ReturnedStream) -> Self {
+  pub(crate) const fn new(
+    read: OwnedReadHalf,
+    write: Arc<OwnedWriteHalf>,
+    departure: Arc<Departure>,
+    limit: Duration,
+    returned: ReturnedHalf,
+  ) -> Self {
     Self {
-      stream: Some(stream),
+      read: Some(read),
+      write,
+      departure,
       stall_timer: StallTimer::new(limit),
       returned,
     }
   }
 
-  fn stream(&mut self) -> Pin<&mut TcpStream> {
-    Pin::new(
-      self
-        .stream
-        .as_mut()
-        .expect("the stream is taken only by the destructor"),
-    )
-  }
-
-  /// Result of a write; an error when the peer has stalled for too long.
-  fn check_write(
+  /// Writes, or fails when the peer has stalled for too long.
+  fn write(
     &mut self,
     cx: &mut Context<'_>,
-    result: Poll<io::Result<usize>>,
+    write: impl Fn(&TcpStream) -> io::Result<usize>,
   ) -> Poll<io::Result<usize>> {
-    if let Poll::Ready(result) = result {
-      if let Ok(bytes) = result {
-        self.stall_timer.record_transfer(bytes);
+    let stream = self.write.as_ref().as_ref();
+    loop {
+      let result = write(stream);
+      match result {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+        Err(error) => return Poll::Ready(Err(error)),
+        Ok(bytes) => {
+          self.stall_timer.record_transfer(bytes);
+          return Poll::Ready(Ok(bytes));
+        }
+      }
+      match stream.poll_write_ready(cx) {
+        Poll::Ready(Ok(())) => {}
+        Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+        Poll::Pending => break,
       }
-      return Poll::Ready(result);
     }
     ready!(self.stall_timer.poll_expired(cx));
     Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
@@ -66,15 +83,23 @@
     cx: &mut Context<'_>,
     buf: &mut ReadBuf<'_>,
   ) -> Poll<io::Result<()>> {
-    self.get_mut().stream().poll_read(cx, buf)
+    let this = self.get_mut();
+    let before = buf.filled().len();
+    let read = this
+      .read
+      .as_mut()
+      .expect("the half is taken only by the destructor");
+    let result = Pin::new(read).poll_read(cx, buf);
+    this
+      .departure
+      .record_read(matches!(result, Poll::Ready(Ok(()))) && buf.filled().len() > before);
+    result
   }
 }
 
 impl AsyncWrite for TimeoutStream {
   fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-    let this = self.get_mut();
-    let result = this.stream().poll_write(cx, buf);
-    this.check_write(cx, result)
+    self.get_mut().write(cx, |stream| stream.try_write(buf))
   }
 
   fn poll_write_vectored(
@@ -82,24 +107,23 @@
     cx: &mut Context<'_>,
     bufs: &[io::IoSlice<'_>],
   ) -> Poll<io::Result<usize>> {
-    let this = self.get_mut();
-    let result = this.stream().poll_write_vectored(cx, bufs);
-    this.check_write(cx, result)
+    self
+      .get_mut()
+      .write(cx, |stream| stream.try_write_vectored(bufs))
   }
 
   fn is_write_vectored(&self) -> bool {
-    self
-      .stream
-      .as_ref()
-      .is_some_and(TcpStream::is_write_vectored)
+    true
   }
 
-  fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-    self.get_mut().stream().poll_flush(cx)
+  fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    // A TCP stream has no buffer of its own.
+    Poll::Ready(Ok(()))
   }
 
-  fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-    self.get_mut().stream().poll_shutdown(cx)
+  fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    let stream: &TcpStream = self.write.as_ref().as_ref();
+    Poll::Ready(SockRef::from(stream).shutdown(Shutdown::Write))
   }
 }
 
@@ -108,6 +132,6 @@
     *self
       .returned
       .lock()
-      .expect("no thread panics while it holds the lock") = self.stream.take();
+      .expect("no thread panics while it holds the lock") = self.read.take();
   }
 }
