--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -16,7 +16,10 @@
   cactusyoke_nodes::MembersView,
   std::{
     fmt,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
+    sync::{
+      Arc, Mutex, MutexGuard, PoisonError,
+      atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
   },
   tokio::{
@@ -57,8 +60,10 @@
   pub(crate) clock: Arc<dyn Clock>,
   /// Sender of the value of this node's entry; `None` once the node leaves.
   entry: Mutex<Option<watch::Sender<Bytes>>>,
-  /// Notified when the store has no entry of this node.
+  /// Notified when the store has no entry of this node, or one of another writer.
   removed: Arc<Notify>,
+  /// Version of this node's last write of its entry.
+  written: Arc<AtomicU64>,
   key: String,
   /// Whether the last call to the store succeeded.
   pub(crate) reachable: AtomicBool,
@@ -92,6 +97,7 @@
     let key = directory_entry::key(&own);
     let (entry, value) = watch::channel(directory_entry::encode(&own));
     let removed = Arc::<Notify>::default();
+    let registration = Registration::new(Arc::clone(&store), key.clone(), ENTRY_TTL);
     let directory = Arc::new(Self {
       view: ArcSwap::from_pointee(MembersView::new(own.clone(), Vec::new(), Vec::new())),
       choice: Mutex::new(SourceChoice::new(own.node, clock.now())),
@@ -100,7 +106,8 @@
       clock,
       entry: Mutex::new(Some(entry)),
       removed: Arc::clone(&removed),
-      key: key.clone(),
+      written: registration.latest_version(),
+      key,
       reachable: AtomicBool::new(true),
       watcher,
       known: watch::Sender::default(),
@@ -109,7 +116,6 @@
       followers: Mutex::default(),
     });
     directory.publish();
-    let registration = Registration::new(Arc::clone(&store), key, ENTRY_TTL);
     let registration = tokio::spawn(async move {
       let mut value = value;
       // Nearly all entries are written only once if the upstream announces itself first.
@@ -240,13 +246,20 @@
 
   /// Changes the cache and publishes the result.
   pub(crate) fn update_cache(&self, change: impl FnOnce(&mut DirectoryCache) -> bool) {
-    let own = lock(&self.own).0.node;
+    let own = lock(&self.own).0.clone();
     let mut cache = lock(&self.cache);
-    let listed = cache.is_listed(own);
+    let listed = cache.is_listed(own.node);
     let changed = change(&mut cache);
-    let removed = listed && !cache.is_listed(own);
+    let removed = listed && !cache.is_listed(own.node);
+    let stored = cache.record(own.node).map(|stored| {
+      let version = stored.version;
+      (version, *stored == MemberRecord { version, ..own })
+    });
     let version = cache.version();
     drop(cache);
+    if let Some((version, current)) = stored {
+      self.check_replaced(version, current);
+    }
     if removed {
       self.removed.notify_one();
     }
@@ -260,6 +273,21 @@
     });
   }
 
+  /// Key of the entry of this node.
+  pub(crate) fn key(&self) -> &str {
+    &self.key
+  }
+
+  /// Has the entry of this node written again if another writer replaced it: it has a version above
+  /// that of the last own write, and not the `current` value.
+  pub(crate) fn check_replaced(&self, version: u64, current: bool) {
+    let written = self.written.load(Ordering::SeqCst);
+    if written > 0 && version > written && !current {
+      tracing::warn!(event = "entry_replaced", key = self.key, version);
+      self.removed.notify_one();
+    }
+  }
+
   pub(crate) fn view(&self) -> Arc<MembersView> {
     self.view.load_full()
   }
--- a/crates/cactusyoke/src/directory_entry.rs
+++ b/crates/cactusyoke/src/directory_entry.rs
@@ -51,13 +51,22 @@
   parse_key(key).map(|(_, node)| node)
 }
 
-/// Record in an item of the store; `None` for other items and unreadable entries.
+/// Record in an item of the store; `None` for other items, and for entries that are unreadable or
+/// cannot be used.
 pub(crate) fn read(item: &Item) -> Option<MemberRecord> {
-  let (data_centre, node) = parse_key(&item.key)?;
-  let Ok(entry) = postcard::from_bytes::<Entry>(&item.value) else {
-    tracing::warn!(event = "entry_unreadable", key = item.key);
+  if !item.key.starts_with(KEY_PREFIX) {
     return None;
-  };
+  }
+  let record = parse(item).filter(MemberRecord::is_usable);
+  if record.is_none() {
+    tracing::warn!(event = "entry_unreadable", key = item.key);
+  }
+  record
+}
+
+fn parse(item: &Item) -> Option<MemberRecord> {
+  let (data_centre, node) = parse_key(&item.key)?;
+  let entry = postcard::from_bytes::<Entry>(&item.value).ok()?;
   Some(MemberRecord {
     node,
     incarnation: entry.incarnation,
--- a/crates/cactusyoke/src/directory_feed.rs
+++ b/crates/cactusyoke/src/directory_feed.rs
@@ -16,7 +16,11 @@
       self.offer_document(&item.value);
       return None;
     }
-    directory_entry::read(item)
+    let record = directory_entry::read(item);
+    if record.is_none() && item.key == self.key() {
+      self.check_replaced(item.version, false);
+    }
+    record
   }
 
   /// Offers the operator's document to the watcher. An invalid document changes nothing.
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -5,7 +5,7 @@
 
 use {
   super::common::{NodeProcess, eventually},
-  cactusyoke_platform::{document, header_names},
+  cactusyoke_platform::{document, header_names, heartbeats},
   cactusyoke_standins::{
     Addresses,
     platform::{Entry, Platform},
@@ -14,6 +14,7 @@
   },
   http::{Method, Request},
   std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::atomic::{AtomicU64, Ordering},
     time::Duration,
@@ -23,6 +24,14 @@
 /// Configuration document of the operator.
 pub const DOCUMENT: &str = include_str!("../../../../platform/fixtures/document.json");
 
+/// What a node knows of another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+  pub service: String,
+  pub state: String,
+  pub slots: Option<u64>,
+}
+
 /// Nodes, each beside an upstream of the same service.
 #[derive(Debug)]
 pub struct Site {
@@ -134,17 +143,38 @@
 
   /// Number of upstreams that serve, as far as the node knows.
   async fn serving(&self, node: usize) -> usize {
+    let members = self.members(node).await;
+    let serving = members.values().filter(|member| member.state == "serving");
+    serving.count()
+  }
+
+  /// Members that the node knows, by address; empty when it does not answer.
+  pub async fn members(&self, node: usize) -> BTreeMap<String, Member> {
     let request = Request::get("/status").body(cactusyoke_model::empty_body());
     let request = request.expect("the request is correct");
     let got = self.client.exchange(self.at(node, 7105), request).await;
     let Ok(got) = got else {
-      return 0;
+      return BTreeMap::new();
     };
     let status = serde_json::from_str::<serde_json::Value>(got.text());
     let status = status.expect("the status is JSON");
     let members = status["members"].as_array().expect("a list of members");
-    let serving = members.iter().filter(|member| member["state"] == "serving");
-    serving.count()
+    let text =
+      |member: &serde_json::Value, name: &str| member[name].as_str().unwrap_or_default().to_owned();
+    let members = members.iter().map(|member| {
+      let known = Member {
+        service: text(member, "service"),
+        state: text(member, "state"),
+        slots: member["slots"].as_u64(),
+      };
+      (text(member, "node"), known)
+    });
+    members.collect()
+  }
+
+  /// Address at which other nodes reach the node.
+  pub fn node_address(&self, node: usize) -> SocketAddr {
+    self.at(node, 7101)
   }
 
   /// True when the node reports to the platform that it is ready for clients.
@@ -185,6 +215,16 @@
     self.send_within(node, method, path, body, deadline).await
   }
 
+  /// Sends a heartbeat to a node, with the address of its upstream in place of `ADDRESS`.
+  pub async fn heartbeat(&self, node: usize, id: &str, body: &str) -> Option<u16> {
+    let body = body.replace("ADDRESS", &self.at(node, 7106).to_string());
+    let request = Request::post(format!("{}{id}", heartbeats::HEARTBEAT_PATH))
+      .body(cactusyoke_model::full_body(body))
+      .expect("the request is correct");
+    let got = self.client.exchange(self.at(node, 7104), request).await;
+    got.ok().map(|got| got.status.as_u16())
+  }
+
   /// Sends an idempotent request through a node for whose answer the client waits a given time.
   pub async fn get_within(
     &self,
--- a/crates/configuration/src/registration.rs
+++ b/crates/configuration/src/registration.rs
@@ -3,7 +3,13 @@
 use {
   crate::{Expect, LeaseId, LeaseStore, StoreError, feed::backoff},
   bytes::Bytes,
-  std::{sync::Arc, time::Duration},
+  std::{
+    sync::{
+      Arc,
+      atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+  },
   tokio::{
     sync::{Notify, watch},
     time::{Instant, sleep, sleep_until},
@@ -17,7 +23,7 @@
 const COALESCING_WAIT: Duration = Duration::from_millis(100);
 
 /// Key under a lease. It is rewritten when its value changes, when its lease has ended because the
-/// process was paused or disconnected, and when another writer has removed it.
+/// process was paused or disconnected, and when another writer has removed or replaced it.
 #[derive(Debug)]
 pub struct Registration {
   store: Arc<dyn LeaseStore>,
@@ -26,6 +32,8 @@
   lease: Option<LeaseId>,
   /// Version of the key when last written or read; `None` if it has no value.
   version: Option<u64>,
+  /// Version of the last write; zero before the first.
+  latest: Arc<AtomicU64>,
   /// The current value is in the store, as far as is known.
   written: bool,
   renewed_at: Instant,
@@ -40,13 +48,20 @@
       ttl,
       lease: None,
       version: None,
+      latest: Arc::default(),
       written: false,
       renewed_at: Instant::now(),
     }
   }
 
+  /// Version of the last write of this process; zero before the first.
+  pub fn latest_version(&self) -> Arc<AtomicU64> {
+    Arc::clone(&self.latest)
+  }
+
   /// Keeps the key in the store until the sender of `value` is dropped, then removes it. The caller
-  /// notifies `removed` when it sees that the key is gone from the store.
+  /// notifies `removed` when it sees that the key is gone from the store, or has the value of another
+  /// writer.
   pub async fn run(mut self, mut value: watch::Receiver<Bytes>, removed: Arc<Notify>) {
     let mut failures = 0_u32;
     loop {
@@ -102,6 +117,7 @@
     match self.store.put_leased(&self.key, value, expect, lease).await {
       Ok(version) => {
         self.version = Some(version);
+        self.latest.store(version, Ordering::SeqCst);
         self.written = true;
         Ok(())
       }
--- a/crates/decisions/src/membership/directory_cache.rs
+++ b/crates/decisions/src/membership/directory_cache.rs
@@ -64,8 +64,17 @@
     entry.is_some_and(|entry| entry.unlisted.is_none())
   }
 
+  /// Record of a node, unlisted ones included.
+  pub fn record(&self, node: NodeId) -> Option<&MemberRecord> {
+    self.entries.get(&node).map(|entry| &entry.record)
+  }
+
   /// Adds or updates a node from its entry in the directory; false when the members stay the same.
+  /// A record that cannot be used changes nothing.
   pub fn put(&mut self, record: MemberRecord, version: u64, now: Instant) -> bool {
+    if !record.is_usable() {
+      return false;
+    }
     let node = record.node;
     let Some(entry) = self.entries.get_mut(&node) else {
       let entry = Entry {
--- a/crates/decisions/src/membership/member_record.rs
+++ b/crates/decisions/src/membership/member_record.rs
@@ -1,8 +1,13 @@
 use {
   cactusyoke_model::{Connections, DataCentre, Incarnation, NodeId, ServiceName, Slots},
   serde::{Deserialize, Serialize},
+  std::net::IpAddr,
 };
 
+/// Slots and connections that no upstream exceeds. Larger numbers would draw all calls.
+const MAX_SLOTS: u32 = 1_000_000;
+const MAX_CONNECTIONS: u32 = 10_000_000;
+
 /// State of a node's upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum UpstreamState {
@@ -64,6 +69,16 @@
 }
 
 impl MemberRecord {
+  /// True when other nodes can use the record: its node can have the address, and its upstream the
+  /// slots and connections.
+  pub fn is_usable(&self) -> bool {
+    let ip = self.node.0.ip();
+    let broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    let address =
+      self.node.0.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !broadcast;
+    address && self.slots.0 <= MAX_SLOTS && self.connections.0 <= MAX_CONNECTIONS
+  }
+
   /// Record of a node without an upstream.
   pub fn new(node: NodeId, incarnation: Incarnation, data_centre: DataCentre) -> Self {
     let upstream = UpstreamInfo::default();
