Tell large uploads that crash upstreams from others to their path

Cause: fingerprints cover the first 64 KiB of a body, but of a body with a larger declared length none was read. All large uploads to a path had one fingerprint, and each that completed cleared the suspicion.

Ruled out: the count of crashes; with 20,000 bytes the same client is refused from the fourth time on.

Change: the node beside the upstream reads the start of each body before it admits the request, and the fingerprint covers exactly 64 KiB, however the body is divided into frames.

--- a/crates/cactusyoke/src/buffered_body.rs
+++ b/crates/cactusyoke/src/buffered_body.rs
@@ -37,7 +37,7 @@
 impl BufferedBody {
   /// Reads the first bytes of a body; the whole of it when it is small, and none of it when its
   /// declared length is over the limit.
-  pub(crate) async fn read(mut body: Body) -> Result<Self, BodyError> {
+  pub(crate) async fn read(body: Body) -> Result<Self, BodyError> {
     if body.is_end_stream() {
       return Ok(Self {
         prefix: Bytes::new(),
@@ -52,6 +52,11 @@
         rest: Rest::Stream(body),
       });
     }
+    Self::read_start(body).await
+  }
+
+  /// Reads the first bytes of a body, whatever its length.
+  pub(crate) async fn read_start(mut body: Body) -> Result<Self, BodyError> {
     let mut first = Bytes::new();
     let mut prefix = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -93,9 +98,10 @@
     matches!(self.rest, Rest::Empty)
   }
 
-  /// First bytes of the body.
-  pub(crate) fn prefix(&self) -> &Bytes {
-    &self.prefix
+  /// First 64 KiB of the body, as far as they were read; the same for each copy of the body,
+  /// however it is divided into frames.
+  pub(crate) fn start(&self) -> &[u8] {
+    &self.prefix[..self.prefix.len().min(MAX_BUFFERED_BYTES)]
   }
 
   /// Body for the next attempt; `None` when an earlier one has taken its stream.
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -46,15 +46,17 @@
   /// Runs a call on the local upstream, after the checks of quarantine, admission and key.
   pub(crate) async fn run_locally(self: &Arc<Self>, call: Call) -> Result<Answer, CallFailure> {
     let Call { head, body } = call;
-    let mut body = BufferedBody::read(body)
+    let mut buffered = BufferedBody::read_start(body)
       .await
       .map_err(|_error| CallFailure::not_run(NotRunReason::Cancelled))?;
     let fingerprint = Fingerprint::head(head.method.as_str(), &head.path);
-    let fingerprint = fingerprint.with_body(body.prefix());
+    let fingerprint = fingerprint.with_body(buffered.start());
     let admitted = self.admit(&head, fingerprint).await?;
-    let body = body
+    let body = buffered
       .body()
       .ok_or(CallFailure::not_run(NotRunReason::Connection))?;
+    // Held no longer than the body needs it.
+    drop(buffered);
     let call = Call { head, body };
     if call.head.key.is_some() {
       return self.run_keyed(call, fingerprint, admitted).await;
--- a/crates/cactusyoke/tests/outcomes.rs
+++ b/crates/cactusyoke/tests/outcomes.rs
@@ -330,6 +330,56 @@
   }
 }
 
+/// Upload of `length` bytes that all have the value `byte`.
+fn upload(tag: &str, byte: u8, length: usize) -> Request<cactusyoke_model::Body> {
+  let request = Request::put("/front/upload").header("x-request-tag", tag);
+  request
+    .body(full_body(vec![byte; length]))
+    .expect("the request is correct")
+}
+
+// Guards against a large upload that crashes one upstream after the other, because others to the same
+// path complete, and against refusing those others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_poison_upload_is_told_from_others_to_its_path() {
+  const LENGTH: usize = 100_000;
+  let mut cluster = cluster(Duration::from_millis(5)).await;
+  for upstream in &cluster.upstreams {
+    upstream.faults().set_poison_tag(Some("poison"));
+  }
+  let mut crashes = 0;
+  let mut reported = Vec::new();
+  for attempt in 0..12 {
+    let received = cluster.send(attempt % 3, upload("poison", 1, LENGTH)).await;
+    reported.push(outcome(&received));
+    for upstream in &mut cluster.upstreams {
+      if upstream.is_crashed() {
+        crashes += 1;
+        upstream.restart().await.expect("its port is free");
+      }
+    }
+    let others = (0..6).map(|number| {
+      let cluster = &cluster;
+      async move {
+        let tag = format!("other-{attempt}-{number}");
+        let received = cluster.send(number % 3, upload(&tag, 2, LENGTH)).await;
+        outcome(&received)
+      }
+    });
+    let others = join_all(others).await;
+    let refused = others.iter().filter(|other| other.contains("quarantined"));
+    assert_eq!(refused.count(), 0, "{others:?}");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+  }
+  assert!(crashes <= 3, "{crashes} crashes: {reported:?}");
+  assert!(
+    reported[8..]
+      .iter()
+      .all(|reported| reported == "not-run quarantined"),
+    "{reported:?}"
+  );
+}
+
 // Guards against ordinary requests that wait one for the other, or are refused, after crashes that
 // none of them causes.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standins/src/upstream/faults.rs
+++ b/crates/standins/src/upstream/faults.rs
@@ -9,6 +9,7 @@
 #[derive(Debug, Default)]
 struct Overrides {
   poison_path: Option<String>,
+  poison_tag: Option<String>,
   health: Option<bool>,
   load: Option<u32>,
 }
@@ -61,6 +62,11 @@
     self.overrides().poison_path = path.map(str::to_owned);
   }
 
+  /// Sets the tag of the request that crashes the stand-in.
+  pub fn set_poison_tag(&self, tag: Option<&str>) {
+    self.overrides().poison_tag = tag.map(str::to_owned);
+  }
+
   /// Stops answering on the connections that are open now, for ever; new connections work.
   pub fn silence_connections(&self) {
     let next = self.next_number.load(Ordering::SeqCst);
@@ -85,8 +91,10 @@
     self.fail_fast.load(Ordering::SeqCst)
   }
 
-  pub(crate) fn is_poison(&self, path: &str) -> bool {
-    self.overrides().poison_path.as_deref() == Some(path)
+  pub(crate) fn is_poison(&self, path: &str, tag: Option<&str>) -> bool {
+    let overrides = self.overrides();
+    let tagged = tag.is_some() && overrides.poison_tag.as_deref() == tag;
+    tagged || overrides.poison_path.as_deref() == Some(path)
   }
 
   pub(crate) fn next_connection(&self) -> u64 {
--- a/crates/standins/src/upstream/server.rs
+++ b/crates/standins/src/upstream/server.rs
@@ -1,5 +1,5 @@
 use {
-  crate::upstream::request_handler::RequestHandler,
+  crate::upstream::{TAG_HEADER, request_handler::RequestHandler},
   hyper::{server::conn::http1::Builder, service::service_fn},
   hyper_util::rt::{TokioIo, TokioTimer},
   std::{convert::Infallible, future::pending, sync::Arc, time::Instant},
@@ -48,7 +48,9 @@
     }
     let this = &self;
     let service = service_fn(|request: http::Request<hyper::body::Incoming>| async move {
-      if this.handler.faults.is_poison(request.uri().path()) {
+      let tag = request.headers().get(TAG_HEADER);
+      let tag = tag.and_then(|tag| tag.to_str().ok());
+      if this.handler.faults.is_poison(request.uri().path(), tag) {
         this.handler.record_start(&request);
         this.crash.cancel();
         pending::<()>().await;
