--- a/crates/decisions/src/load/queue.rs
+++ b/crates/decisions/src/load/queue.rs
@@ -1,6 +1,7 @@
 use {
   cactusyoke_model::{ClassRank, Priority},
   std::{
+    cmp::Ordering,
     collections::VecDeque,
     time::{Duration, Instant},
   },
@@ -36,6 +37,7 @@
     self.0 / LANES_PER_CLASS
   }
 
+  /// True for a lane of the last rank, which several classes may share.
   const fn is_shared(self) -> bool {
     self.class() == CLASSES - 1
   }
@@ -197,14 +199,17 @@
       QueueOrder::OldestFirst => calls.back(),
       QueueOrder::NewestFirst => calls.front(),
     };
-    let in_lane = last == lane && lane.is_shared();
-    if last <= lane && !(in_lane && end.is_some_and(|call| call.priority > priority)) {
+    let below = match last.cmp(&lane) {
+      Ordering::Greater => true,
+      Ordering::Equal => lane.is_shared() && end.is_some_and(|call| call.priority > priority),
+      Ordering::Less => false,
+    };
+    if !below {
       return None;
     }
-    let lane = calls;
     let call = match self.order {
-      QueueOrder::OldestFirst => lane.pop_back(),
-      QueueOrder::NewestFirst => lane.pop_front(),
+      QueueOrder::OldestFirst => calls.pop_back(),
+      QueueOrder::NewestFirst => calls.pop_front(),
     };
     self.count_removed(last, call.is_some().into());
     Some((last, call?))
--- a/crates/http/src/departure.rs
+++ b/crates/http/src/departure.rs
@@ -14,7 +14,8 @@
 /// reach the end of the connection only after them. The socket reports the end without a read.
 #[derive(Debug, Default)]
 pub(crate) struct Departure {
-  /// The last read brought bytes, so that the server need not be waiting for more.
+  /// The last read brought bytes. The server need not be waiting for more, and may not notice the
+  /// end of the connection.
   unwatched: AtomicBool,
 }
 
@@ -28,7 +29,7 @@
   /// Waits until the caller has closed its connection, or its writing half, without the server
   /// noticing it. Must be polled by the task that serves the connection, after the server.
   pub(crate) async fn wait(&self, stream: &TcpStream) {
-    // Of the events of this interest, the end of the stream is the only one that callers cause.
+    // Unlike `READABLE`, this interest is not met by bytes that wait, but by the end of the stream.
     let mut closing = pin!(stream.ready(Interest::PRIORITY));
     let (mut ended, mut closed) = (false, false);
     poll_fn(|cx| {
