--- a/crates/callers/tests/departures.rs
+++ b/crates/callers/tests/departures.rs
@@ -18,6 +18,9 @@
   yare::parameterized,
 };
 
+/// Time after a caller has left within which the work on its requests ends.
+const LIMIT: Duration = Duration::from_millis(500);
+
 /// Work on a request; reports its end when dropped.
 struct Work(UnboundedSender<String>);
 
@@ -91,7 +94,7 @@
     End::CloseWhileAnswerStreams => drop(read_until(&mut stream, "part").await),
   }
   drop(stream);
-  let ended = timeout(Duration::from_secs(3), events.recv()).await;
+  let ended = timeout(LIMIT, events.recv()).await;
   assert_eq!(ended.expect("the work ends").as_deref(), Some("ended"));
   sleep(Duration::from_millis(50)).await;
   events.try_recv().expect_err("no further request begins");
