Use one bound, one formula and one early return in place of copies

Slots::MAX and Announcement::MAX_COLD_START serve heartbeats and entries, which had copies of them. Priority::new is Priority::within with all sub-levels. A request without a body is again not read at all before its fingerprint is taken: the early return had stayed in BufferedBody::read alone. Departure::wait awaits the report of the socket instead of keeping two flags of its own. Whether an entry differs is decided where both are known. The stand-in reads tags with header_text.

--- a/crates/cactusyoke/src/buffered_body.rs
+++ b/crates/cactusyoke/src/buffered_body.rs
@@ -38,13 +38,6 @@
   /// Reads the first bytes of a body; the whole of it when it is small, and none of it when its
   /// declared length is over the limit.
   pub(crate) async fn read(body: Body) -> Result<Self, BodyError> {
-    if body.is_end_stream() {
-      return Ok(Self {
-        prefix: Bytes::new(),
-        trailers: None,
-        rest: Rest::Empty,
-      });
-    }
     if body.size_hint().lower() > MAX_BUFFERED_BYTES as u64 {
       return Ok(Self {
         prefix: Bytes::new(),
@@ -57,6 +50,13 @@
 
   /// Reads the first bytes of a body, whatever its length.
   pub(crate) async fn read_start(mut body: Body) -> Result<Self, BodyError> {
+    if body.is_end_stream() {
+      return Ok(Self {
+        prefix: Bytes::new(),
+        trailers: None,
+        rest: Rest::Empty,
+      });
+    }
     let mut first = Bytes::new();
     let mut prefix = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -251,14 +251,15 @@
     let listed = cache.is_listed(own.node);
     let changed = change(&mut cache);
     let removed = listed && !cache.is_listed(own.node);
-    let stored = cache.record(own.node).map(|stored| {
-      let version = stored.version;
-      (version, *stored == MemberRecord { version, ..own })
+    let stored = cache.record(own.node);
+    let other = stored.map(|stored| stored.version).filter(|version| {
+      let version = *version;
+      stored != Some(&MemberRecord { version, ..own })
     });
     let version = cache.version();
     drop(cache);
-    if let Some((version, current)) = stored {
-      self.check_replaced(version, current);
+    if let Some(version) = other {
+      self.restore_entry(version);
     }
     if removed {
       self.removed.notify_one();
@@ -278,11 +279,11 @@
     &self.key
   }
 
-  /// Has the entry of this node written again if another writer replaced it: it has a version above
-  /// that of the last own write, and not the `current` value.
-  pub(crate) fn check_replaced(&self, version: u64, current: bool) {
+  /// Has the entry of this node written again, which has another value at `version`. A version up to
+  /// that of the last own write is older, not that of another writer.
+  pub(crate) fn restore_entry(&self, version: u64) {
     let written = self.written.load(Ordering::SeqCst);
-    if written > 0 && version > written && !current {
+    if written > 0 && version > written {
       tracing::warn!(event = "entry_replaced", key = self.key, version);
       self.removed.notify_one();
     }
--- a/crates/cactusyoke/src/directory_feed.rs
+++ b/crates/cactusyoke/src/directory_feed.rs
@@ -18,7 +18,7 @@
     }
     let record = directory_entry::read(item);
     if record.is_none() && item.key == self.key() {
-      self.check_replaced(item.version, false);
+      self.restore_entry(item.version);
     }
     record
   }
--- a/crates/decisions/src/membership/member_record.rs
+++ b/crates/decisions/src/membership/member_record.rs
@@ -4,8 +4,7 @@
   std::net::IpAddr,
 };
 
-/// Slots and connections that no upstream exceeds. Larger numbers would draw all calls.
-const MAX_SLOTS: u32 = 1_000_000;
+/// Connections that no upstream exceeds.
 const MAX_CONNECTIONS: u32 = 10_000_000;
 
 /// State of a node's upstream.
@@ -76,7 +75,7 @@
     let broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
     let address =
       self.node.0.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !broadcast;
-    address && self.slots.0 <= MAX_SLOTS && self.connections.0 <= MAX_CONNECTIONS
+    address && self.slots <= Slots::MAX && self.connections.0 <= MAX_CONNECTIONS
   }
 
   /// Record of a node without an upstream.
--- a/crates/http/src/departure.rs
+++ b/crates/http/src/departure.rs
@@ -1,9 +1,8 @@
 use {
   std::{
-    future::poll_fn,
-    pin::pin,
+    future::{pending, poll_fn},
     sync::atomic::{AtomicBool, Ordering},
-    task::{Poll, ready},
+    task::Poll,
   },
   tokio::{io::Interest, net::TcpStream},
 };
@@ -30,17 +29,17 @@
   /// noticing it. Must be polled by the task that serves the connection, after the server.
   pub(crate) async fn wait(&self, stream: &TcpStream) {
     // Unlike `READABLE`, this interest is not met by bytes that wait, but by the end of the stream.
-    let mut closing = pin!(stream.ready(Interest::PRIORITY));
-    let (mut ended, mut closed) = (false, false);
-    poll_fn(|cx| {
-      if !ended {
-        match ready!(closing.as_mut().poll(cx)) {
-          Ok(ready) => closed = ready.is_read_closed(),
-          Err(error) => tracing::debug!(%error, "cannot watch a caller connection"),
-        }
-        ended = true;
+    match stream.ready(Interest::PRIORITY).await {
+      Ok(ready) if ready.is_read_closed() => {}
+      Ok(_other) => pending().await,
+      Err(error) => {
+        tracing::debug!(%error, "cannot watch a caller connection");
+        pending::<()>().await;
       }
-      if closed && self.unwatched.load(Ordering::Relaxed) {
+    }
+    // Polled again with the server, whose next read may notice the end.
+    poll_fn(|_cx| {
+      if self.unwatched.load(Ordering::Relaxed) {
         Poll::Ready(())
       } else {
         Poll::Pending
--- a/crates/model/src/priority.rs
+++ b/crates/model/src/priority.rs
@@ -17,7 +17,7 @@
 impl Priority {
   /// Priority of a root request within a class.
   pub fn new(rank: ClassRank, root: RequestId) -> Self {
-    Self(u16::from(rank.0) << 8 | u16::from(root.sub_level()))
+    Self::within(rank, SubLevels::ALL, root)
   }
 
   /// Priority of a root request whose class uses part of the sub-levels of its rank.
--- a/crates/model/src/units.rs
+++ b/crates/model/src/units.rs
@@ -60,6 +60,11 @@
   Retries(u16), "a number of retries: use a whole number up to 65535"
 }
 
+impl Slots {
+  /// More slots than any upstream has. A larger number would draw all calls to it.
+  pub const MAX: Self = Self(1_000_000);
+}
+
 impl Retries {
   /// No retries.
   pub const ZERO: Self = Self(0);
--- a/crates/standins/src/upstream/faults.rs
+++ b/crates/standins/src/upstream/faults.rs
@@ -91,10 +91,9 @@
     self.fail_fast.load(Ordering::SeqCst)
   }
 
-  pub(crate) fn is_poison(&self, path: &str, tag: Option<&str>) -> bool {
+  pub(crate) fn is_poison(&self, path: &str, tag: &str) -> bool {
     let overrides = self.overrides();
-    let tagged = tag.is_some() && overrides.poison_tag.as_deref() == tag;
-    tagged || overrides.poison_path.as_deref() == Some(path)
+    overrides.poison_path.as_deref() == Some(path) || overrides.poison_tag.as_deref() == Some(tag)
   }
 
   pub(crate) fn next_connection(&self) -> u64 {
--- a/crates/standins/src/upstream/request_handler.rs
+++ b/crates/standins/src/upstream/request_handler.rs
@@ -229,7 +229,7 @@
   response
 }
 
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
   let value = headers.get(name);
   value
     .and_then(|value| value.to_str().ok())
--- a/crates/standins/src/upstream/server.rs
+++ b/crates/standins/src/upstream/server.rs
@@ -1,5 +1,8 @@
 use {
-  crate::upstream::{TAG_HEADER, request_handler::RequestHandler},
+  crate::upstream::{
+    TAG_HEADER,
+    request_handler::{RequestHandler, header_text},
+  },
   hyper::{server::conn::http1::Builder, service::service_fn},
   hyper_util::rt::{TokioIo, TokioTimer},
   std::{convert::Infallible, future::pending, sync::Arc, time::Instant},
@@ -48,8 +51,7 @@
     }
     let this = &self;
     let service = service_fn(|request: http::Request<hyper::body::Incoming>| async move {
-      let tag = request.headers().get(TAG_HEADER);
-      let tag = tag.and_then(|tag| tag.to_str().ok());
+      let tag = header_text(request.headers(), TAG_HEADER);
       if this.handler.faults.is_poison(request.uri().path(), tag) {
         this.handler.record_start(&request);
         this.crash.cancel();
--- a/crates/upstreams/src/announce/announcement.rs
+++ b/crates/upstreams/src/announce/announcement.rs
@@ -32,6 +32,9 @@
 }
 
 impl Announcement {
+  /// Longest accepted cold start.
+  pub const MAX_COLD_START: Duration = Duration::from_millis(MAX_COLD_START_MS);
+
   /// True when both announcements come from the same process.
   pub fn is_same_process(&self, other: &Self) -> bool {
     self.service == other.service
