--- a/crates/cactusyoke/tests/odd_entries.rs
+++ b/crates/cactusyoke/tests/odd_entries.rs
@@ -6,7 +6,7 @@
 
 use {
   common::eventually,
-  platform_support::Site,
+  platform_support::{CHANGE_LIMIT, Site},
   std::time::Duration,
   tokio::time::{Instant, sleep},
   yare::parameterized,
@@ -15,9 +15,6 @@
 /// Time for which requests are sent while the entry stays.
 const STAY: Duration = Duration::from_secs(2);
 
-/// Time within which a change must be in force everywhere.
-const CHANGE_LIMIT: Duration = Duration::from_secs(4);
-
 /// Lines that a node may write about one entry.
 const MAX_LINES: usize = 5;
 
--- a/crates/cactusyoke/tests/platform.rs
+++ b/crates/cactusyoke/tests/platform.rs
@@ -8,7 +8,7 @@
   cactusyoke_platform::{document, header_names},
   cactusyoke_standins::{platform::Outage, platform_upstream::AnswerMode},
   common::eventually,
-  platform_support::{DOCUMENT, Site},
+  platform_support::{CHANGE_LIMIT, DOCUMENT, Site},
   rustix::process::Signal,
   std::time::{Duration, Instant},
   yare::parameterized,
@@ -17,9 +17,6 @@
 /// Running time of requests on upstreams that answer at once.
 const NO_WORK: Duration = Duration::ZERO;
 
-/// Time within which a change must be in force everywhere.
-const CHANGE_LIMIT: Duration = Duration::from_secs(4);
-
 /// Time after the signal to stop within which a node of [`Site`] has to end.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(6);
 
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -21,6 +21,9 @@
   },
 };
 
+/// Time within which a change must be in force everywhere.
+pub const CHANGE_LIMIT: Duration = Duration::from_secs(4);
+
 /// Configuration document of the operator.
 pub const DOCUMENT: &str = include_str!("../../../../platform/fixtures/document.json");
 
--- a/crates/upstreams/tests/support/mod.rs
+++ b/crates/upstreams/tests/support/mod.rs
@@ -14,6 +14,7 @@
     announce::Announcement,
   },
   http::{HeaderMap, Method, Request},
+  http_body_util::BodyExt,
   std::{
     net::{Ipv4Addr, SocketAddr},
     sync::{
@@ -23,8 +24,9 @@
     time::{Duration, Instant},
   },
   tokio::{
-    io::AsyncReadExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    time::sleep,
   },
   tokio_util::sync::CancellationToken,
 };
@@ -201,3 +203,25 @@
   }
   String::from_utf8_lossy(&head).into_owned()
 }
+
+/// Whole answer.
+pub const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Answers each request after `pause`, until the connection is closed.
+pub async fn answer_all(stream: &mut TcpStream, pause: Duration) {
+  while !read_head(stream).await.is_empty() {
+    sleep(pause).await;
+    if stream.write_all(OK).await.is_err() {
+      return;
+    }
+  }
+}
+
+/// Sends a `GET` call and reads its answer, which must be [`OK`].
+pub async fn run(upstream: &Upstream, path: &str) -> Result<(), CallFailure> {
+  let (call, context) = get(path);
+  let Answer { body, .. } = upstream.call(call, context).await?;
+  let body = body.collect().await.expect("a whole body");
+  assert_eq!(body.to_bytes(), "ok");
+  Ok(())
+}
