--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -29,6 +29,7 @@
 mod request_id;
 mod route;
 mod sub_levels;
+mod tenant;
 mod units;
 
 pub use answer::Answer;
@@ -56,4 +57,5 @@
 pub use request_id::{RequestId, SpanId};
 pub use route::{Backend, Route};
 pub use sub_levels::SubLevels;
+pub use tenant::{TenantName, TenantNameError, UsageCap};
 pub use units::{ByteSize, Connections, RequestRate, Retries, Slots, UnitError};
--- a/crates/model/src/units.rs
+++ b/crates/model/src/units.rs
@@ -142,9 +142,13 @@
 }
 
 /// Requests per second; finite and not negative. Text form: a decimal number.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
 pub struct RequestRate(f64);
 
+/// Holds since a rate is finite.
+impl Eq for RequestRate {}
+
 impl RequestRate {
   /// Requests per second.
   pub const fn per_second(self) -> f64 {
@@ -158,15 +162,37 @@
   }
 }
 
+impl TryFrom<f64> for RequestRate {
+  type Error = UnitError;
+
+  fn try_from(rate: f64) -> Result<Self, Self::Error> {
+    if rate.is_finite() && rate >= 0.0 {
+      Ok(Self(rate))
+    } else {
+      Err(rate_error(&rate.to_string()))
+    }
+  }
+}
+
+impl From<RequestRate> for f64 {
+  fn from(rate: RequestRate) -> Self {
+    rate.0
+  }
+}
+
 impl FromStr for RequestRate {
   type Err = UnitError;
 
   fn from_str(s: &str) -> Result<Self, Self::Err> {
     let rate = s.parse::<f64>().ok();
     let valid = rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
-    valid.map(Self).ok_or_else(|| UnitError {
-      text: s.into(),
-      expected: "a rate: use a decimal number of requests per second, such as `30.5`",
-    })
+    valid.map(Self).ok_or_else(|| rate_error(s))
+  }
+}
+
+fn rate_error(text: &str) -> UnitError {
+  UnitError {
+    text: text.into(),
+    expected: "a rate: use a decimal number of requests per second, such as `30.5`",
   }
 }
