--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -5,6 +5,7 @@
 
 use {
   super::common::{NodeProcess, eventually},
+  cactusyoke_model::Body,
   cactusyoke_platform::{document, header_names, heartbeats},
   cactusyoke_standins::{
     Addresses,
@@ -207,6 +208,14 @@
     self.send(node, Method::POST, "/charge/a", body).await
   }
 
+  /// Sends a non-idempotent request with a long body through a node.
+  pub async fn upload(&self, node: usize, body: Body) -> Result<ReceivedResponse, ClientError> {
+    let deadline = Duration::from_millis(1500);
+    self
+      .send_body(node, Method::POST, "/charge/a", body, deadline)
+      .await
+  }
+
   async fn send(
     &self,
     node: usize,
@@ -257,6 +266,18 @@
     path: &str,
     body: &'static str,
     deadline: Duration,
+  ) -> Result<ReceivedResponse, ClientError> {
+    let body = cactusyoke_model::full_body(body);
+    self.send_body(node, method, path, body, deadline).await
+  }
+
+  async fn send_body(
+    &self,
+    node: usize,
+    method: Method,
+    path: &str,
+    body: Body,
+    deadline: Duration,
   ) -> Result<ReceivedResponse, ClientError> {
     let names = header_names();
     let number = self.requests.fetch_add(1, Ordering::SeqCst);
@@ -267,7 +288,7 @@
       .header(&names.request_id, format!("request{number}"))
       .header(&names.deadline, deadline.as_millis().to_string())
       .header(&names.origin, "what the client says")
-      .body(cactusyoke_model::full_body(body))
+      .body(body)
       .expect("the request is correct");
     self.client.exchange(self.at(node, 7103), request).await
   }
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -8,15 +8,15 @@
     INSTANCE_HEADER, header_names,
     heartbeats::{HEARTBEAT_PATH, Heartbeat, LEAVE_PATH, State},
   },
-  http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
+  http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode},
   http_body_util::{BodyExt, Full},
   hyper::{
     body::Incoming, client::conn::http1::handshake, server::conn::http1, service::service_fn,
   },
   hyper_util::rt::TokioIo,
+  socket2::{SockRef, Socket},
   std::{
-    convert::Infallible,
-    io,
+    io::{self, Write},
     net::SocketAddr,
     sync::{
       Arc, Mutex, MutexGuard, PoisonError,
@@ -37,6 +37,9 @@
 /// Timeout for the acknowledgement of a heartbeat.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Path of the health check.
+const HEALTH_PATH: &str = "/healthz";
+
 /// Kind of answer to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AnswerMode {
@@ -52,6 +55,9 @@
   Refusal,
   /// 503 without the header that says that the request was not run.
   UnavailableWithoutRefusedHeader,
+  /// Success without a length, of whose body only a part is sent before the connection is reset. The
+  /// body of the request is not read.
+  Reset,
 }
 
 /// Request received by the stand-in.
@@ -204,7 +210,7 @@
   }
 
   async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    if request.uri().path() == "/healthz" {
+    if request.uri().path() == HEALTH_PATH {
       return self.health();
     }
     let mut response = self.run(request).await;
@@ -248,7 +254,7 @@
         respond(StatusCode::SERVICE_UNAVAILABLE, &id, false)
       }
       AnswerMode::Unmarked => respond(StatusCode::OK, &id, false),
-      AnswerMode::Valid | AnswerMode::WrongId => {
+      AnswerMode::Valid | AnswerMode::WrongId | AnswerMode::Reset => {
         let time = *lock(&self.service_time);
         sleep(time).await;
         respond(StatusCode::OK, &id, true)
@@ -256,6 +262,24 @@
     }
   }
 
+  /// Answers a request in mode [`AnswerMode::Reset`]; the connection is reset when it is closed.
+  fn reset(&self, request: &Request<Incoming>, mut socket: &Socket) -> io::Result<()> {
+    let names = header_names();
+    let id = request.headers().get(&names.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let mark = names.success_mark.as_ref().map_or("x", HeaderName::as_str);
+    let answer = format!(
+      "HTTP/1.1 200 OK\r\n{}: {id}\r\n{mark}: 3e1b.07\r\n\r\na part of the",
+      names.request_id
+    );
+    lock(&self.requests).push(ReceivedRequest {
+      path: request.uri().path().to_owned(),
+      headers: request.headers().clone(),
+    });
+    socket.write_all(answer.as_bytes())?;
+    socket.set_linger(Some(Duration::ZERO))
+  }
+
   fn health(&self) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     if self.draining.load(Ordering::SeqCst) {
@@ -289,8 +313,21 @@
     let shared = Arc::clone(&shared);
     let stop = shared.stop.clone();
     let connection = async move {
-      let service =
-        service_fn(|request| async { Ok::<_, Infallible>(shared.answer(request).await) });
+      let socket = match SockRef::from(&stream).try_clone() {
+        Ok(socket) => socket,
+        Err(error) => {
+          tracing::debug!(%error, "stand-in connection not served");
+          return;
+        }
+      };
+      let service = service_fn(|request| async {
+        let resets = *lock(&shared.answer_mode) == AnswerMode::Reset;
+        if resets && request.uri().path() != HEALTH_PATH {
+          shared.reset(&request, &socket)?;
+          return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok::<_, io::Error>(shared.answer(request).await)
+      });
       let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
       if let Err(error) = served.await {
         tracing::debug!(%error, "stand-in connection ended");
--- a/crates/upstreams/tests/faulty_answers.rs
+++ b/crates/upstreams/tests/faulty_answers.rs
@@ -3,10 +3,7 @@
 mod support;
 
 use {
-  cactusyoke_http::HeaderNames,
-  cactusyoke_model::{Call, CallFailure, Context, NotRunReason, UnknownReason},
-  cactusyoke_upstreams::{Upstream, UpstreamConfig},
-  http::{HeaderName, HeaderValue},
+  cactusyoke_model::{CallFailure, NotRunReason, UnknownReason},
   http_body_util::BodyExt,
   std::{
     sync::{
@@ -15,7 +12,7 @@
     },
     time::Duration,
   },
-  support::{client_config, get, raw_upstream, read_head, serving_view},
+  support::{marking_names, named_upstream, raw_upstream, read_head, with_id},
   tokio::{
     io::AsyncWriteExt,
     time::{sleep, timeout},
@@ -26,30 +23,6 @@
 /// Time limit of one call.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 
-/// Names with a mark on successful answers, as on the users' platform.
-fn marking_names() -> &'static HeaderNames {
-  Box::leak(Box::new(HeaderNames {
-    success_mark: Some(HeaderName::from_static("mark")),
-    ..HeaderNames::native().clone()
-  }))
-}
-
-fn upstream(address: std::net::SocketAddr, names: &'static HeaderNames) -> Upstream {
-  let (config, _lost) = client_config(serving_view(address, 10));
-  Upstream::new(UpstreamConfig {
-    header_names: names,
-    ..config
-  })
-}
-
-/// Non-idempotent call with this id.
-fn with_id(id: &'static str, names: &HeaderNames) -> (Call, Context) {
-  let (mut call, context) = get("/");
-  let id = HeaderValue::from_static(id);
-  call.head.headers.insert(&names.request_id, id);
-  (call, context)
-}
-
 /// Guards against `not run` for a request that the upstream runs, because it wrote its earlier refusal
 /// once more: that of another request, that of the same request, or one that names none.
 #[parameterized(
@@ -85,7 +58,7 @@
     }
   })
   .await;
-  let upstream = upstream(address, names);
+  let upstream = named_upstream(address, names);
   let (call, context) = with_id(first, names);
   let refused = upstream.call(call, context).await.expect_err("refused");
   assert_eq!(refused, CallFailure::not_run(NotRunReason::Refused));
@@ -117,7 +90,7 @@
       drop(stream.write_all(&head.as_bytes()[..end]).await);
     })
     .await;
-    let upstream = upstream(address, names);
+    let upstream = named_upstream(address, names);
     if reused {
       let (call, context) = with_id("one", names);
       let answer = upstream.call(call, context).await.expect("an answer");
@@ -152,7 +125,7 @@
     stream.write_all(answer.as_bytes()).await.expect("sent");
   })
   .await;
-  let upstream = upstream(address, names);
+  let upstream = named_upstream(address, names);
   let (call, context) = with_id("one", names);
   let answer = upstream.call(call, context).await.expect("a head");
   answer.body.collect().await.expect_err("a truncated body");
--- a/crates/upstreams/tests/support/mod.rs
+++ b/crates/upstreams/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 use {
   cactusyoke_callers::{CallHandler, CallerRequest, Limits, serve},
+  cactusyoke_http::HeaderNames,
   cactusyoke_model::{
     Answer, Body, Call, CallFailure, CallHead, ClassRank, Connections, Context, Priority, Repeat,
     RequestId, Retries, ServiceName, Slots, SpanId, empty_body,
@@ -13,7 +14,7 @@
     Hints, LostConnection, Phase, Upstream, UpstreamConfig, UpstreamView, ViewHandle,
     announce::Announcement,
   },
-  http::{HeaderMap, Method, Request},
+  http::{HeaderMap, HeaderName, HeaderValue, Method, Request},
   http_body_util::BodyExt,
   std::{
     net::{Ipv4Addr, SocketAddr},
@@ -109,6 +110,31 @@
   call(Method::GET, path, empty_body(), Duration::from_mins(1))
 }
 
+/// Names with a mark on successful answers, as on the users' platform.
+pub fn marking_names() -> &'static HeaderNames {
+  Box::leak(Box::new(HeaderNames {
+    success_mark: Some(HeaderName::from_static("mark")),
+    ..HeaderNames::native().clone()
+  }))
+}
+
+/// Upstream client that uses these names.
+pub fn named_upstream(address: SocketAddr, names: &'static HeaderNames) -> Upstream {
+  let (config, _lost) = client_config(serving_view(address, 10));
+  Upstream::new(UpstreamConfig {
+    header_names: names,
+    ..config
+  })
+}
+
+/// Non-idempotent call with this id.
+pub fn with_id(id: &'static str, names: &HeaderNames) -> (Call, Context) {
+  let (mut call, context) = get("/");
+  let id = HeaderValue::from_static(id);
+  call.head.headers.insert(&names.request_id, id);
+  (call, context)
+}
+
 /// Handler that forwards every request to the upstream.
 #[derive(Debug)]
 pub struct Forward(pub Upstream);
@@ -225,3 +251,12 @@
   assert_eq!(body.to_bytes(), "ok");
   Ok(())
 }
+
+/// Closes the connection with a reset, also when nothing is left to read.
+pub fn reset(stream: TcpStream) {
+  let stream = stream.into_std().expect("a registered socket");
+  let linger = Some(Duration::ZERO);
+  socket2::SockRef::from(&stream)
+    .set_linger(linger)
+    .expect("an open socket");
+}
