Reject answers that are malformed or cut off, wherever answers are read

Cause of the answers taken for complete: TrackedIo hides a failed write, so that an early answer can still be read. The failed write takes the pending error from the socket, the next read sees an orderly end, and hyper takes a body without a length as complete. The same happened when an upstream ended the connection in order before it had the whole upload. TcpLiveness sets options only and takes no error.

Change: the end of the stream is an error for TrackedIo while the request is not sent whole (body ended and flushed) and after a failed write. Complete answers with a length or in chunks are not affected, since hyper does not read on after their end. HeadScanner finds what hyper hides: a length beside a coding, and more than 100 interim answers. A refusal that is cut off is an unknown outcome.

--- a/crates/http/src/checked_body.rs
+++ b/crates/http/src/checked_body.rs
@@ -22,6 +22,8 @@
   /// Chunk that completes the declared length.
   held: Option<Bytes>,
   trailers: Option<HeaderMap>,
+  /// The inner body has ended, which not every body tells by `is_end_stream`.
+  ended: bool,
 }
 
 impl CheckedBody {
@@ -32,6 +34,7 @@
       left: length,
       held: None,
       trailers: None,
+      ended: false,
     }
   }
 
@@ -45,6 +48,7 @@
 
   /// Yields what was held back until the end, and checks that nothing is missing.
   fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+    self.ended = true;
     if let Some(data) = self.held.take() {
       return Some(Ok(Frame::data(data)));
     }
@@ -66,7 +70,7 @@
   ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
     let this = self.get_mut();
     loop {
-      if this.trailers.is_some() || this.inner.is_end_stream() {
+      if this.ended || this.trailers.is_some() || this.inner.is_end_stream() {
         return Poll::Ready(this.end());
       }
       let frame = match ready!(Pin::new(&mut this.inner).poll_frame(cx)) {
@@ -99,7 +103,7 @@
   }
 
   fn is_end_stream(&self) -> bool {
-    self.inner.is_end_stream()
+    (self.ended || self.inner.is_end_stream())
       && self.left.is_none_or(|left| left == 0)
       && self.held.is_none()
       && self.trailers.is_none()
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Clock`] or as an argument.
 
 mod answer;
+mod answer_head;
 mod body;
 mod bottleneck;
 mod call;
@@ -33,6 +34,7 @@
 mod units;
 
 pub use answer::Answer;
+pub use answer_head::{AnswerHeadError, check_answer_head};
 pub use body::{Body, BodyError, empty_body, full_body};
 pub use bottleneck::Bottleneck;
 pub use call::{Call, CallHead, Repeat};
--- a/crates/nodes/src/wire/heads.rs
+++ b/crates/nodes/src/wire/heads.rs
@@ -5,7 +5,7 @@
   crate::Hop,
   cactusyoke_model::{
     CallHead, DataCentre, IdempotencyKey, Incarnation, NodeId, Priority, Repeat, Report, RequestId,
-    Retries,
+    Retries, check_answer_head,
   },
   http::{HeaderMap, Method, StatusCode},
   serde::{Deserialize, Serialize},
@@ -138,8 +138,10 @@
 }
 
 impl AnswerHead<'_> {
-  /// Validates the status.
+  /// Validates the status and the framing of the body.
   pub fn status(&self) -> Result<StatusCode, FrameError> {
-    StatusCode::from_u16(self.status).map_err(|_error| FrameError::Malformed)
+    let status = StatusCode::from_u16(self.status).map_err(|_error| FrameError::Malformed)?;
+    check_answer_head(status, &self.headers).map_err(|_error| FrameError::Malformed)?;
+    Ok(status)
   }
 }
--- a/crates/nodes/tests/wire.rs
+++ b/crates/nodes/tests/wire.rs
@@ -7,9 +7,10 @@
     AnswerHead, Frame, FrameError, Hello, MAX_DATA, MAX_FRAME, MAX_HEADERS, Open, Raw, ResetReason,
     VERSION, decode, encode, split,
   },
-  http::HeaderMap,
+  http::{HeaderMap, HeaderValue},
   proptest::{prelude::*, test_runner::FileFailurePersistence},
   std::{borrow::Cow, time::Instant},
+  yare::parameterized,
 };
 
 fn config() -> ProptestConfig {
@@ -23,7 +24,7 @@
 }
 
 fn headers(count: usize, value: &[u8]) -> HeaderMap {
-  let value = http::HeaderValue::from_bytes(value).unwrap_or(http::HeaderValue::from_static("v"));
+  let value = HeaderValue::from_bytes(value).unwrap_or(HeaderValue::from_static("v"));
   (0..count)
     .map(|n| {
       (
@@ -245,3 +246,70 @@
   assert_eq!(encode(&end, &mut out), Err(FrameError::Malformed));
   assert_eq!(out, [1]);
 }
+
+/// Guards against an answer of another node with a status or a length that no answer has.
+#[parameterized(
+  status_000 = { 0, &[], false },
+  status_099 = { 99, &[], false },
+  status_101 = { 101, &[], false },
+  status_200 = { 200, &[], true },
+  status_599 = { 599, &[], true },
+  status_600 = { 600, &[], false },
+  status_1000 = { 1000, &[], false },
+  equal_lengths = { 200, &["2", "2"], true },
+  differing_lengths = { 200, &["2", "3"], false },
+  signed_length = { 200, &["+2"], false },
+)]
+fn answer_heads_are_checked(status: u16, lengths: &[&str], accepted: bool) {
+  let mut headers = HeaderMap::new();
+  for length in lengths {
+    let value = HeaderValue::from_str(length).expect("a value");
+    headers.append(http::header::CONTENT_LENGTH, value);
+  }
+  let head = AnswerHead {
+    stream: 1,
+    end: false,
+    status,
+    headers: Cow::Owned(headers),
+    report: Report::IDLE,
+  };
+  assert_eq!(head.status().is_ok(), accepted);
+}
+
+/// Guards against a name or value that HTTP does not allow in the headers of an answer of another node.
+#[parameterized(
+  valid = { b"name", b"value", true },
+  blank_in_name = { b"na e", b"value", false },
+  control_in_name = { b"na\x01e", b"value", false },
+  colon_in_name = { b"na:e", b"value", false },
+  empty_name = { b"", b"value", false },
+  line_end_in_name = { b"na\ne", b"value", false },
+  control_in_value = { b"name", b"va\x01ue", false },
+  line_end_in_value = { b"name", b"va\nue", false },
+)]
+fn answer_headers_are_checked(name: &[u8], value: &[u8], accepted: bool) {
+  let mut headers = HeaderMap::new();
+  headers.insert("name", HeaderValue::from_static("value"));
+  let head = AnswerHead {
+    stream: 1,
+    end: true,
+    status: 200,
+    headers: Cow::Owned(headers),
+    report: Report::IDLE,
+  };
+  let mut out = Vec::new();
+  encode(&Frame::Answer(head), &mut out).expect("the frame fits");
+  let mut buffer = BytesMut::from(out.as_slice());
+  let mut encoded = split(&mut buffer)
+    .expect("a frame")
+    .expect("a whole frame")
+    .to_vec();
+  let field = b"\x04name\x05value";
+  let start = encoded
+    .windows(field.len())
+    .position(|bytes| bytes == field);
+  let start = start.expect("the field");
+  let changed = [&[name.len() as u8], name, &[value.len() as u8], value].concat();
+  encoded.splice(start..start + field.len(), changed);
+  assert_eq!(decode(&encoded).is_ok(), accepted);
+}
--- a/crates/operators/src/client.rs
+++ b/crates/operators/src/client.rs
@@ -6,7 +6,7 @@
     PresetView, PutRequest, QuarantineView, StatusView, Token, UseRequest,
   },
   bytes::Bytes,
-  cactusyoke_model::PresetName,
+  cactusyoke_model::{PresetName, check_answer_head},
   http::{
     Method, Request, Response,
     header::{AUTHORIZATION, CONNECTION, HOST},
@@ -164,9 +164,9 @@
       .map_err(|error| self.unreachable(&error))?;
     tokio::spawn(connection);
     let response = sender.send_request(request).await;
-    let (head, body) = response
-      .map_err(|error| self.send_error(&error))?
-      .into_parts();
+    let response = response.map_err(|error| self.send_error(&error))?;
+    check_answer_head(response.status(), response.headers()).map_err(|_error| self.bad_answer())?;
+    let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|_error| self.no_answer())?.to_bytes();
     Ok(Response::from_parts(head, body))
--- a/crates/upstreams/src/announce/probe.rs
+++ b/crates/upstreams/src/announce/probe.rs
@@ -6,7 +6,7 @@
     announce::{AnnounceMessage, Announcement, HealthCheck},
   },
   bytes::Bytes,
-  cactusyoke_model::Clock,
+  cactusyoke_model::{Clock, check_answer_head},
   http::{Request, StatusCode, header},
   http_body_util::{BodyExt, Empty, Limited},
   hyper::client::conn::http1::{SendRequest, handshake},
@@ -89,6 +89,7 @@
   let response = sender.send_request(request).await;
   driver.abort();
   let response = response.map_err(io::Error::other)?;
+  check_answer_head(response.status(), response.headers()).map_err(io::Error::other)?;
   let instance = response.headers().get(&check.instance_header);
   let instance = instance.and_then(|value| value.to_str().ok());
   Ok(response.status().is_success() && instance == announcement.instance.as_deref())
@@ -141,6 +142,7 @@
     .ok()?;
   let response = sender.send_request(request).await.ok()?;
   let status = response.status();
+  check_answer_head(status, response.headers()).ok()?;
   let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
   let body = body.collect().await.ok()?.to_bytes();
   Some((status, body))
--- a/crates/upstreams/src/call_exchange.rs
+++ b/crates/upstreams/src/call_exchange.rs
@@ -7,9 +7,10 @@
   cactusyoke_http::{CheckedBody, HeaderNames, remove_hop_headers},
   cactusyoke_model::{
     Answer, BodyError, CallFailure, CallHead, Context, NotRunReason, Report, SpanId, UnknownReason,
+    check_answer_head,
   },
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header},
-  http_body_util::{BodyExt, Limited},
+  http_body_util::{BodyExt, LengthLimitError, Limited},
   hyper::body::Incoming,
   std::{
     future::poll_fn,
@@ -117,29 +118,21 @@
   ) -> Result<Answer, CallFailure> {
     self.timer.record_progress();
     let names = self.names();
+    if let Err(error) = check_answer_head(response.status(), response.headers()) {
+      return Err(self.reject(response.status(), &error.to_string()));
+    }
     if !matches_request(names, id, &response) {
-      tracing::warn!(
-        event = "answer_rejected",
-        service = %self.head.service,
-        route = %self.head.route,
-        status = %response.status(),
-        reason = "it does not belong to the request",
-      );
-      return Err(CallFailure::unknown(UnknownReason::BadAnswer));
+      return Err(self.reject(response.status(), "it does not belong to the request"));
     }
     self.report_statements(response.headers(), sent_at);
     if is_refusal(names, &response) {
       return Err(self.read_refusal(response, id).await);
     }
     if !is_trusted(names, &response) {
-      tracing::warn!(
-        event = "answer_rejected",
-        service = %self.head.service,
-        route = %self.head.route,
-        status = %response.status(),
-        reason = "it has no mark of the upstream, is compressed, or has a status that is not accepted",
-      );
-      return Err(CallFailure::unknown(UnknownReason::BadAnswer));
+      return Err(self.reject(
+        response.status(),
+        "it has no mark of the upstream, is compressed, or has a status that is not accepted",
+      ));
     }
     self.update_keep_alive(response.headers());
     if names.success_mark.is_none() && !is_delimited(&self.head.method, &response) {
@@ -164,6 +157,18 @@
     })
   }
 
+  /// Logs why an answer is not used.
+  fn reject(&self, status: StatusCode, reason: &str) -> CallFailure {
+    tracing::warn!(
+      event = "answer_rejected",
+      service = %self.head.service,
+      route = %self.head.route,
+      %status,
+      reason,
+    );
+    CallFailure::unknown(UnknownReason::BadAnswer)
+  }
+
   /// Reports the rate of requests that the upstream states, and starts draining the upstream when it
   /// says that it is about to stop.
   fn report_statements(&self, headers: &HeaderMap, sent: Instant) {
@@ -186,15 +191,21 @@
     }
   }
 
-  /// Reads the body of a refusal, so that the connection can be reused.
+  /// Reads the body of a refusal, so that the connection can be reused. A refusal that is cut off is
+  /// none: its upstream is in trouble.
   async fn read_refusal(
     self,
     response: Response<Incoming>,
     id: Option<&HeaderValue>,
   ) -> CallFailure {
+    let status = response.status();
     let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
-    if matches!(timeout(REFUSAL_READ_TIMEOUT, body).await, Ok(Ok(_))) {
-      self.connection.release_refused(id);
+    match timeout(REFUSAL_READ_TIMEOUT, body).await {
+      Ok(Ok(_body)) => self.connection.release_refused(id),
+      Ok(Err(error)) if !error.is::<LengthLimitError>() => {
+        return self.reject(status, "it is a refusal that was cut off");
+      }
+      Ok(Err(_)) | Err(_) => {}
     }
     CallFailure::not_run(NotRunReason::Refused)
   }
@@ -250,7 +261,7 @@
       }
       None => {}
     }
-    if error.is_parse() {
+    if error.is_parse() || self.connection.state().is_malformed() {
       tracing::warn!(service = %self.head.service, %error, "answer rejected: not valid HTTP");
       return CallFailure::unknown(UnknownReason::BadAnswer);
     }
@@ -285,7 +296,7 @@
 }
 
 /// True when the answer may be passed on as the upstream's. Where upstreams mark their answers,
-/// this rejects successes without the mark, compressed and informational answers, and statuses
+/// this rejects successes without the mark, compressed answers, and statuses
 /// that say that the request was not run: only what [`is_refusal`] checks proves that.
 fn is_trusted(names: &HeaderNames, response: &Response<Incoming>) -> bool {
   let Some(mark) = &names.success_mark else {
@@ -298,25 +309,18 @@
   );
   let marked = response.headers().contains_key(mark) || !status.is_success();
   let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
-  marked && !not_run_status && !encoded && !status.is_informational()
+  marked && !not_run_status && !encoded
 }
 
 /// True when a complete answer can be distinguished from one truncated by a lost connection.
 fn is_delimited(method: &Method, response: &Response<Incoming>) -> bool {
   let status = response.status();
-  if status.is_informational() {
-    return false;
-  }
   let bodiless = *method == Method::HEAD
     || status == StatusCode::NO_CONTENT
     || status == StatusCode::NOT_MODIFIED;
   let headers = response.headers();
-  let chunked = headers
-    .get_all(header::TRANSFER_ENCODING)
-    .iter()
-    .next_back()
-    .and_then(|value| value.to_str().ok())
-    .and_then(|value| value.rsplit(',').next())
-    .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
-  bodiless || chunked || headers.contains_key(header::CONTENT_LENGTH)
+  // `check_answer_head` allows no coding but chunks.
+  bodiless
+    || headers.contains_key(header::TRANSFER_ENCODING)
+    || headers.contains_key(header::CONTENT_LENGTH)
 }
--- a/crates/upstreams/src/connection_state.rs
+++ b/crates/upstreams/src/connection_state.rs
@@ -18,6 +18,8 @@
 const SEALED: u8 = 1 << 2;
 /// Flag: the connection was closed at the deadline of its call.
 const EXPIRED: u8 = 1 << 3;
+/// Flag: the upstream sent a malformed answer.
+const MALFORMED: u8 = 1 << 4;
 
 /// Stored deadline while no call uses the connection.
 const NO_DEADLINE: u64 = u64::MAX;
@@ -97,6 +99,16 @@
     self.write_state.load(Ordering::SeqCst) & EXPIRED != 0
   }
 
+  /// Records that the upstream sent a malformed answer.
+  pub(crate) fn set_malformed(&self) {
+    self.write_state.fetch_or(MALFORMED, Ordering::SeqCst);
+  }
+
+  /// True when the upstream sent a malformed answer.
+  pub(crate) fn is_malformed(&self) -> bool {
+    self.write_state.load(Ordering::SeqCst) & MALFORMED != 0
+  }
+
   /// Starts a write; false when the connection is sealed and nothing may be written.
   pub(crate) fn begin_write(&self) -> bool {
     self.write_state.fetch_or(WRITING, Ordering::SeqCst) & SEALED == 0
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -11,6 +11,7 @@
 mod connection_state;
 mod driver;
 pub mod egress;
+mod head_scanner;
 mod hint;
 mod http_connection;
 mod loopback;
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -3,6 +3,7 @@
     ConnectionState, Driver, PooledConnection, SilenceDetector, TcpLiveness, TrackedIo,
     UpstreamConfig,
     announce::{Announcement, PROBE_TIMEOUT},
+    head_scanner::HeadScanner,
     http_connection::HttpConnection,
   },
   cactusyoke_model::{Connections, NotRunReason, Slots},
@@ -255,6 +256,8 @@
       state: Arc::clone(&state),
       liveness,
       write_failed: false,
+      flushed: true,
+      scanner: HeadScanner::default(),
     });
     let (sender, connection) = Builder::new()
       .max_buf_size(BUFFER_BYTES)
--- a/crates/upstreams/src/tracked_io.rs
+++ b/crates/upstreams/src/tracked_io.rs
@@ -1,10 +1,10 @@
 use {
-  crate::{ConnectionState, TcpLiveness},
+  crate::{ConnectionState, TcpLiveness, head_scanner::HeadScanner},
   std::{
     io,
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
   },
   tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -13,6 +13,11 @@
 };
 
 /// TCP stream that records reads and writes in [`ConnectionState`] and refuses writes once sealed.
+///
+/// The end of the stream is an error while the request is not sent: it delimits an answer without a
+/// length, and such an answer of an upstream that ended before it had the whole request cannot be told
+/// from a truncated one. The same holds after a failed write, which takes the error of the connection
+/// from the socket, so that a reset looks like an orderly end to the next read.
 #[derive(Debug)]
 pub(crate) struct TrackedIo {
   pub(crate) stream: TcpStream,
@@ -20,6 +25,9 @@
   pub(crate) liveness: TcpLiveness,
   /// A write failed after part of the request was written.
   pub(crate) write_failed: bool,
+  /// Everything that was to be written has been.
+  pub(crate) flushed: bool,
+  pub(crate) scanner: HeadScanner,
 }
 
 impl TrackedIo {
@@ -36,6 +44,10 @@
       return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
     }
     let first = !self.state.is_written();
+    if first {
+      self.scanner.begin();
+    }
+    self.flushed = false;
     let result = write(Pin::new(&mut self.stream), cx);
     let bytes = match &result {
       Poll::Ready(Ok(bytes)) => *bytes,
@@ -55,6 +67,27 @@
     }
     result
   }
+
+  /// True when all bytes of the current request have been passed to the system.
+  fn is_sent(&self) -> bool {
+    self.flushed && !self.write_failed && self.state.is_body_sent()
+  }
+
+  /// Checks what was read; `bytes` is empty at the end of the stream.
+  fn check_read(&mut self, bytes: &[u8]) -> io::Result<()> {
+    if bytes.is_empty() {
+      return if self.state.is_written() && !self.is_sent() {
+        Err(io::ErrorKind::ConnectionReset.into())
+      } else {
+        Ok(())
+      };
+    }
+    self.state.record_transfer();
+    self.scanner.scan(bytes).map_err(|error| {
+      self.state.set_malformed();
+      io::Error::new(io::ErrorKind::InvalidData, error)
+    })
+  }
 }
 
 impl AsyncRead for TrackedIo {
@@ -64,12 +97,12 @@
     buf: &mut ReadBuf<'_>,
   ) -> Poll<io::Result<()>> {
     let this = self.get_mut();
-    let before = buf.filled().len();
-    let result = Pin::new(&mut this.stream).poll_read(cx, buf);
-    if buf.filled().len() > before {
-      this.state.record_transfer();
+    if buf.remaining() == 0 {
+      return Poll::Ready(Ok(()));
     }
-    result
+    let before = buf.filled().len();
+    ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+    Poll::Ready(this.check_read(&buf.filled()[before..]))
   }
 }
 
@@ -95,7 +128,10 @@
   }
 
   fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-    Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    let this = self.get_mut();
+    // hyper flushes only when it has nothing left to write.
+    this.flushed = true;
+    Pin::new(&mut this.stream).poll_flush(cx)
   }
 
   fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/upstreams/tests/cut_answers.rs
+++ b/crates/upstreams/tests/cut_answers.rs
@@ -197,7 +197,8 @@
       Err(Failure::Call(CallFailure::NotRun { reason, .. })) => {
         panic!("call {number}: not run ({reason})")
       }
-      Err(Failure::Call(CallFailure::Unknown { .. }) | Failure::Body(_)) => {}
+      Err(Failure::Call(CallFailure::Unknown { .. })) => {}
+      Err(Failure::Body(error)) => assert_eq!(error, BodyError::ConnectionLost),
     }
   }
 }
--- a/crates/upstreams/tests/malformed_heads.rs
+++ b/crates/upstreams/tests/malformed_heads.rs
@@ -175,11 +175,9 @@
 #[test_macro(tokio::test)]
 async fn interim_answers_are_limited(count: usize, accepted: bool) {
   let names = marking_names();
-  let mut answer = "HTTP/1.1 102 Processing\r\n\r\n".repeat(count);
+  let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(count);
   let head = headers(false);
-  answer.push_str(&format!(
-    "HTTP/1.1 200 OK\r\n{head}content-length: 2\r\n\r\nok"
-  ));
+  let answer = format!("{interim}HTTP/1.1 200 OK\r\n{head}content-length: 2\r\n\r\nok");
   let address = upstream_writing(vec![answer.into_bytes()]).await;
   let got = call(&named_upstream(address, names), names).await;
   let expected = if accepted {
