Identify tenants by API keys

Keys of callers were not read: a route of a document with tenants ran every request, without the tenant's name for the upstream.

Presets have tenants with digests of keys, a class and a usage cap. The entry node finds the tenant of a root request by its `Authorization: Bearer KEY`, after the route, and answers 401 (`unknown-key`) without one, except on anonymous routes. Nested calls inherit the tenant of their parent. The class of a tenant replaces that of the route, so costs are kept by route and rank. Kept answers of idempotency keys are not given to another tenant. Metrics by tenant have at most 201 label values.

The message for an unknown field of a preset lists the two new fields.

--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -3,12 +3,12 @@
 use {
   crate::{
     Core, Interface, buffered_body::BufferedBody, dispatch::Dispatch, event_limiter::Verdict,
-    parents::Parent, send_policy::SendPolicy,
+    parents::Parent, send_policy::SendPolicy, tenants,
   },
   cactusyoke_callers::{CallHandler, CallerRequest, Limits},
   cactusyoke_model::{
     Answer, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Repeat, Report,
-    RequestId, Retries, Route, SpanId, UnknownReason,
+    RequestId, Retries, Route, SpanId, Tenant, TenantName, UnknownReason,
   },
   http::HeaderValue,
   std::{sync::Arc, time::Instant},
@@ -92,6 +92,7 @@
       span: context.span,
       priority: context.priority,
       deadline: self.clock.now() + context.remaining,
+      tenant: self.parents.tenant_of(context.span),
       // The context carries neither of these. Only the depth of a root request, zero, is treated
       // differently from others.
       depth: 1,
@@ -99,35 +100,46 @@
     }
   }
 
-  async fn root_call(self: &Arc<Self>, request: CallerRequest) -> Result<Answer, CallFailure> {
+  async fn root_call(self: &Arc<Self>, mut request: CallerRequest) -> Result<Answer, CallFailure> {
     let started = self.clock.now();
     let _guard = self.enter()?;
     let preset = self.preset()?;
     let route = find_route(&preset, &request)?;
+    let tenant = self.identify_tenant(&preset, route, &mut request, started)?;
+    let tenant = tenant.as_deref();
     let root = root_id(&request);
     let head = CallHead {
       root,
-      priority: self.load_control.priority(route, root, started),
+      tenant: tenant.map(|tenant| tenant.name.clone()),
+      priority: self.load_control.priority(route, tenant, root, started),
       depth: 0,
       repeat: Repeat::No,
       retries: route.retries,
       ..self.base_head(&request, route, started)
     };
-    let (service, priority) = (head.service.clone(), head.priority);
+    let service = head.service.clone();
+    let call = CallSummary {
+      route,
+      tenant: tenant.map(|tenant| &tenant.name),
+      priority: head.priority,
+      depth: 0,
+      started,
+    };
     let result = self.send(&preset, route, head, request).await;
-    self.record_outcome(route, priority, 0, started, &result);
+    self.record_outcome(call, &result);
     result
       .map_err(|failure| failure.with_retry_delay(self.load_control.retry_delay(route, &service)))
   }
 
   async fn nested_call(
     self: &Arc<Self>,
-    request: CallerRequest,
+    mut request: CallerRequest,
     parent: Parent,
   ) -> Result<Answer, CallFailure> {
     let started = self.clock.now();
     let preset = self.preset()?;
     let route = find_route(&preset, &request)?;
+    tenants::remove_key(&preset, &mut request.headers);
     let call = repeat_hash(&request);
     let retries = self
       .ledgers()
@@ -136,6 +148,7 @@
     let head = self.base_head(&request, route, started);
     let head = CallHead {
       root: parent.root,
+      tenant: parent.tenant.clone(),
       priority: parent.priority,
       depth: parent.depth,
       repeat: parent.repeat,
@@ -151,20 +164,52 @@
     };
     let result = self.send(&preset, route, head, request).await;
     outgoing.finish(&result);
-    self.record_outcome(route, parent.priority, parent.depth, started, &result);
+    let call = CallSummary {
+      route,
+      tenant: parent.tenant.as_ref(),
+      priority: parent.priority,
+      depth: parent.depth,
+      started,
+    };
+    self.record_outcome(call, &result);
     result
   }
 
-  /// Counts an outcome. Failures are also logged, at a limited rate.
-  fn record_outcome(
+  /// Tenant of a root request, see [`tenants::identify`]. A refusal is recorded.
+  fn identify_tenant(
     &self,
+    preset: &Preset,
     route: &Route,
-    priority: Priority,
-    depth: u8,
+    request: &mut CallerRequest,
     started: Instant,
-    result: &Result<Answer, CallFailure>,
-  ) {
+  ) -> Result<Option<Arc<Tenant>>, CallFailure> {
+    let tenant = tenants::identify(preset, route, &mut request.headers);
+    if let Err(failure) = &tenant {
+      let call = CallSummary {
+        route,
+        tenant: None,
+        priority: Priority::new(route.rank, RequestId(0)),
+        depth: 0,
+        started,
+      };
+      self.record_outcome(call, &Err(*failure));
+    }
+    tenant
+  }
+
+  /// Counts an outcome. Failures are also logged, at a limited rate.
+  fn record_outcome(&self, call: CallSummary<'_>, result: &Result<Answer, CallFailure>) {
+    let CallSummary {
+      route,
+      tenant,
+      priority,
+      depth,
+      started,
+    } = call;
     self.meters.count_outcome(&route.name, result);
+    if let Some(tenant) = tenant.filter(|_| depth == 0) {
+      self.meters.count_tenant(tenant, result);
+    }
     let (event, reason) = match result {
       Ok(_) => return,
       Err(CallFailure::NotRun { reason, .. }) => ("not_run", reason.as_str()),
@@ -178,7 +223,8 @@
         reason,
         route = %route.name,
         service = %route.service(),
-        rank = %route.rank,
+        rank = %priority.rank(),
+        tenant = tenant.map(TenantName::as_str),
         %priority,
         level = %self.load_control.level(&route.name, now),
         depth,
@@ -197,6 +243,7 @@
     let requested = request.remaining.unwrap_or(route.deadline);
     CallHead {
       root: RequestId(0),
+      tenant: None,
       route: route.name.clone(),
       service: self.load_control.backend(route),
       method: request.method.clone(),
@@ -253,6 +300,16 @@
   }
 }
 
+/// Facts of a request or nested call for logs and counters.
+#[derive(Clone, Copy, Debug)]
+struct CallSummary<'a> {
+  route: &'a Route,
+  tenant: Option<&'a TenantName>,
+  priority: Priority,
+  depth: u8,
+  started: Instant,
+}
+
 fn find_route<'a>(preset: &'a Preset, request: &CallerRequest) -> Result<&'a Route, CallFailure> {
   let path = request.path.split('?').next().unwrap_or_default();
   preset
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -190,16 +190,17 @@
 
   /// Registers the request as the parent of the calls that the upstream makes for it.
   fn register_parent(&self, head: &CallHead, span: SpanId) -> Option<ParentGuard> {
-    let id = head.headers.get(&self.header_names.request_id)?;
+    let id = head.headers.get(&self.header_names.request_id);
     let parent = Parent {
       root: head.root,
+      tenant: head.tenant.clone(),
       span,
       priority: head.priority,
       deadline: head.deadline,
       depth: head.depth.saturating_add(1),
       repeat: head.repeat.inherited(),
     };
-    Some(self.parents.register(id, parent))
+    self.parents.register(id, parent)
   }
 
   fn track_answer(
--- a/crates/cactusyoke/src/keyed_call.rs
+++ b/crates/cactusyoke/src/keyed_call.rs
@@ -53,6 +53,9 @@
   pub(crate) core: &'a Arc<Core>,
   pub(crate) key: IdempotencyKey,
   pub(crate) fingerprint: Fingerprint,
+  /// Part of the fingerprint under which the key is kept, so that no tenant gets the answer to a
+  /// request of another one; zero without a tenant.
+  pub(crate) tenant_hash: u64,
   /// Claims so far.
   pub(crate) claims: usize,
 }
@@ -299,6 +302,6 @@
   }
 
   fn short_fingerprint(&self) -> u64 {
-    self.fingerprint.0 as u64 ^ (self.fingerprint.0 >> 64) as u64
+    self.fingerprint.0 as u64 ^ (self.fingerprint.0 >> 64) as u64 ^ self.tenant_hash
   }
 }
--- a/crates/cactusyoke/src/keyed_runs.rs
+++ b/crates/cactusyoke/src/keyed_runs.rs
@@ -24,6 +24,7 @@
     time::{Duration, Instant},
   },
   tokio::{sync::oneshot, time::timeout_at},
+  xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Time limit for the reply of a witness, such as its vote. One round trip in a data centre takes
@@ -152,12 +153,15 @@
     let Some(key) = call.head.key.clone() else {
       return self.run_admitted(call, admitted).await;
     };
+    let tenant = call.head.tenant.as_ref();
+    let tenant_hash = tenant.map_or(0, |tenant| xxh3_64(tenant.as_str().as_bytes()));
     let core = Arc::clone(self);
     let work = tokio::spawn(async move {
       let keyed_call = KeyedCall {
         core: &core,
         key,
         fingerprint,
+        tenant_hash,
         claims: 0,
       };
       keyed_call.run(call, admitted).await
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -47,6 +47,7 @@
 mod start_error;
 mod status;
 pub mod subcommand;
+mod tenants;
 mod tracked_body;
 mod upstream_follower;
 
--- a/crates/cactusyoke/src/load_control.rs
+++ b/crates/cactusyoke/src/load_control.rs
@@ -6,8 +6,8 @@
     WeightedRoundRobin, retry_delay,
   },
   cactusyoke_model::{
-    CallFailure, CallHead, Level, NodeId, NotRunReason, Priority, Report, RequestId, Route,
-    RouteName, ServiceName, SubLevels,
+    CallFailure, CallHead, ClassPlace, Level, NodeId, NotRunReason, Priority, Report, RequestId,
+    Route, RouteName, ServiceName, SubLevels, Tenant,
   },
   std::{
     collections::HashMap,
@@ -98,14 +98,22 @@
     route.backends[index].service.clone()
   }
 
-  /// Priority of a root request.
-  pub(crate) fn priority(&self, route: &Route, root: RequestId, now: Instant) -> Priority {
-    if route.sub_levels != SubLevels::ALL {
+  /// Priority of a root request. The class of its tenant takes precedence over that of its route.
+  pub(crate) fn priority(
+    &self,
+    route: &Route,
+    tenant: Option<&Tenant>,
+    root: RequestId,
+    now: Instant,
+  ) -> Priority {
+    let class = tenant.and_then(|tenant| tenant.class);
+    let ClassPlace { rank, sub_levels } = class.unwrap_or(route.place());
+    if sub_levels != SubLevels::ALL {
       // The halves of a shared rank belong to different classes.
-      return Priority::within(route.rank, route.sub_levels, root);
+      return Priority::within(rank, sub_levels, root);
     }
     let inner = self.lock();
-    inner.costs.priority(&route.name, route.rank, root, now)
+    inner.costs.priority(&route.name, rank, root, now)
   }
 
   /// Records what a root request cost the most utilised service in its call tree.
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -12,7 +12,7 @@
     platform_upstream::PlatformUpstream,
     upstream::{Client, ClientError, ReceivedResponse},
   },
-  http::{Method, Request},
+  http::{HeaderMap, Method, Request},
   std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -272,6 +272,46 @@
     self.client.exchange(self.at(node, 7103), request).await
   }
 
+  /// Sends an idempotent request with an id and further headers through a node.
+  pub async fn get_with(
+    &self,
+    node: usize,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+  ) -> Result<ReceivedResponse, ClientError> {
+    let names = header_names();
+    let mut request = Request::get(path)
+      .header("host", "shop.example")
+      .header(&names.request_id, id)
+      .header(&names.deadline, "1500");
+    for (name, value) in headers {
+      request = request.header(*name, *value);
+    }
+    let request = request.body(cactusyoke_model::empty_body());
+    let request = request.expect("the request is correct");
+    self.client.exchange(self.at(node, 7103), request).await
+  }
+
+  /// Text that operators get from a node.
+  pub async fn operator_text(&self, node: usize, path: &str) -> String {
+    let request = Request::get(path).body(cactusyoke_model::empty_body());
+    let request = request.expect("the request is correct");
+    let got = self.client.exchange(self.at(node, 7105), request).await;
+    got.expect("an answer").text().to_owned()
+  }
+
+  /// Headers that the upstream beside a node got with the request of this id.
+  pub fn received(&self, node: usize, id: &str) -> Option<HeaderMap> {
+    let names = header_names();
+    let requests = self.upstreams[node].requests();
+    let mut requests = requests.into_iter().map(|request| request.headers);
+    requests.find(|headers| {
+      let value = headers.get(&names.request_id);
+      value.is_some_and(|value| value == id)
+    })
+  }
+
   /// Number of requests that reached each upstream.
   pub fn request_counts(&self) -> Vec<usize> {
     let counts = self.upstreams.iter();
--- a/crates/callers/tests/outcomes.rs
+++ b/crates/callers/tests/outcomes.rs
@@ -37,6 +37,7 @@
   no_upstream = { NotRunReason::NoUpstream, 503, "1" },
   no_route = { NotRunReason::NoRoute, 404, "" },
   no_preset = { NotRunReason::NoPreset, 503, "1" },
+  unknown_key = { NotRunReason::UnknownKey, 401, "" },
   quarantined = { NotRunReason::Quarantined, 503, "" },
   no_retries = { NotRunReason::NoRetries, 503, "" },
   no_witnesses = { NotRunReason::NoWitnesses, 503, "5" },
@@ -62,6 +63,18 @@
   assert_eq!(line.find('\n'), Some(line.len() - 1));
 }
 
+/// Guards against a 401 response that does not name the scheme, which HTTP requires, and against
+/// other refusals that ask for a key.
+#[parameterized(
+  unknown_key = { NotRunReason::UnknownKey, "Bearer" },
+  no_route = { NotRunReason::NoRoute, "" },
+)]
+#[test_macro(tokio::test)]
+async fn only_unknown_keys_are_asked_for(reason: NotRunReason, expected: &str) {
+  let received = fail(CallFailure::not_run(reason)).await;
+  assert_eq!(received.header("www-authenticate"), expected);
+}
+
 /// Guards against a `retry-after` that is lost, that is earlier than was decided, or that callers
 /// of plain HTTP cannot read.
 #[parameterized(
--- a/crates/decisions/src/load/costs.rs
+++ b/crates/decisions/src/load/costs.rs
@@ -9,7 +9,7 @@
 const COST_WEIGHT: f64 = 0.05;
 /// Age at which a recorded cost is ignored.
 const COST_EXPIRY: Duration = Duration::from_secs(30);
-/// Maximum number of routes with a recorded cost.
+/// Maximum number of pairs of route and rank with a recorded cost.
 const MAX_ROUTES: usize = 1024;
 /// Multiple of the lowest competing cost above which a route counts as costly.
 const COSTLY_RATIO: f64 = 1.2;
@@ -19,7 +19,6 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Cost {
-  rank: ClassRank,
   /// Hash of the name of the bottleneck, as in [`Bottleneck::service`].
   service: u32,
   /// Mean time for which a request occupies slots of that service, seconds.
@@ -35,7 +34,8 @@
 /// are served.
 #[derive(Debug, Default)]
 pub struct Costs {
-  routes: DeterministicMap<RouteName, Cost>,
+  /// By route and rank: the requests of one route can have several ranks, those of its tenants.
+  routes: DeterministicMap<(RouteName, ClassRank), Cost>,
 }
 
 impl Costs {
@@ -56,8 +56,9 @@
       return;
     }
     let slot_time = bottleneck.slot_time.as_secs_f64();
-    if let Some(cost) = self.routes.get_mut(route) {
-      if cost.service == bottleneck.service && cost.rank == rank {
+    let key = (route.clone(), rank);
+    if let Some(cost) = self.routes.get_mut(&key) {
+      if cost.service == bottleneck.service {
         cost.slot_time += (slot_time - cost.slot_time) * COST_WEIGHT;
         cost.updated = now;
         return;
@@ -66,12 +67,11 @@
       return;
     }
     let cost = Cost {
-      rank,
       service: bottleneck.service,
       slot_time,
       updated: now,
     };
-    self.routes.insert(route.clone(), cost);
+    self.routes.insert(key, cost);
   }
 
   /// Priority of a root request. When the competing routes differ in cost, a costly route's
@@ -102,13 +102,13 @@
 
   /// Cost of a route, and the lowest and highest costs of the routes that compete with it.
   fn compare(&self, route: &RouteName, rank: ClassRank, now: Instant) -> Option<(f64, (f64, f64))> {
-    let own = self.routes.get(route)?;
+    let own = self.routes.get(&(route.clone(), rank))?;
     let fresh = |cost: &&Cost| now.saturating_duration_since(cost.updated) < COST_EXPIRY;
-    let competing = self
-      .routes
-      .values()
+    let same_rank = self.routes.iter().filter(|((_, other), _)| *other == rank);
+    let competing = same_rank
+      .map(|(_, cost)| cost)
       .filter(fresh)
-      .filter(|cost| cost.rank == rank && cost.service == own.service);
+      .filter(|cost| cost.service == own.service);
     let range = competing.fold((f64::MAX, 0.0), |(least, most), cost| {
       (cost.slot_time.min(least), cost.slot_time.max(most))
     });
--- a/crates/decisions/tests/spread_load.rs
+++ b/crates/decisions/tests/spread_load.rs
@@ -64,6 +64,27 @@
   );
 }
 
+/// Guards against the cost of a route that is forgotten whenever a tenant of another rank uses it, so
+/// that costly routes are no longer shed first.
+#[test]
+fn costs_are_kept_for_each_rank_of_a_route() {
+  let now = Instant::now();
+  let mut costs = Costs::new();
+  let (status, browse) = (route("plaque-status"), route("map-browse"));
+  let other_rank = ClassRank(RANK.0 + 1);
+  for _ in 0..100 {
+    costs.record(&browse, RANK, bottleneck(88), now);
+    costs.record(&status, RANK, bottleneck(360), now);
+    costs.record(&status, other_rank, bottleneck(360), now);
+  }
+  let second = (0..1000).filter(|root| {
+    let priority = costs.priority(&status, RANK, RequestId(*root), now);
+    assert_eq!(priority.rank(), RANK);
+    priority.half_index() % 2 == 1
+  });
+  assert!(second.count() >= 300);
+}
+
 /// Guards against ranking routes of equal cost differently, which would shed some of their requests
 /// without need.
 #[test]
--- a/crates/http/src/caller_request.rs
+++ b/crates/http/src/caller_request.rs
@@ -68,7 +68,12 @@
     if let Some(context) = &names.context {
       headers.remove(context);
     }
-    for name in [&names.deadline, &names.instance, &names.origin] {
+    for name in [
+      &names.deadline,
+      &names.instance,
+      &names.origin,
+      &names.tenant,
+    ] {
       headers.remove(name);
     }
     headers.remove(header::EXPECT);
--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -36,7 +36,14 @@
       };
       let text = format!("not run ({reason}): {text}");
       let retry_after = retry_after.map(|after| retry_after_value(after, fractional_retry));
-      outcome_response(status, "not-run", reason.as_str(), retry_after, &text)
+      let mut response = outcome_response(status, "not-run", reason.as_str(), retry_after, &text);
+      if status == StatusCode::UNAUTHORIZED {
+        let scheme = HeaderValue::from_static("Bearer");
+        response
+          .headers_mut()
+          .insert(header::WWW_AUTHENTICATE, scheme);
+      }
+      response
     }
     CallFailure::Unknown { reason } => {
       let (status, text) = unknown(*reason);
@@ -83,53 +90,46 @@
 
 fn not_run(reason: NotRunReason) -> (StatusCode, Option<Duration>, &'static str) {
   let unavailable = StatusCode::SERVICE_UNAVAILABLE;
-  let soon = Some(RETRY_SOON);
   let later = Some(RETRY_LATER);
   match reason {
-    NotRunReason::Shed => (
-      unavailable,
-      soon,
+    NotRunReason::Shed => retry_soon(
       "the service is overloaded and serves more important requests first; send it again after the time in `retry-after`",
     ),
-    NotRunReason::Evicted => (
-      unavailable,
-      soon,
+    NotRunReason::Evicted => retry_soon(
       "a more important request took its place in the queue; send it again after the time in `retry-after`",
     ),
-    NotRunReason::QueueFull => (
-      unavailable,
-      soon,
-      "the queue is full; send it again after the time in `retry-after`",
-    ),
-    NotRunReason::Deadline => (
-      unavailable,
-      soon,
+    NotRunReason::QueueFull => {
+      retry_soon("the queue is full; send it again after the time in `retry-after`")
+    }
+    NotRunReason::Deadline => retry_soon(
       "it could not start before its deadline; send it again after the time in `retry-after`",
     ),
-    NotRunReason::Draining => (
-      unavailable,
-      soon,
+    NotRunReason::Draining => retry_soon(
       "the upstream or its node is leaving; send it again after the time in `retry-after`",
     ),
-    NotRunReason::NoUpstream => (
-      unavailable,
-      soon,
+    NotRunReason::NoUpstream => retry_soon(
       "no upstream of the service can be reached; send it again after the time in `retry-after`",
     ),
-    NotRunReason::Refused => (
-      unavailable,
-      soon,
+    NotRunReason::Refused => retry_soon(
       "the upstream refused it without running it; send it again after the time in `retry-after`",
     ),
+    NotRunReason::NoPreset => {
+      retry_soon("the node has no configuration yet; send it again after the time in `retry-after`")
+    }
     NotRunReason::NoRoute => (
       StatusCode::NOT_FOUND,
       None,
       "no route of the preset in force matches its method and path; do not send it again unchanged",
     ),
-    NotRunReason::NoPreset => (
-      unavailable,
-      soon,
-      "the node has no configuration yet; send it again after the time in `retry-after`",
+    NotRunReason::UnknownKey => (
+      StatusCode::UNAUTHORIZED,
+      None,
+      "its route needs `authorization: Bearer KEY` with the key of a tenant; do not send it again unchanged",
+    ),
+    NotRunReason::BadRequest => (
+      StatusCode::BAD_REQUEST,
+      None,
+      "the request is malformed; do not send it again unchanged",
     ),
     NotRunReason::Quarantined => (
       unavailable,
@@ -153,12 +153,10 @@
     ),
     NotRunReason::Limit => (
       StatusCode::TOO_MANY_REQUESTS,
-      soon,
+      Some(RETRY_SOON),
       "a limit on keys, connections, bytes or the rate of requests is reached; send it again after the time in `retry-after`",
     ),
-    NotRunReason::Withdrawn => (
-      unavailable,
-      soon,
+    NotRunReason::Withdrawn => retry_soon(
       "the run of its `idempotency-key` was withdrawn; send it again with the same key after the time in `retry-after`",
     ),
     NotRunReason::KeyMismatch => (
@@ -166,24 +164,20 @@
       None,
       "its `idempotency-key` belongs to a different request; send it again with a new key",
     ),
-    NotRunReason::Connection => (
-      unavailable,
-      soon,
+    NotRunReason::Connection => retry_soon(
       "the connection to the upstream was lost before the request left; send it again after the time in `retry-after`",
     ),
-    NotRunReason::BadRequest => (
-      StatusCode::BAD_REQUEST,
-      None,
-      "the request is malformed; do not send it again unchanged",
-    ),
-    NotRunReason::Cancelled => (
-      unavailable,
-      soon,
+    NotRunReason::Cancelled => retry_soon(
       "it was cancelled before it started; send it again after the time in `retry-after`",
     ),
   }
 }
 
+/// Status, retry delay and text of a refusal that may soon be different.
+const fn retry_soon(text: &'static str) -> (StatusCode, Option<Duration>, &'static str) {
+  (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_SOON), text)
+}
+
 const fn unknown(reason: UnknownReason) -> (StatusCode, &'static str) {
   match reason {
     UnknownReason::Deadline => (
--- a/crates/http/src/header_names.rs
+++ b/crates/http/src/header_names.rs
@@ -11,6 +11,8 @@
   pub instance: HeaderName,
   /// Service of the upstream next to the node at which a request entered.
   pub origin: HeaderName,
+  /// Tenant of the root request; set on requests to upstreams, whatever their callers sent.
+  pub tenant: HeaderName,
   /// Set by an upstream on its answer to a request that it did not run.
   pub refused: HeaderName,
   /// Set by an upstream on its answers while it limits the requests per second that it takes.
@@ -35,6 +37,7 @@
   deadline: HeaderName::from_static("cactusyoke-deadline-ms"),
   instance: HeaderName::from_static("cactusyoke-instance"),
   origin: HeaderName::from_static("cactusyoke-origin"),
+  tenant: HeaderName::from_static("cactusyoke-tenant"),
   refused: HeaderName::from_static("cactusyoke-refused"),
   rate_limit: HeaderName::from_static("cactusyoke-rate-limit"),
   leaving: HeaderName::from_static("cactusyoke-leaving"),
--- a/crates/model/src/call.rs
+++ b/crates/model/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls to upstreams.
 
 use {
-  crate::{Body, IdempotencyKey, Priority, RequestId, Retries, RouteName, ServiceName},
+  crate::{Body, IdempotencyKey, Priority, RequestId, Retries, RouteName, ServiceName, TenantName},
   http::{HeaderMap, Method},
   serde::{Deserialize, Serialize},
   std::{fmt, time::Instant},
@@ -35,6 +35,8 @@
 pub struct CallHead {
   /// Root request of the call tree.
   pub root: RequestId,
+  /// Tenant of the root request; `None` when it needed no key.
+  pub tenant: Option<TenantName>,
   /// Route that the call matched.
   pub route: RouteName,
   /// Service that answers the call.
--- a/crates/model/src/failure.rs
+++ b/crates/model/src/failure.rs
@@ -112,6 +112,8 @@
     NoRoute => "no-route",
     /// The node has no configuration yet.
     NoPreset => "no-preset",
+    /// The request has no key of a tenant, though its route needs one.
+    UnknownKey => "unknown-key",
     /// The request is quarantined because it crashed upstreams before.
     Quarantined => "quarantined",
     /// The retry allowance of the call tree is spent.
--- a/crates/model/src/preset.rs
+++ b/crates/model/src/preset.rs
@@ -2,13 +2,14 @@
 
 use {
   crate::{
-    Backend, ByteSize, ClassName, ClassRank, Connections, PresetError, PresetName, RawCallers,
-    RawPreset, RawRoute, Route, RouteName, ServiceName, SubLevels,
+    Backend, ByteSize, ClassName, ClassPlace, Connections, KeyDigest, PresetError, PresetName,
+    RawCallers, RawPreset, RawRoute, Route, RouteName, ServiceName, Tenant, TenantName,
   },
   http::Method,
   std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     str::FromStr,
+    sync::Arc,
     time::Duration,
   },
 };
@@ -30,8 +31,12 @@
   pub services: BTreeMap<ServiceName, ServiceSettings>,
   /// Limits on requests of callers; `None` for the limits of the listeners.
   pub callers: Option<CallerLimits>,
+  /// Tenants by name.
+  pub tenants: BTreeMap<TenantName, Arc<Tenant>>,
   /// Routes in matching order.
   pub routes: Vec<Route>,
+  /// Tenants by the digests of their keys.
+  by_key: HashMap<KeyDigest, Arc<Tenant>>,
   /// Indices of the routes that can match each host named by a route, in matching order; includes
   /// the routes without a host.
   by_host: HashMap<String, Vec<usize>>,
@@ -79,6 +84,17 @@
     routes.find(|route| route.matches(method, host, path))
   }
 
+  /// True when callers need the key of a tenant, except on anonymous routes.
+  pub fn requires_key(&self) -> bool {
+    self.raw.keyed || !self.tenants.is_empty()
+  }
+
+  /// Tenant that holds a key. The time taken depends only on the length of the key: the digests are
+  /// found by a hash, and compared in constant time.
+  pub fn tenant_by_key(&self, key: &[u8]) -> Option<&Arc<Tenant>> {
+    self.by_key.get(&KeyDigest::of(key))
+  }
+
   /// Preset as parsed, before validation.
   pub fn raw(&self) -> &RawPreset {
     &self.raw
@@ -116,6 +132,7 @@
       routes.push(route);
     }
     let (by_host, any_host) = index_by_host(&routes);
+    let (tenants, by_key) = tenants(&raw)?;
     Ok(Self {
       name: raw.name.clone(),
       classes: raw.classes.clone(),
@@ -124,7 +141,9 @@
       key_memory: parse_time("key_memory", &raw.key_memory)?,
       services: services(&raw)?,
       callers: raw.callers.as_ref().map(check_callers).transpose()?,
+      tenants,
       routes,
+      by_key,
       by_host,
       any_host,
       raw,
@@ -160,6 +179,7 @@
   if attempts == 0 {
     return Err(PresetError::Attempts(raw.name.clone()));
   }
+  let place = ClassPlace::of(position, classes.len());
   Ok(Route {
     name: raw.name.clone(),
     host: raw.host.clone(),
@@ -167,8 +187,9 @@
     methods: methods(raw)?,
     path: raw.path.clone(),
     class: raw.class.clone(),
-    rank: ClassRank::of(position),
-    sub_levels: SubLevels::of(position, classes.len()),
+    rank: place.rank,
+    sub_levels: place.sub_levels,
+    anonymous: raw.anonymous,
     idempotent: raw.idempotent,
     deadline,
     target,
@@ -206,6 +227,43 @@
   Ok(services)
 }
 
+type Tenants = (
+  BTreeMap<TenantName, Arc<Tenant>>,
+  HashMap<KeyDigest, Arc<Tenant>>,
+);
+
+/// Tenants by name and by key.
+fn tenants(raw: &RawPreset) -> Result<Tenants, PresetError> {
+  let (mut by_name, mut by_key) = (BTreeMap::new(), HashMap::<_, Arc<Tenant>>::new());
+  for tenant in &raw.tenants {
+    let name = &tenant.name;
+    let class = tenant.class.as_ref();
+    let class = class.map(|class| {
+      let position = raw.classes.iter().position(|listed| listed == class);
+      let position =
+        position.ok_or_else(|| PresetError::UnknownTenantClass(name.clone(), class.clone()));
+      Ok(ClassPlace::of(position?, raw.classes.len()))
+    });
+    let checked = Arc::new(Tenant {
+      name: name.clone(),
+      class: class.transpose()?,
+      cap: tenant.cap,
+    });
+    if by_name.insert(name.clone(), Arc::clone(&checked)).is_some() {
+      return Err(PresetError::DuplicateTenant(name.clone()));
+    }
+    for key in &tenant.keys {
+      match by_key.insert(*key, Arc::clone(&checked)) {
+        Some(other) if other.name != *name => {
+          return Err(PresetError::SharedKey(name.clone(), other.name.clone()));
+        }
+        Some(_) | None => {}
+      }
+    }
+  }
+  Ok((by_name, by_key))
+}
+
 fn check_callers(raw: &RawCallers) -> Result<CallerLimits, PresetError> {
   Ok(CallerLimits {
     headers: raw.headers,
--- a/crates/model/src/preset_error.rs
+++ b/crates/model/src/preset_error.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{ClassName, PresetName, RouteName, ServiceName},
+  crate::{ClassName, PresetName, RouteName, ServiceName, TenantName},
   std::fmt::{self, Display, Formatter},
 };
 
@@ -32,6 +32,12 @@
   Attempts(RouteName),
   /// A service is listed twice.
   DuplicateService(ServiceName),
+  /// A tenant is listed twice.
+  DuplicateTenant(TenantName),
+  /// Two tenants have a key in common.
+  SharedKey(TenantName, TenantName),
+  /// A tenant names a class that is not listed.
+  UnknownTenantClass(TenantName, ClassName),
   /// A patch was made for a different version of the preset.
   PatchMismatch(PresetName),
 }
@@ -91,6 +97,18 @@
         f,
         "service `{service}` is listed twice under `services`: keep one entry"
       ),
+      Self::DuplicateTenant(tenant) => write!(
+        f,
+        "tenant `{tenant}` is listed twice under `tenants`: keep one entry"
+      ),
+      Self::SharedKey(tenant, earlier) => write!(
+        f,
+        "tenants `{earlier}` and `{tenant}` have a key in common: give each key to one tenant"
+      ),
+      Self::UnknownTenantClass(tenant, class) => write!(
+        f,
+        "tenant `{tenant}` names class `{class}`, which is not listed: add it under `classes`"
+      ),
       Self::PatchMismatch(preset) => write!(
         f,
         "the patch of preset `{preset}` was made for other content: send the whole configuration"
--- a/crates/model/src/raw_preset.rs
+++ b/crates/model/src/raw_preset.rs
@@ -1,7 +1,7 @@
 use {
   crate::{
-    Backend, ByteSize, ClassName, Connections, HostName, PresetName, Retries, RouteName,
-    ServiceName,
+    Backend, ByteSize, ClassName, Connections, HostName, KeyDigest, PresetName, Retries, RouteName,
+    ServiceName, TenantName, UsageCap,
   },
   serde::{Deserialize, Serialize},
 };
@@ -32,6 +32,12 @@
   /// Limits on requests of callers; `None` for the limits of the listeners.
   #[serde(default)]
   pub callers: Option<RawCallers>,
+  /// Callers need the key of a tenant, even while no tenant is listed.
+  #[serde(default)]
+  pub keyed: bool,
+  /// Tenants. If any is listed, callers need the key of a tenant.
+  #[serde(default)]
+  pub tenants: Vec<RawTenant>,
   /// Routes.
   pub routes: Vec<RawRoute>,
 }
@@ -50,6 +56,23 @@
   pub health: Option<String>,
 }
 
+/// Tenant as parsed from YAML.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTenant {
+  /// Name, unique in the preset.
+  pub name: TenantName,
+  /// Digests of its API keys.
+  #[serde(default)]
+  pub keys: Vec<KeyDigest>,
+  /// Class of its root requests; that of the route when left out.
+  #[serde(default)]
+  pub class: Option<ClassName>,
+  /// Usage cap; no cap when left out.
+  #[serde(default)]
+  pub cap: Option<UsageCap>,
+}
+
 /// Limits on requests of callers as parsed from YAML.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -85,6 +108,9 @@
   pub path: String,
   /// Class of root requests.
   pub class: ClassName,
+  /// Callers need no key, even when the preset has tenants.
+  #[serde(default)]
+  pub anonymous: bool,
   /// The request may run more than once.
   pub idempotent: bool,
   /// Time allowed for a root request, such as `2s`.
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{ClassName, ClassRank, HostName, Retries, RouteName, ServiceName, SubLevels},
+  crate::{ClassName, ClassPlace, ClassRank, HostName, Retries, RouteName, ServiceName, SubLevels},
   http::Method,
   serde::{Deserialize, Serialize},
   std::time::Duration,
@@ -34,6 +34,8 @@
   pub rank: ClassRank,
   /// Sub-levels of the rank that the class uses.
   pub sub_levels: SubLevels,
+  /// Callers need no key, even when the preset has tenants.
+  pub anonymous: bool,
   /// The request may run more than once.
   pub idempotent: bool,
   /// Time allowed for a root request.
@@ -54,6 +56,14 @@
     &self.backends[0].service
   }
 
+  /// Place of the class of root requests.
+  pub const fn place(&self) -> ClassPlace {
+    ClassPlace {
+      rank: self.rank,
+      sub_levels: self.sub_levels,
+    }
+  }
+
   /// True when the route matches `method`, `host` and `path` (without the query).
   pub fn matches(&self, method: &Method, host: &str, path: &str) -> bool {
     let Some(rest) = path.strip_prefix(self.path.as_str()) else {
--- a/crates/model/src/tenant.rs
+++ b/crates/model/src/tenant.rs
@@ -1,7 +1,7 @@
 //! Tenants: groups of callers with API keys, a class and a usage cap of their own.
 
 use {
-  crate::RequestRate,
+  crate::{ClassPlace, RequestRate},
   serde::{Deserialize, Serialize},
   std::{
     fmt::{self, Display, Formatter},
@@ -78,6 +78,17 @@
   }
 }
 
+/// Checked tenant of a preset. Its keys are found by [`crate::Preset::tenant_by_key`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenant {
+  /// Name, unique in the preset.
+  pub name: TenantName,
+  /// Place of the class of its root requests; `None` for that of the route.
+  pub class: Option<ClassPlace>,
+  /// Usage cap; `None` for no cap.
+  pub cap: Option<UsageCap>,
+}
+
 /// Usage cap of a tenant, over all nodes together.
 ///
 /// In any period of `t` seconds, at most `rate * t + burst` requests are admitted.
--- a/crates/model/tests/preset.rs
+++ b/crates/model/tests/preset.rs
@@ -44,7 +44,7 @@
   deadline = { "deadline: 5s", "deadline: soon", "`deadline` is `soon`: write a time between 1ms and 7days, such as `250ms` or `2s`" },
   shadowed = { "methods: [GET], path: /orders/", "methods: [POST], path: /orders/x", "route `look-up` never matches, since the earlier route `place` matches all of its requests: move it up" },
   ratio = { "name: ordinary", "name: ordinary\nretry_ratio: 101", "`retry_ratio` is 101: write a percentage from 0 to 100" },
-  unknown_field = { "name: ordinary", "name: ordinary\nclasess: []", "the preset cannot be read: unknown field `clasess`, expected one of `name`, `purpose`, `classes`, `retry_ratio`, `queue_wait`, `key_memory`, `services`, `callers`, `routes` at line 3 column 1" },
+  unknown_field = { "name: ordinary", "name: ordinary\nclasess: []", "the preset cannot be read: unknown field `clasess`, expected one of `name`, `purpose`, `classes`, `retry_ratio`, `queue_wait`, `key_memory`, `services`, `callers`, `keyed`, `tenants`, `routes` at line 3 column 1" },
 )]
 fn a_preset_that_cannot_work_is_refused(from: &str, to: &str, message: &str) {
   let error = GOOD
--- a/crates/nodes/examples/links.rs
+++ b/crates/nodes/examples/links.rs
@@ -36,6 +36,7 @@
   Call {
     head: CallHead {
       root: RequestId(1),
+      tenant: None,
       route: "pledge".parse().expect("a name"),
       service: "pledges".parse().expect("a name"),
       method: Method::POST,
--- a/crates/nodes/src/wire/heads.rs
+++ b/crates/nodes/src/wire/heads.rs
@@ -5,7 +5,7 @@
   crate::Hop,
   cactusyoke_model::{
     CallHead, DataCentre, IdempotencyKey, Incarnation, NodeId, Priority, Repeat, Report, RequestId,
-    Retries,
+    Retries, TenantName,
   },
   http::{HeaderMap, Method, StatusCode},
   serde::{Deserialize, Serialize},
@@ -43,6 +43,8 @@
   pub end: bool,
   /// Id of the root request.
   pub root: u128,
+  /// Tenant of the root request.
+  pub tenant: Option<&'a str>,
   /// Route.
   pub route: &'a str,
   /// Service.
@@ -79,6 +81,7 @@
       hop,
       end,
       root: head.root.0,
+      tenant: head.tenant.as_ref().map(TenantName::as_str),
       route: head.route.as_str(),
       service: head.service.as_str(),
       method: head.method.as_str(),
@@ -99,6 +102,10 @@
     let remaining = Duration::from_micros(self.remaining_us).min(MAX_REMAINING);
     Ok(CallHead {
       root: RequestId(self.root),
+      tenant: self
+        .tenant
+        .map(|tenant| tenant.parse().map_err(|_error| FrameError::Malformed))
+        .transpose()?,
       route: self.route.parse().map_err(|_error| FrameError::Malformed)?,
       service: self
         .service
--- a/crates/nodes/tests/support/mod.rs
+++ b/crates/nodes/tests/support/mod.rs
@@ -35,6 +35,7 @@
   headers.insert("accept", "text/plain".parse().unwrap());
   CallHead {
     root: RequestId(7),
+    tenant: Some("tenant-a".parse().unwrap()),
     route: "pledge".parse().unwrap(),
     service: "pledges".parse().unwrap(),
     method: Method::POST,
--- a/crates/nodes/tests/wire.rs
+++ b/crates/nodes/tests/wire.rs
@@ -53,6 +53,7 @@
       hop: cactusyoke_nodes::Hop::Relay,
       end: false,
       root: u128::from(stream) << 64,
+      tenant: Some("t"),
       route: "r",
       service: "s",
       method: "GET",
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -12,6 +12,7 @@
 mod operator_limits;
 mod response;
 mod scrape;
+mod tenant_metrics;
 mod timestamp;
 mod token;
 
@@ -28,13 +29,14 @@
 pub use node::{Node, NodeFuture};
 pub use node_error::{ConflictView, NodeError};
 pub use operator_limits::OperatorLimits;
+pub use tenant_metrics::TenantMetrics;
 pub use timestamp::Timestamp;
 pub use token::{Token, TokenError};
 
 use {
   call_metrics::WAIT_BOUNDS,
   handler::Handler,
-  metrics::{CallMetricsMap, MEMBER_STATUSES, PLATFORM_CALLS, PLATFORM_RESULTS},
+  metrics::{CallMetricsMap, MEMBER_STATUSES, PLATFORM_CALLS, PLATFORM_RESULTS, TenantMetricsMap},
   response::{Failure, HttpResponse, failure, json, metrics_text, text},
   scrape::Scrape,
 };
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -4,8 +4,8 @@
 //! are looked up once, when a preset is adopted, and the label sets are bounded.
 
 use {
-  crate::{CallMetrics, Scrape},
-  cactusyoke_model::{ClassName, Clock, Revision, ServiceName},
+  crate::{CallMetrics, Scrape, TenantMetrics},
+  cactusyoke_model::{ClassName, Clock, Revision, ServiceName, TenantName},
   prometheus_client::{encoding, registry::Registry},
   std::{
     array,
@@ -23,6 +23,13 @@
 /// classes each. Any further pair is counted under `other`, so that presets cannot fill the memory.
 const MAX_LABEL_SETS: usize = 1_800;
 
+/// Largest number of tenants with their own counters. Further tenants, by the order of their names
+/// within a preset, are counted under `other`.
+const MAX_TENANTS: usize = 200;
+
+/// Label of the tenants without their own counters.
+const OTHER_TENANTS: &str = "other";
+
 /// Kinds of calls to the platform.
 pub(crate) const PLATFORM_CALLS: [&str; 4] = ["get", "put", "lease", "watch"];
 /// Results of calls to the platform.
@@ -42,6 +49,9 @@
 /// Counters by service and class.
 pub(crate) type CallMetricsMap = BTreeMap<(String, String), Arc<CallMetrics>>;
 
+/// Counters by tenant.
+pub(crate) type TenantMetricsMap = BTreeMap<String, Arc<TenantMetrics>>;
+
 /// Metrics of a node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -57,6 +67,7 @@
   pub control_received: AtomicU64,
   clock: Arc<dyn Clock>,
   calls: Mutex<CallMetricsMap>,
+  tenants: Mutex<TenantMetricsMap>,
   config: Mutex<Option<(Revision, Instant)>>,
   platform: [[AtomicU64; PLATFORM_RESULTS.len()]; PLATFORM_CALLS.len()],
   members: [AtomicU64; MEMBER_STATUSES.len()],
@@ -73,6 +84,7 @@
       control_received: AtomicU64::default(),
       clock,
       calls: Mutex::default(),
+      tenants: Mutex::default(),
       config: Mutex::default(),
       platform: array::from_fn(|_| array::from_fn(|_| AtomicU64::default())),
       members: array::from_fn(|_| AtomicU64::default()),
@@ -89,6 +101,14 @@
     Arc::clone(calls.entry(key).or_default())
   }
 
+  /// Counters of a tenant, to be kept while it is in the preset in force.
+  pub fn tenant(&self, name: &TenantName) -> Arc<TenantMetrics> {
+    let mut tenants = self.tenants.lock().unwrap_or_else(PoisonError::into_inner);
+    let own = tenants.len() < MAX_TENANTS || tenants.contains_key(name.as_str());
+    let label = if own { name.as_str() } else { OTHER_TENANTS };
+    Arc::clone(tenants.entry(label.to_owned()).or_default())
+  }
+
   /// Records the adoption of a revision.
   pub fn adopted(&self, revision: Revision) {
     let mut config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
@@ -129,6 +149,11 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
         .clone(),
+      tenants: self
+        .tenants
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone(),
       limit: load(&self.limit),
       in_flight: load(&self.in_flight),
       queued: load(&self.queued),
--- a/crates/operators/src/scrape.rs
+++ b/crates/operators/src/scrape.rs
@@ -1,6 +1,7 @@
 use {
   crate::{
-    CallMetrics, CallMetricsMap, MEMBER_STATUSES, PLATFORM_CALLS, PLATFORM_RESULTS, WAIT_BOUNDS,
+    CallMetrics, CallMetricsMap, MEMBER_STATUSES, PLATFORM_CALLS, PLATFORM_RESULTS,
+    TenantMetricsMap, WAIT_BOUNDS,
   },
   cactusyoke_model::{NotRunReason, Revision, UnknownReason},
   prometheus_client::{
@@ -21,6 +22,7 @@
 #[derive(Debug)]
 pub(crate) struct Scrape {
   pub(crate) calls: CallMetricsMap,
+  pub(crate) tenants: TenantMetricsMap,
   pub(crate) limit: u64,
   pub(crate) in_flight: u64,
   pub(crate) queued: u64,
@@ -35,6 +37,7 @@
   fn encode(&self, mut encoder: DescriptorEncoder) -> fmt::Result {
     self.encode_calls(&mut encoder)?;
     self.encode_failures(&mut encoder)?;
+    self.encode_tenants(&mut encoder)?;
     self.encode_waits(&mut encoder)?;
     self.encode_node(&mut encoder)?;
     self.encode_platform(&mut encoder)
@@ -87,6 +90,36 @@
     Ok(())
   }
 
+  fn encode_tenants(&self, encoder: &mut DescriptorEncoder) -> fmt::Result {
+    let help = "Root requests of a tenant answered whole";
+    let mut family =
+      encoder.encode_descriptor("tenant_answered", help, None, MetricType::Counter)?;
+    for (tenant, counters) in &self.tenants {
+      let labels = [("tenant", tenant.as_str())];
+      counter(&mut family, &labels, counters.answered.load(Relaxed))?;
+    }
+    let help = "Root requests of a tenant not run, by reason";
+    let mut family =
+      encoder.encode_descriptor("tenant_not_run", help, None, MetricType::Counter)?;
+    for (tenant, counters) in &self.tenants {
+      for reason in NotRunReason::ALL {
+        let count = counters.not_run[*reason as usize].load(Relaxed);
+        if count > 0 {
+          let labels = [("tenant", tenant.as_str()), ("reason", reason.as_str())];
+          counter(&mut family, &labels, count)?;
+        }
+      }
+    }
+    let help = "Root requests of a tenant with an unknown outcome";
+    let mut family =
+      encoder.encode_descriptor("tenant_unknown", help, None, MetricType::Counter)?;
+    for (tenant, counters) in &self.tenants {
+      let labels = [("tenant", tenant.as_str())];
+      counter(&mut family, &labels, counters.unknown.load(Relaxed))?;
+    }
+    Ok(())
+  }
+
   fn encode_waits(&self, encoder: &mut DescriptorEncoder) -> fmt::Result {
     let help = "Time that calls spent in the queue";
     let name = "queue_wait_seconds";
--- a/crates/operators/tests/metrics.rs
+++ b/crates/operators/tests/metrics.rs
@@ -77,3 +77,29 @@
   let other = r#"cactusyoke_sent_total{service="other",class="other"} 1200"#;
   assert!(text.contains(other), "{text}");
 }
+
+/// Guards against tenants without metrics, and against a list of tenants that fills the memory of
+/// the node and of whoever collects its metrics.
+#[test]
+fn tenants_are_counted_under_a_bounded_number_of_labels() {
+  let metrics = Metrics::new(Arc::new(ManualClock::default()));
+  for number in 0..1000 {
+    let name = format!("tenant-{number:03}").parse().unwrap();
+    let tenant = metrics.tenant(&name);
+    tenant.answered();
+    tenant.not_run(NotRunReason::Shed);
+    tenant.unknown();
+  }
+  let text = metrics.encode().unwrap();
+  for line in [
+    r#"cactusyoke_tenant_answered_total{tenant="tenant-000"} 1"#,
+    r#"cactusyoke_tenant_not_run_total{tenant="tenant-199",reason="shed"} 1"#,
+    r#"cactusyoke_tenant_unknown_total{tenant="other"} 800"#,
+  ] {
+    assert!(text.lines().any(|found| found == line), "{line} in {text}");
+  }
+  let labels = text
+    .lines()
+    .filter(|line| line.contains("_tenant_answered_total{"));
+  assert_eq!(labels.count(), 201);
+}
--- a/crates/upstreams/examples/added_latency.rs
+++ b/crates/upstreams/examples/added_latency.rs
@@ -57,6 +57,7 @@
     let priority = Priority::new(ClassRank(0), root);
     let head = CallHead {
       root,
+      tenant: None,
       route: self.route.clone(),
       service: self.service.clone(),
       method: request.method,
--- a/crates/upstreams/src/call_exchange.rs
+++ b/crates/upstreams/src/call_exchange.rs
@@ -97,6 +97,11 @@
     }
     let remaining = context.remaining.as_millis() as u64;
     headers.insert(&names.deadline, HeaderValue::from(remaining));
+    headers.remove(&names.tenant);
+    if let Some(tenant) = &self.head.tenant {
+      let value = HeaderValue::from_str(tenant.as_str()).map_err(|_error| bad_request())?;
+      headers.insert(&names.tenant, value);
+    }
     if let Some(instance) = &self.connection.pool().announcement().instance {
       let value = HeaderValue::try_from(instance).map_err(|_error| bad_request())?;
       headers.insert(&names.instance, value);
--- a/crates/upstreams/tests/support/mod.rs
+++ b/crates/upstreams/tests/support/mod.rs
@@ -81,6 +81,7 @@
   let priority = Priority::new(ClassRank(0), root);
   let head = CallHead {
     root,
+    tenant: None,
     route: "test".parse().expect("a valid name"),
     service: service(),
     method,
