--- a/crates/decisions/src/load/retry_budget.rs
+++ b/crates/decisions/src/load/retry_budget.rs
@@ -12,6 +12,10 @@
 const OPEN_SHARE: f64 = 0.2;
 /// Share of the budget from which on only calls of the most important class are repeated.
 const SHARED_SHARE: f64 = 0.35;
+/// Share of the budget up to which all calls of the most important class are repeated. An instance
+/// sees few repeats, so that the share in use varies; the cut-off falls evenly over a wide range for
+/// the instances to agree on the requests that get all of their repeats.
+const TOP_SHARE: f64 = 0.45;
 
 /// Bounds of a retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,11 +77,11 @@
     let repeats = self.buckets.iter().map(|bucket| bucket.repeats);
     let used = (repeats.sum::<f64>() + 1.0) / allowed;
     let (end, narrowing) = if priority.rank().0 == 0 {
-      (1.0, SHARED_SHARE)
+      (1.0, TOP_SHARE)
     } else {
       (SHARED_SHARE, OPEN_SHARE)
     };
-    let cutoff = ((end - used).max(0.0) / (end - narrowing)).sqrt();
+    let cutoff = (end - used).max(0.0) / (end - narrowing);
     let sub_level = f64::from(priority.sub_level()) / 256.0;
     if used > end || sub_level > cutoff {
       return false;
