--- a/crates/cactusyoke/tests/common/node_process.rs
+++ b/crates/cactusyoke/tests/common/node_process.rs
@@ -72,6 +72,16 @@
     None
   }
 
+  /// Resident memory, bytes.
+  pub fn memory(&self) -> u64 {
+    let path = format!("/proc/{}/status", self.child.id());
+    let status = std::fs::read_to_string(path).expect("a running process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    let kilobytes = kilobytes.expect("its memory").trim().parse::<u64>();
+    kilobytes.expect("a number") * 1024
+  }
+
   /// What the process has logged.
   pub fn log(&self) -> String {
     fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -141,6 +141,26 @@
     self.get(node).await.is_ok_and(|got| got.status == 404)
   }
 
+  /// Puts the read route in force as one of kind `download`, with a long time limit.
+  pub async fn serve_downloads(&self) {
+    let document = DOCUMENT
+      .replacen("\"idempotent\"", "\"download\"", 1)
+      .replace("\"timeout_s\": 2", "\"timeout_s\": 60")
+      .replace("\"version\": 7", "\"version\": 8");
+    self.store.write(document::KEY, document);
+    for node in &self.nodes {
+      eventually("the new route is in force", || async {
+        node.log().contains("revision=8")
+      })
+      .await;
+    }
+  }
+
+  /// Address at which clients reach the node.
+  pub fn client_address(&self, node: usize) -> SocketAddr {
+    self.at(node, 7103)
+  }
+
   fn at(&self, node: usize, port: u16) -> SocketAddr {
     self.addresses.listener(node as u8 + 1, port)
   }
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -3,12 +3,16 @@
 //! that tells such answers from others.
 
 use {
+  crate::upstream::{pattern_body, truncated_body},
   bytes::Bytes,
+  cactusyoke_model::{Body, empty_body, full_body},
   cactusyoke_platform::{
     INSTANCE_HEADER, header_names,
     heartbeats::{HEARTBEAT_PATH, Heartbeat, LEAVE_PATH, State},
   },
-  http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode},
+  http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header::CONTENT_LENGTH,
+  },
   http_body_util::{BodyExt, Full},
   hyper::{
     body::Incoming, client::conn::http1::handshake, server::conn::http1, service::service_fn,
@@ -40,6 +44,9 @@
 /// Path of the health check.
 const HEALTH_PATH: &str = "/healthz";
 
+/// Bytes of a large answer.
+pub const LARGE_BYTES: u64 = 16 << 20;
+
 /// Kind of answer to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AnswerMode {
@@ -58,6 +65,10 @@
   /// Success without a length, of whose body only a part is sent before the connection is reset. The
   /// body of the request is not read.
   Reset,
+  /// Success with a body of [`LARGE_BYTES`].
+  Large,
+  /// As [`AnswerMode::Large`], but the connection is closed after this many bytes of the body.
+  Cut(u64),
 }
 
 /// Request received by the stand-in.
@@ -209,7 +220,7 @@
     Some(status)
   }
 
-  async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+  async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
     if request.uri().path() == HEALTH_PATH {
       return self.health();
     }
@@ -226,7 +237,7 @@
     response
   }
 
-  async fn run(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+  async fn run(&self, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let names = header_names();
     let answer_mode = *lock(&self.answer_mode);
@@ -259,6 +270,13 @@
         sleep(time).await;
         respond(StatusCode::OK, &id, true)
       }
+      AnswerMode::Large => with_length(
+        respond(StatusCode::OK, &id, true),
+        pattern_body(LARGE_BYTES),
+      ),
+      AnswerMode::Cut(bytes) => {
+        with_length(respond(StatusCode::OK, &id, true), truncated_body(bytes))
+      }
     }
   }
 
@@ -280,8 +298,8 @@
     socket.set_linger(Some(Duration::ZERO))
   }
 
-  fn health(&self) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+  fn health(&self) -> Response<Body> {
+    let mut response = Response::new(empty_body());
     if self.draining.load(Ordering::SeqCst) {
       *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
@@ -292,9 +310,9 @@
   }
 }
 
-fn respond(status: StatusCode, id: &HeaderValue, marked: bool) -> Response<Full<Bytes>> {
+fn respond(status: StatusCode, id: &HeaderValue, marked: bool) -> Response<Body> {
   let names = header_names();
-  let mut response = Response::new(Full::new(Bytes::from_static(b"the upstream's bytes")));
+  let mut response = Response::new(full_body("the upstream's bytes"));
   *response.status_mut() = status;
   response.headers_mut().insert(&names.request_id, id.clone());
   if let Some(mark) = names.success_mark.as_ref().filter(|_mark| marked) {
@@ -304,6 +322,14 @@
   response
 }
 
+/// Replaces the body by one of [`LARGE_BYTES`], as far as it goes.
+fn with_length(response: Response<Body>, body: Body) -> Response<Body> {
+  let mut response = response.map(|_body| body);
+  let length = HeaderValue::from(LARGE_BYTES);
+  response.headers_mut().insert(CONTENT_LENGTH, length);
+  response
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
   mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -23,7 +23,7 @@
 mod standin;
 
 pub use {
-  bodies::{HASH_HEADER, pattern, pattern_body, pattern_hash},
+  bodies::{HASH_HEADER, pattern, pattern_body, pattern_hash, truncated_body},
   client::{Client, ClientError},
   config::{Config, NestedCall},
   faults::Faults,
--- a/crates/standins/src/upstream/bodies.rs
+++ b/crates/standins/src/upstream/bodies.rs
@@ -48,7 +48,7 @@
 }
 
 /// Generated body that ends with an error after `length` bytes.
-pub(crate) fn truncated_body(length: u64) -> Body {
+pub fn truncated_body(length: u64) -> Body {
   let data = chunks(length).map(|(offset, size)| Ok(Frame::data(pattern(offset, size))));
   // The server discards unsent bytes when a body fails; the delay lets it send them first.
   let cut = stream::once(async {
