Refuse requests that no upstream has got at their deadline, instead of an unknown outcome

Cause: the node beside the upstream read the start of a body without a limit of its own, so that the deadline of the sender ended the call as unknown (504); the entry node read short bodies without any limit. The limit around a call in run_admitted equals that of the upstream client, which alone knows whether the request was written; which of the two ends first is a matter of the timer's resolution.

Change: both reads of bodies end at the deadline as not run (503 with retry-after). run_admitted leaves the deadline to the upstream client and limits only what is read ahead; replacing a closed connection ends at the deadline too.

--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -12,6 +12,7 @@
   },
   http::HeaderValue,
   std::{sync::Arc, time::Instant},
+  tokio::time::timeout_at,
   xxhash_rust::xxh3::{xxh3_64, xxh3_128},
 };
 
@@ -235,8 +236,10 @@
     head: CallHead,
     request: CallerRequest,
   ) -> Result<Answer, CallFailure> {
-    let body = BufferedBody::read(request.body)
+    let reading = BufferedBody::read(request.body);
+    let body = timeout_at(head.deadline.into(), reading)
       .await
+      .map_err(|_elapsed| CallFailure::not_run(NotRunReason::Deadline))?
       .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?;
     let policy = SendPolicy::of(route, preset);
     Dispatch::new(self, head, body, policy).run().await
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -46,8 +46,11 @@
   /// Runs a call on the local upstream, after the checks of quarantine, admission and key.
   pub(crate) async fn run_locally(self: &Arc<Self>, call: Call) -> Result<Answer, CallFailure> {
     let Call { head, body } = call;
-    let mut buffered = BufferedBody::read_start(body)
+    // The upstream gets nothing before the start of the body has been read.
+    let reading = BufferedBody::read_start(body);
+    let mut buffered = timeout_at(head.deadline.into(), reading)
       .await
+      .map_err(|_elapsed| CallFailure::not_run(NotRunReason::Deadline))?
       .map_err(|_error| CallFailure::not_run(NotRunReason::Cancelled))?;
     let fingerprint = Fingerprint::head(head.method.as_str(), &head.path);
     let fingerprint = fingerprint.with_body(buffered.start());
@@ -152,11 +155,13 @@
       remaining: deadline.saturating_duration_since(self.clock.now()),
       retries: call.head.retries,
     };
-    let running = self.upstream.call(call, context);
-    let complete = async { read_ahead(running.await?).await };
-    let result = timeout_at(deadline.into(), complete)
-      .await
-      .unwrap_or(Err(CallFailure::unknown(UnknownReason::Deadline)));
+    // The call ends at its deadline by itself, and only it knows whether the request was written.
+    let result = match self.upstream.call(call, context).await {
+      Ok(answer) => timeout_at(deadline.into(), read_ahead(answer))
+        .await
+        .unwrap_or(Err(CallFailure::unknown(UnknownReason::Deadline))),
+      Err(failure) => Err(failure),
+    };
     let bottleneck = self.ledgers().bottleneck(id);
     let (unused, nested_level) = span.close();
     match result {
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -156,6 +156,11 @@
     }
   }
 
+  /// Address of the upstream beside the node.
+  pub fn upstream_address(&self, node: usize) -> SocketAddr {
+    self.at(node, 7106)
+  }
+
   /// Address at which clients reach the node.
   pub fn client_address(&self, node: usize) -> SocketAddr {
     self.at(node, 7103)
--- a/crates/upstreams/src/pooled_connection.rs
+++ b/crates/upstreams/src/pooled_connection.rs
@@ -4,7 +4,10 @@
   http::{HeaderValue, Request, Response},
   hyper::{body::Incoming, client::conn::TrySendError},
   std::{mem, sync::Arc},
-  tokio::{sync::OwnedSemaphorePermit, time::Instant},
+  tokio::{
+    sync::OwnedSemaphorePermit,
+    time::{Instant, timeout_at},
+  },
 };
 
 /// Number of refusals on one connection after which it is closed, which bounds the ids that it keeps.
@@ -61,7 +64,7 @@
     self.connection.sender.try_send_request(request)
   }
 
-  /// Replaces the connection with a new one.
+  /// Replaces the connection with a new one, within the time of the call.
   pub(crate) async fn reconnect(self) -> Result<Self, NotRunReason> {
     let Self {
       connection,
@@ -71,7 +74,9 @@
       deadline,
     } = self;
     drop(connection);
-    pool.connect(permit, deadline).await
+    timeout_at(deadline, pool.connect(permit, deadline))
+      .await
+      .unwrap_or(Err(NotRunReason::Deadline))
   }
 
   /// Like [`PooledConnection::release`], after the upstream refused the request with this id.
