--- a/crates/cactusyoke/src/raw_settings.rs
+++ b/crates/cactusyoke/src/raw_settings.rs
@@ -96,6 +96,8 @@
   pub queue: usize,
   /// Maximum number of idempotency keys that the node remembers as a witness.
   pub keys: usize,
+  /// Memory that the process may take; without it, the memory for callers is not bounded.
+  pub memory: Option<ByteSize>,
 }
 
 impl Default for RawLimits {
@@ -105,6 +107,7 @@
       body: ByteSize(256 << 20),
       queue: 1000,
       keys: 100_000,
+      memory: None,
     }
   }
 }
--- a/crates/cactusyoke/src/settings.rs
+++ b/crates/cactusyoke/src/settings.rs
@@ -78,6 +78,8 @@
   pub queue: usize,
   /// Maximum number of idempotency keys that the node remembers as a witness.
   pub keys: usize,
+  /// Memory that the process may take; `None` for no bound.
+  pub memory: Option<ByteSize>,
   /// Number of groups of witnesses in this data centre.
   pub key_groups: u32,
   /// Time limit of a graceful shutdown.
@@ -176,6 +178,7 @@
       body: raw.limits.body,
       queue: raw.limits.queue,
       keys: raw.limits.keys,
+      memory: raw.limits.memory,
       key_groups: raw.key_groups,
       shutdown_limit: parse_time("shutdown_limit", &raw.shutdown_limit)?,
     })
--- a/crates/cactusyoke/tests/common/node_process.rs
+++ b/crates/cactusyoke/tests/common/node_process.rs
@@ -72,6 +72,37 @@
     None
   }
 
+  /// True while the process runs.
+  pub fn is_running(&mut self) -> bool {
+    matches!(self.child.try_wait(), Ok(None))
+  }
+
+  /// Largest resident memory of the process so far, bytes.
+  pub fn peak_memory(&self) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+    let status = status.expect("the process is running");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kibibytes = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+    kibibytes.expect("the kernel reports the peak") * 1024
+  }
+
+  /// Processor time of the process so far, in ticks of the kernel.
+  pub fn processor_ticks(&self) -> u64 {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+    let stat = stat.expect("the process is running");
+    // The name in parentheses may hold blanks; user and system time are the 12th and 13th field after
+    // it.
+    let (_, fields) = stat.rsplit_once(')').expect("the kernel names the process");
+    let times = fields.split_whitespace().skip(11).take(2);
+    times.filter_map(|ticks| ticks.parse::<u64>().ok()).sum()
+  }
+
+  /// Number of open file descriptors of the process.
+  pub fn open_files(&self) -> usize {
+    let files = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+    files.expect("the process is running").count()
+  }
+
   /// What the process has logged.
   pub fn log(&self) -> String {
     fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -52,6 +52,11 @@
   /// Starts `count` nodes, by turns in one of two data centres, and waits until all of them serve.
   /// Upstreams run each request for `work`.
   pub async fn start(count: u8, work: Duration) -> Self {
+    Self::start_with_limits(count, work, "{}").await
+  }
+
+  /// Starts the nodes with these limits in their settings.
+  pub async fn start_with_limits(count: u8, work: Duration, limits: &str) -> Self {
     let store = Platform::start().await.expect("a loopback port is free");
     store.write(document::KEY, DOCUMENT);
     let mut site = Self {
@@ -64,7 +69,7 @@
       requests: AtomicU64::new(0),
     };
     for number in 1..=count {
-      site.add(number, work).await;
+      site.add(number, work, limits).await;
     }
     for node in 0..usize::from(count) {
       eventually("the node serves", || async { site.ready(node).await }).await;
@@ -81,7 +86,7 @@
     site
   }
 
-  async fn add(&mut self, number: u8, work: Duration) {
+  async fn add(&mut self, number: u8, work: Duration, limits: &str) {
     let entry = self.store.add_entry().await;
     let entry = entry.expect("a loopback port is free");
     let at = |port| self.addresses.listener(number, port);
@@ -89,7 +94,7 @@
       "node: {}\ndata_centre: dc-{}\ndata_centres:\n  dc-1: {{region: r}}\n  dc-2: {{region: r}}\n\
        callers: {}\negress: {}\nannounce: {}\noperators: {}\nplatform: {}\ninterface: platform\n\
        service: plaques\nupstream: {}\nretry_budget: {{ratio: 0.2, slack: 48, window: 10s}}\n\
-       shutdown_limit: 6s\nlinger: 1s\nthreads: 1\n",
+       shutdown_limit: 6s\nlinger: 1s\nthreads: 1\nlimits: {limits}\n",
       at(7101),
       (number - 1) % 2 + 1,
       at(7102),
@@ -175,6 +180,11 @@
     members.collect()
   }
 
+  /// Address at which clients reach the node.
+  pub fn clients_address(&self, node: usize) -> SocketAddr {
+    self.at(node, 7103)
+  }
+
   /// Address at which other nodes reach the node.
   pub fn node_address(&self, node: usize) -> SocketAddr {
     self.at(node, 7101)
