Bound the memory that a node holds for callers and other nodes

Cause: nothing counted what callers make a node hold. Each connection with a body that stops short of its end kept a read buffer of up to 64 KiB and up to 128 KiB of the start of its body, up to 15 or 30 s and with up to 2,500 connections; on a link, each chunk of one byte took 40 bytes at the receiver, and small frames could queue up to 8 MiB; each unread answer held a window of 256 KiB and pinned parts of read buffers.

Change: cactusyoke-memory, an account without network or clock. Connections and calls on links state what is allocated for them. With limits.memory, those that wait for their peer are closed above three quarters of the budget, without progress for longest first; requests with bodies are refused (503, before any handler) above seven eighths. Reads wait while closed connections have not given their memory back. Received chunks that wait are merged; those up to 16 KiB are copied out of the read buffer. Small frames of bodies count for the outbox's bound. Read buffers of callers grow to 32 to 40 KiB (64 before). Without the setting nothing is closed.

A frame of a body that this side has ended meanwhile is ignored; it closed the whole link.

--- a/crates/cactusyoke/src/buffered_body.rs
+++ b/crates/cactusyoke/src/buffered_body.rs
@@ -2,7 +2,7 @@
 //! they are complete.
 
 use {
-  bytes::{Bytes, BytesMut},
+  bytes::Bytes,
   cactusyoke_model::{Body, BodyError},
   http::HeaderMap,
   http_body::{Body as _, Frame, SizeHint},
@@ -17,6 +17,10 @@
 /// Maximum size of a body that is held in memory.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
+/// Largest first frame that is copied when more of the body follows, bytes. Without the copy, a short
+/// frame would keep the whole read buffer of its connection allocated until the next one arrives.
+const MAX_COPIED_FRAME: usize = 4 << 10;
+
 /// Body, held in memory when it is small.
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
@@ -58,15 +62,21 @@
       });
     }
     let mut first = Bytes::new();
-    let mut prefix = BytesMut::new();
+    let mut prefix = Vec::new();
     while let Some(frame) = body.frame().await {
       match frame?.into_data() {
-        Ok(data) if first.is_empty() && prefix.is_empty() => first = data,
+        Ok(data) if first.is_empty() && prefix.is_empty() => {
+          if data.len() > MAX_COPIED_FRAME || body.is_end_stream() {
+            first = data;
+          } else {
+            append(&mut prefix, &data);
+          }
+        }
         Ok(data) => {
           if prefix.is_empty() {
-            prefix.extend_from_slice(&first);
+            append(&mut prefix, &std::mem::take(&mut first));
           }
-          prefix.extend_from_slice(&data);
+          append(&mut prefix, &data);
         }
         Err(frame) => {
           let trailers = frame.into_trailers().ok();
@@ -125,11 +135,22 @@
   }
 }
 
-fn joined_prefix(first: Bytes, prefix: BytesMut) -> Bytes {
+/// Appends to a buffer that doubles its capacity up to [`MAX_BUFFERED_BYTES`] and then grows by what
+/// is needed.
+fn append(prefix: &mut Vec<u8>, data: &[u8]) {
+  let needed = prefix.len() + data.len();
+  if needed > prefix.capacity() {
+    let doubled = (prefix.capacity() * 2).min(MAX_BUFFERED_BYTES);
+    prefix.reserve_exact(needed.max(doubled) - prefix.len());
+  }
+  prefix.extend_from_slice(data);
+}
+
+fn joined_prefix(first: Bytes, prefix: Vec<u8>) -> Bytes {
   if prefix.is_empty() {
     first
   } else {
-    prefix.freeze()
+    prefix.into()
   }
 }
 
--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -8,7 +8,7 @@
     crashes::Crashes,
     directory_client::DirectoryClient,
     directory_follower,
-    event_limiter::EventLimiter,
+    event_limiter::{EventLimiter, Verdict},
     keyed_runs::KeyedRuns,
     listeners::{Listeners, bind},
     load_control::LoadControl,
@@ -26,6 +26,7 @@
     load::{Ledgers, RetryBudget},
     membership::{MemberRecord, MembersConfig},
   },
+  cactusyoke_memory::{MemoryAccount, MemoryBudget, MemoryPressure},
   cactusyoke_model::{Clock, Incarnation, NodeId},
   cactusyoke_nodes::{Links, LinksConfig, Membership, MembershipConfig, MembershipHandle},
   cactusyoke_operators::Metrics,
@@ -94,18 +95,8 @@
     MemberSource::Gossip(start_membership(&settings, incarnation, &clock, listeners).await?)
   };
   let names = settings.interface.header_names();
-  let links_config = LinksConfig::new(settings.node, incarnation, settings.centre.clone());
-  let links_config = if settings.interface.is_platform() {
-    LinksConfig {
-      heartbeat_interval: HEARTBEAT_INTERVAL,
-      receive_timeout: RECEIVE_TIMEOUT,
-      connect_timeout: CONNECT_TIMEOUT,
-      ..links_config
-    }
-  } else {
-    links_config
-  };
-  let links = Links::new(links_config);
+  let memory = memory_account(&settings, &clock);
+  let links = Links::new(links_config(&settings, incarnation, &memory));
   let announce_config =
     settings
       .interface
@@ -141,6 +132,7 @@
     watcher,
     members,
     links,
+    memory,
     upstream_view,
     upstream: Upstream::new(upstream_config),
     admission,
@@ -167,6 +159,44 @@
   }))
 }
 
+fn links_config(
+  settings: &Settings,
+  incarnation: Incarnation,
+  memory: &Arc<MemoryAccount>,
+) -> LinksConfig {
+  let config = LinksConfig {
+    memory: Arc::clone(memory),
+    ..LinksConfig::new(settings.node, incarnation, settings.centre.clone())
+  };
+  if !settings.interface.is_platform() {
+    return config;
+  }
+  LinksConfig {
+    heartbeat_interval: HEARTBEAT_INTERVAL,
+    receive_timeout: RECEIVE_TIMEOUT,
+    connect_timeout: CONNECT_TIMEOUT,
+    ..config
+  }
+}
+
+/// Account of what callers and links hold, which logs what it closes and refuses at a limited rate.
+fn memory_account(settings: &Settings, clock: &Arc<dyn Clock>) -> Arc<MemoryAccount> {
+  let budget = settings.memory.map(MemoryBudget::of_process);
+  let (clock, limiter) = (Arc::clone(clock), EventLimiter::default());
+  let limit = budget.map_or(0, |budget| budget.limit);
+  Arc::new(MemoryAccount::new(budget, move |pressure, held| {
+    let Verdict::Write { omitted } = limiter.check(clock.now()) else {
+      return;
+    };
+    match pressure {
+      MemoryPressure::Closed(closed) => {
+        tracing::warn!(event = "memory_closed", closed, held, limit, omitted);
+      }
+      MemoryPressure::Refused => tracing::warn!(event = "memory_refused", held, limit, omitted),
+    }
+  }))
+}
+
 /// Settings of the upstream client that reports to the parts of the node.
 fn upstream_config(
   view: &ViewHandle,
--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -10,6 +10,7 @@
   cactusyoke_configuration::{Configuration, Watcher},
   cactusyoke_decisions::load::{Candidate, Ledgers, RetryBudget},
   cactusyoke_http::HeaderNames,
+  cactusyoke_memory::MemoryAccount,
   cactusyoke_model::{
     CallFailure, Clock, Config, DataCentre, Incarnation, NodeId, NotRunReason, Revision,
     ServiceName,
@@ -55,6 +56,8 @@
   /// Limits the log lines about requests without an answer.
   pub(crate) log_limiter: EventLimiter,
   pub(crate) links: Links,
+  /// Account of what callers and links hold.
+  pub(crate) memory: Arc<MemoryAccount>,
   pub(crate) upstream_view: ViewHandle,
   pub(crate) upstream: Upstream,
   pub(crate) admission: Arc<Admission>,
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -6,6 +6,7 @@
     parents::Parent, send_policy::SendPolicy,
   },
   cactusyoke_callers::{CallHandler, CallerRequest, Limits},
+  cactusyoke_memory::MemoryAccount,
   cactusyoke_model::{
     Answer, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Repeat, Report,
     RequestId, Retries, Route, SpanId, UnknownReason,
@@ -29,6 +30,10 @@
     self.0.caller_limits(initial)
   }
 
+  fn memory(&self) -> Arc<MemoryAccount> {
+    Arc::clone(&self.0.memory)
+  }
+
   async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
     self.0.until_cut_off(self.0.root_call(request)).await
   }
@@ -39,6 +44,10 @@
     self.0.caller_limits(initial)
   }
 
+  fn memory(&self) -> Arc<MemoryAccount> {
+    Arc::clone(&self.0.memory)
+  }
+
   async fn handle(&self, request: CallerRequest) -> Result<Answer, CallFailure> {
     let answering = async {
       match self.0.parent_of(&request) {
--- a/crates/cactusyoke/src/raw_settings.rs
+++ b/crates/cactusyoke/src/raw_settings.rs
@@ -96,7 +96,7 @@
   pub queue: usize,
   /// Maximum number of idempotency keys that the node remembers as a witness.
   pub keys: usize,
-  /// Memory that the process may take; without it, the memory for callers is not bounded.
+  /// Memory that the process may take; without it, the memory for clients is not bounded.
   pub memory: Option<ByteSize>,
 }
 
--- a/crates/cactusyoke/src/settings.rs
+++ b/crates/cactusyoke/src/settings.rs
@@ -3,6 +3,7 @@
 use {
   crate::{Interface, InterfaceName, RawRetryBudget, RawSettings, SettingsError},
   cactusyoke_decisions::load::RetryBounds,
+  cactusyoke_memory::MemoryBudget,
   cactusyoke_model::{ByteSize, DataCentre, NodeId},
   cactusyoke_operators::Token,
   std::{
@@ -129,6 +130,7 @@
       raw.limits.connections as usize,
       1_000_000,
     )?;
+    check_memory(raw.limits.memory)?;
     check_range("limits.queue", raw.limits.queue, MAX_QUEUE)?;
     check_range("limits.keys", raw.limits.keys, 10_000_000)?;
     check_range(
@@ -233,6 +235,13 @@
   Ok(())
 }
 
+fn check_memory(memory: Option<ByteSize>) -> Result<(), SettingsError> {
+  match memory {
+    Some(memory) if memory < MemoryBudget::MIN_MEMORY => Err(SettingsError::Memory(memory)),
+    Some(_) | None => Ok(()),
+  }
+}
+
 fn check_range(field: &'static str, value: usize, max: usize) -> Result<(), SettingsError> {
   if (1..=max).contains(&value) {
     Ok(())
--- a/crates/cactusyoke/src/settings_error.rs
+++ b/crates/cactusyoke/src/settings_error.rs
@@ -1,5 +1,6 @@
 use {
-  cactusyoke_model::{DataCentre, NodeId},
+  cactusyoke_memory::MemoryBudget,
+  cactusyoke_model::{ByteSize, DataCentre, NodeId},
   cactusyoke_operators::TokenError,
   std::{
     fmt::{self, Display, Formatter},
@@ -25,6 +26,8 @@
   UnknownCentre(DataCentre),
   /// A number is out of range: field, value and maximum.
   Range(&'static str, usize, usize),
+  /// The memory of the process is too small to serve callers.
+  Memory(ByteSize),
   /// A time cannot be parsed: field and text.
   Time(String, String),
   /// The token is invalid.
@@ -77,6 +80,11 @@
           "`{field}` is {value}: write a whole number from 1 to {max}"
         )
       }
+      Self::Memory(memory) => write!(
+        f,
+        "`limits.memory` is `{memory}`: write the memory of the machine, at least {}",
+        MemoryBudget::MIN_MEMORY
+      ),
       Self::Time(field, text) => write!(
         f,
         "`{field}` is `{}`: write a time such as `500us`, `30s` or `2min`",
--- a/crates/cactusyoke/src/status.rs
+++ b/crates/cactusyoke/src/status.rs
@@ -33,6 +33,7 @@
     let received = links.control_in() + datagrams_in;
     metrics.control_sent.store(sent, Relaxed);
     metrics.control_received.store(received, Relaxed);
+    metrics.set_memory(self.memory.usage());
     let view = self.members.view();
     let count = |status| {
       view
--- a/crates/http/src/acceptor.rs
+++ b/crates/http/src/acceptor.rs
@@ -1,5 +1,6 @@
 use {
   crate::{CallHandler, Connection, Limits, connection::refuse},
+  cactusyoke_memory::MemoryAccount,
   std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -21,6 +22,7 @@
 pub(crate) struct Acceptor<H> {
   handler: Arc<H>,
   limits: Limits,
+  memory: Arc<MemoryAccount>,
   shutdown: CancellationToken,
   tasks: TaskTracker,
   connections: Arc<Semaphore>,
@@ -33,6 +35,7 @@
 impl<H: CallHandler> Acceptor<H> {
   pub(crate) fn new(handler: Arc<H>, limits: Limits, shutdown: CancellationToken) -> Self {
     Self {
+      memory: handler.memory(),
       handler,
       limits,
       shutdown,
@@ -57,6 +60,7 @@
     let connection = Connection {
       handler: Arc::clone(&self.handler),
       initial_limits: self.limits,
+      memory: Arc::clone(&self.memory),
       shutdown: self.shutdown.clone(),
     };
     self.tasks.spawn(async move {
--- a/crates/http/src/call_handler.rs
+++ b/crates/http/src/call_handler.rs
@@ -1,6 +1,8 @@
 use {
   crate::{CallerRequest, Limits},
+  cactusyoke_memory::MemoryAccount,
   cactusyoke_model::{Answer, CallFailure},
+  std::sync::Arc,
 };
 
 /// Runs the requests that a listener receives.
@@ -11,6 +13,11 @@
     initial
   }
 
+  /// Account of what the connections hold. Called once for each listener.
+  fn memory(&self) -> Arc<MemoryAccount> {
+    Arc::default()
+  }
+
   /// Runs one request.
   ///
   /// The future, and the bodies of the request and the answer, are dropped when the caller goes
--- a/crates/http/src/caller_request.rs
+++ b/crates/http/src/caller_request.rs
@@ -1,5 +1,7 @@
 use {
-  crate::{HeaderNames, Limits, ReceivedBody, Refusal, hop_headers::remove_hop_headers},
+  crate::{
+    ConnectionMemory, HeaderNames, Limits, ReceivedBody, Refusal, hop_headers::remove_hop_headers,
+  },
   cactusyoke_model::{Body, Context, IdempotencyKey, KeyError},
   http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Version, header, request::Parts},
   http_body_util::BodyExt,
@@ -52,9 +54,10 @@
     request: Request<Incoming>,
     limits: &Limits,
     unread: Arc<AtomicBool>,
+    memory: Arc<ConnectionMemory>,
   ) -> Result<Self, Refusal> {
     let (parts, body) = request.into_parts();
-    let body = ReceivedBody::new(body, limits.body, limits.idle, unread);
+    let body = ReceivedBody::new(body, limits.body, limits.idle, unread, memory);
     check_head(&parts, &body, limits)?;
     let names = limits.names;
     let key = read_key(&parts.headers, names.key.as_ref())?;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,9 +1,10 @@
 use {
   crate::{
-    CallHandler, CallerRequest, CheckedBody, Departure, Limits, Refusal, ReturnedHalf,
-    TimeoutStream, answer_response, failure_response, linger,
+    CallHandler, CallerRequest, CheckedBody, ConnectionMemory, Departure, Limits, Refusal,
+    ReturnedHalf, SentBody, TimeoutStream, answer_response, failure_response, linger,
   },
   bytes::Bytes,
+  cactusyoke_memory::MemoryAccount,
   cactusyoke_model::full_body,
   http::{HeaderValue, Request, Response, header},
   http_body::Body,
@@ -34,8 +35,12 @@
 const INLINE_HEADERS: usize = 100;
 
 /// Lower bound for the limit of the read buffer, bytes. Bodies are read in chunks of up to this
-/// size.
-const MIN_READ_BUFFER: usize = 64 * 1024;
+/// size, which is also the largest chunk in a frame on a link. A connection keeps its buffer.
+const MIN_READ_BUFFER: usize = 32 * 1024;
+
+/// Room in the read buffer beside the longest head, bytes: a head that is a little longer is answered
+/// with the limit.
+const HEAD_ROOM: usize = 8 * 1024;
 
 /// One connection of a caller.
 #[derive(Debug)]
@@ -43,6 +48,7 @@
   pub(crate) handler: Arc<H>,
   /// Limits that the listener was started with.
   pub(crate) initial_limits: Limits,
+  pub(crate) memory: Arc<MemoryAccount>,
   pub(crate) shutdown: CancellationToken,
 }
 
@@ -51,29 +57,41 @@
   pub(crate) async fn run(self, stream: TcpStream) {
     let unread = Arc::new(AtomicBool::new(false));
     let limits = self.handler.limits(self.initial_limits);
-    let service = service_fn(|request| self.respond(request, &unread));
-    serve_stream(stream, limits, &self.shutdown, &unread, service).await;
+    let memory = Arc::new(ConnectionMemory::open(&self.memory));
+    let service = service_fn(|request| self.respond(request, &unread, &memory));
+    let serving = serve_stream(stream, limits, &memory, &self.shutdown, &unread, service);
+    select! {
+      biased;
+      // Closed without an answer, which promises nothing.
+      () = memory.closed() => tracing::debug!("caller connection closed: too much memory is held"),
+      () = serving => {}
+    }
   }
 
   async fn respond(
     &self,
     request: Request<Incoming>,
     unread: &Arc<AtomicBool>,
-  ) -> Result<Response<CheckedBody>, Infallible> {
+    memory: &Arc<ConnectionMemory>,
+  ) -> Result<Response<SentBody>, Infallible> {
     let method = request.method().clone();
     let limits = self.handler.limits(self.initial_limits);
     unread.store(sends_body(&request), Ordering::Relaxed);
-    let mut response = match CallerRequest::check(request, &limits, Arc::clone(unread)) {
+    let admitted = memory.begin_request(request.headers(), request.body().size_hint().exact());
+    let checked = CallerRequest::check(request, &limits, Arc::clone(unread), Arc::clone(memory));
+    let mut response = match checked {
       Err(refusal) => text_response(refusal.response()),
+      Ok(_request) if !admitted => text_response(Refusal::Memory.response()),
       Ok(request) => match self.handler.handle(request).await {
         Ok(answer) => answer_response(answer, &method),
         Err(failure) => text_response(failure_response(&failure, limits.names.fractional_retry)),
       },
     };
+    memory.end_request();
     if self.shutdown.is_cancelled() {
       set_connection_close(&mut response);
     }
-    Ok(response)
+    Ok(response.map(|body| SentBody::new(body, Some(Arc::clone(memory)))))
   }
 }
 
@@ -82,13 +100,15 @@
   limits.idle = limits.idle.min(Duration::from_secs(1));
   let unread = AtomicBool::new(false);
   let unread = &unread;
+  // Bounded by the number of refusals at a time.
+  let memory = Arc::new(ConnectionMemory::open(&Arc::default()));
   let service = service_fn(|request: Request<Incoming>| async move {
     unread.store(sends_body(&request), Ordering::Relaxed);
     let mut response = text_response(Refusal::Connections(limits.connections).response());
     set_connection_close(&mut response);
-    Ok::<_, Infallible>(response)
+    Ok::<_, Infallible>(response.map(|body| SentBody::new(body, None)))
   });
-  serve_stream(stream, limits, shutdown, unread, service).await;
+  serve_stream(stream, limits, &memory, shutdown, unread, service).await;
 }
 
 /// Serves one connection. `unread` is true while the caller may still be sending the body of its
@@ -96,11 +116,12 @@
 async fn serve_stream<S>(
   stream: TcpStream,
   limits: Limits,
+  memory: &Arc<ConnectionMemory>,
   shutdown: &CancellationToken,
   unread: &AtomicBool,
   service: S,
 ) where
-  S: HttpService<Incoming, ResBody = CheckedBody, Error = Infallible>,
+  S: HttpService<Incoming, ResBody = SentBody, Error = Infallible>,
 {
   let (read, write) = stream.into_split();
   let write = Arc::new(write);
@@ -111,12 +132,13 @@
     Arc::clone(&departure),
     limits.idle,
     Arc::clone(&returned),
+    Arc::clone(memory),
   );
   let mut builder = Builder::new();
   builder
     .timer(TokioTimer::new())
     .header_read_timeout(limits.idle)
-    .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER));
+    .max_buf_size((limits.header_bytes + HEAD_ROOM).max(MIN_READ_BUFFER));
   if limits.headers > INLINE_HEADERS {
     builder.max_headers(limits.headers);
   }
@@ -153,7 +175,7 @@
   shutdown: &CancellationToken,
 ) -> hyper::Result<()>
 where
-  S: HttpService<Incoming, ResBody = CheckedBody, Error = Infallible>,
+  S: HttpService<Incoming, ResBody = SentBody, Error = Infallible>,
 {
   let mut connection = pin!(connection);
   select! {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_request;
 mod checked_body;
 mod connection;
+mod connection_memory;
 mod departure;
 mod failure_response;
 mod header_names;
@@ -18,6 +19,7 @@
 mod linger;
 mod received_body;
 mod refusal;
+mod sent_body;
 mod serve;
 mod stall_timer;
 mod timeout_stream;
@@ -36,10 +38,12 @@
   acceptor::Acceptor,
   answer_response::answer_response,
   connection::Connection,
+  connection_memory::ConnectionMemory,
   departure::Departure,
   failure_response::failure_response,
   linger::linger,
   received_body::ReceivedBody,
+  sent_body::SentBody,
   stall_timer::StallTimer,
   timeout_stream::{ReturnedHalf, TimeoutStream},
 };
--- a/crates/http/src/received_body.rs
+++ b/crates/http/src/received_body.rs
@@ -1,5 +1,5 @@
 use {
-  crate::StallTimer,
+  crate::{ConnectionMemory, StallTimer},
   bytes::Bytes,
   cactusyoke_model::{BodyError, ByteSize},
   http_body::{Body, Frame, SizeHint},
@@ -24,6 +24,7 @@
   stall_timer: StallTimer,
   /// True until the body has been read completely.
   unread: Arc<AtomicBool>,
+  memory: Arc<ConnectionMemory>,
 }
 
 impl ReceivedBody {
@@ -33,12 +34,14 @@
     limit: ByteSize,
     idle: Duration,
     unread: Arc<AtomicBool>,
+    memory: Arc<ConnectionMemory>,
   ) -> Self {
     Self {
       inner,
       left: limit.0,
       stall_timer: StallTimer::new(idle),
       unread,
+      memory,
     }
   }
 }
@@ -54,17 +57,21 @@
     let this = self.get_mut();
     let frame = match Pin::new(&mut this.inner).poll_frame(cx) {
       Poll::Pending => {
+        this.memory.set_owing(true);
         ready!(this.stall_timer.poll_expired(cx));
         return Poll::Ready(Some(Err(BodyError::ConnectionLost)));
       }
       Poll::Ready(None) => {
+        this.memory.set_owing(false);
         this.unread.store(false, Ordering::Relaxed);
         return Poll::Ready(None);
       }
       Poll::Ready(Some(Err(_error))) => return Poll::Ready(Some(Err(BodyError::ConnectionLost))),
       Poll::Ready(Some(Ok(frame))) => frame,
     };
+    this.memory.set_owing(false);
     if let Some(data) = frame.data_ref() {
+      this.memory.record_body(data.len());
       this.stall_timer.record_transfer(data.len());
       let Some(left) = this.left.checked_sub(data.len() as u64) else {
         return Poll::Ready(Some(Err(BodyError::Length)));
--- a/crates/http/src/refusal.rs
+++ b/crates/http/src/refusal.rs
@@ -27,6 +27,8 @@
   Context,
   /// The listener has reached its limit of connections.
   Connections(usize),
+  /// The process holds as much memory for its callers as it may.
+  Memory,
 }
 
 impl Display for Refusal {
@@ -55,6 +57,9 @@
         f,
         "{limit} connections are open, which is the limit: reuse connections, or send again after the time in `retry-after`"
       ),
+      Self::Memory => f.write_str(
+        "the node holds as much memory for its callers as it may: send again after the time in `retry-after`",
+      ),
     }
   }
 }
@@ -71,15 +76,18 @@
       Self::BodyBytes(_) => StatusCode::PAYLOAD_TOO_LARGE,
       Self::Key(_) | Self::RepeatedKey | Self::Context => StatusCode::BAD_REQUEST,
       Self::Connections(_) => StatusCode::TOO_MANY_REQUESTS,
+      Self::Memory => StatusCode::SERVICE_UNAVAILABLE,
     }
   }
 
   /// Value of the `cactusyoke-reason` header.
   pub const fn reason(&self) -> NotRunReason {
     match self {
-      Self::HeaderBytes(_) | Self::Headers(_) | Self::BodyBytes(_) | Self::Connections(_) => {
-        NotRunReason::Limit
-      }
+      Self::HeaderBytes(_)
+      | Self::Headers(_)
+      | Self::BodyBytes(_)
+      | Self::Connections(_)
+      | Self::Memory => NotRunReason::Limit,
       Self::Version | Self::Connect | Self::Key(_) | Self::RepeatedKey | Self::Context => {
         NotRunReason::BadRequest
       }
@@ -90,7 +98,7 @@
   pub(crate) fn response(&self) -> Response<Bytes> {
     let reason = self.reason();
     let retry_after = match self {
-      Self::Connections(_) => Some(HeaderValue::from_static("1")),
+      Self::Connections(_) | Self::Memory => Some(HeaderValue::from_static("1")),
       Self::Version
       | Self::Connect
       | Self::HeaderBytes(_)
--- a/crates/http/src/timeout_stream.rs
+++ b/crates/http/src/timeout_stream.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{Departure, StallTimer},
+  crate::{ConnectionMemory, Departure, StallTimer},
   socket2::SockRef,
   std::{
     io,
@@ -30,6 +30,7 @@
   departure: Arc<Departure>,
   stall_timer: StallTimer,
   returned: ReturnedHalf,
+  memory: Arc<ConnectionMemory>,
 }
 
 impl TimeoutStream {
@@ -39,6 +40,7 @@
     departure: Arc<Departure>,
     limit: Duration,
     returned: ReturnedHalf,
+    memory: Arc<ConnectionMemory>,
   ) -> Self {
     Self {
       read: Some(read),
@@ -46,6 +48,7 @@
       departure,
       stall_timer: StallTimer::new(limit),
       returned,
+      memory,
     }
   }
 
@@ -63,6 +66,7 @@
         Err(error) => return Poll::Ready(Err(error)),
         Ok(bytes) => {
           self.stall_timer.record_transfer(bytes);
+          self.memory.record_write(bytes);
           return Poll::Ready(Ok(bytes));
         }
       }
@@ -72,6 +76,7 @@
         Poll::Pending => break,
       }
     }
+    self.memory.record_blocked();
     ready!(self.stall_timer.poll_expired(cx));
     Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
   }
@@ -84,15 +89,24 @@
     buf: &mut ReadBuf<'_>,
   ) -> Poll<io::Result<()>> {
     let this = self.get_mut();
+    if this.memory.must_wait() {
+      cx.waker().wake_by_ref();
+      return Poll::Pending;
+    }
     let before = buf.filled().len();
+    this.memory.record_buffer(buf.remaining());
     let read = this
       .read
       .as_mut()
       .expect("the half is taken only by the destructor");
     let result = Pin::new(read).poll_read(cx, buf);
+    let received = buf.filled().len() > before;
+    if received {
+      this.memory.record_read();
+    }
     this
       .departure
-      .record_read(matches!(result, Poll::Ready(Ok(()))) && buf.filled().len() > before);
+      .record_read(matches!(result, Poll::Ready(Ok(()))) && received);
     result
   }
 }
--- a/crates/nodes/src/link/acceptor.rs
+++ b/crates/nodes/src/link/acceptor.rs
@@ -50,7 +50,7 @@
   ) -> Result<(), FrameError> {
     let (id, hop, end) = (open.stream, open.hop, open.end);
     let head = open.into_head(Instant::now())?;
-    let stream = Arc::new(Stream::new(id, self.config.window));
+    let stream = Stream::accepted(id, self);
     let mut state = self.lock();
     if id <= state.last_stream {
       return Err(FrameError::UnexpectedFrame);
@@ -58,7 +58,9 @@
     state.last_stream = id;
     let refused = if state.draining {
       Some(NotRunReason::Draining)
-    } else if state.in_flight() >= self.config.max_streams {
+    } else if state.in_flight() >= self.config.max_streams
+      || !self.config.memory.admits(usize::from(!end))
+    {
       Some(NotRunReason::Limit)
     } else {
       None
--- a/crates/nodes/src/link/body_sender.rs
+++ b/crates/nodes/src/link/body_sender.rs
@@ -31,6 +31,8 @@
   body: Body,
   /// Bytes read from the body but not yet queued.
   pending: Bytes,
+  /// `pending` waits for credit or for room in the outbox.
+  waits: bool,
 }
 
 impl BodySender {
@@ -41,6 +43,7 @@
       stream,
       body,
       pending: Bytes::new(),
+      waits: false,
     }
   }
 
@@ -58,13 +61,27 @@
     }
   }
 
+  /// Bytes of `pending` that may be queued now; `None` when sending must stop.
+  fn poll_granted(&mut self, cx: &mut Context<'_>) -> Poll<Option<usize>> {
+    let wanted = self.pending.len().min(MAX_DATA);
+    let granted = match self.link.outbox.poll_space(cx) {
+      Poll::Ready(()) => self.stream.poll_credit(cx, wanted),
+      Poll::Pending => Poll::Pending,
+    };
+    let waits = granted.is_pending();
+    if waits != self.waits {
+      self.waits = waits;
+      let unsent = if waits { self.pending.len() } else { 0 };
+      self.stream.record_unsent(unsent);
+    }
+    granted
+  }
+
   /// Sends until the body ends, or waits for credit, for room in the outbox or for more data.
   pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<SendResult> {
     loop {
       while !self.pending.is_empty() {
-        ready!(self.link.outbox.poll_space(cx));
-        let wanted = self.pending.len().min(MAX_DATA);
-        let Some(granted) = ready!(self.stream.poll_credit(cx, wanted)) else {
+        let Some(granted) = ready!(self.poll_granted(cx)) else {
           return Poll::Ready(SendResult::Stopped);
         };
         let chunk = self.pending.split_to(granted);
--- a/crates/nodes/src/link/connection.rs
+++ b/crates/nodes/src/link/connection.rs
@@ -1,5 +1,5 @@
 use {
-  super::{BulkPart, Link, LinkError, Stream},
+  super::{BulkPart, Link, LinkError, READ_BUFFER, Stream},
   crate::{
     Incoming,
     wire::{self, Frame, FrameError},
@@ -22,11 +22,6 @@
   tokio_util::sync::CancellationToken,
 };
 
-/// Capacity of the read buffer, bytes.
-const READ_BUFFER: usize = 64 * 1024;
-/// Largest received chunk that is copied out of the read buffer, bytes. Without the copy, a short
-/// chunk that waits for its reader would keep the whole buffer allocated.
-const MAX_COPY: usize = 1024;
 /// Capacity of the write buffer that is kept between writes, bytes.
 const KEPT_WRITE_BUFFER: usize = 256 * 1024;
 /// Time allowed for the peer to close the connection after a `Close` frame.
@@ -154,12 +149,7 @@
     Frame::Pong => {}
     Frame::Data { stream, bytes } => {
       if let Some(stream) = find_body_stream(link, stream, side)? {
-        let chunk = if bytes.0.len() <= MAX_COPY {
-          Bytes::copy_from_slice(bytes.0)
-        } else {
-          frame_bytes.slice_ref(bytes.0)
-        };
-        stream.on_data(chunk)?;
+        stream.on_data(&frame_bytes.slice_ref(bytes.0))?;
       }
     }
     Frame::End { stream, trailers } => {
--- a/crates/nodes/src/link/mod.rs
+++ b/crates/nodes/src/link/mod.rs
@@ -2,6 +2,7 @@
 
 mod acceptor;
 mod body_sender;
+mod chunk_queue;
 mod connection;
 mod connection_state;
 mod dial;
@@ -13,8 +14,10 @@
 mod received;
 mod shared;
 mod stream;
+mod stream_memory;
 
 pub use body_sender::{BodySender, SendResult};
+use chunk_queue::{ChunkQueue, READ_BUFFER};
 pub use connection::Connection;
 use connection_state::{ActiveCall, ConnectionState, PendingControl};
 pub use dial::{accept, dial};
@@ -26,3 +29,4 @@
 pub use received::{BodyPart, ReceivedHead};
 pub use shared::Link;
 pub use stream::Stream;
+use stream_memory::StreamMemory;
--- a/crates/nodes/src/link/opener.rs
+++ b/crates/nodes/src/link/opener.rs
@@ -59,7 +59,7 @@
       return Err(OpenError::Limit);
     };
     state.last_stream = id;
-    let stream = Arc::new(Stream::new(id, self.config.window));
+    let stream = Stream::opened(id, self);
     let active = ActiveCall {
       stream: Arc::clone(&stream),
       position,
--- a/crates/nodes/src/link/outbox.rs
+++ b/crates/nodes/src/link/outbox.rs
@@ -5,6 +5,7 @@
     wire::{self, Frame, FrameError, Raw},
   },
   bytes::Bytes,
+  cactusyoke_memory::{Holder, MemoryAccount, MemoryKind},
   http::HeaderMap,
   std::{
     borrow::Cow,
@@ -17,8 +18,8 @@
 
 /// Largest body chunk that is queued with the small frames, bytes.
 const MAX_SMALL_CHUNK: usize = 4 * 1024;
-/// Bulk bytes queued before senders of bodies must wait.
-const MAX_BULK_QUEUED: usize = 256 * 1024;
+/// Bytes queued before senders of bodies must wait.
+const MAX_QUEUED: usize = 256 * 1024;
 /// Most bulk bytes in one write; bounds the delay that bodies add to small frames.
 const MAX_BULK_WRITE: usize = 64 * 1024;
 /// Bytes of queued small frames above which the link is closed as stalled.
@@ -102,20 +103,30 @@
   closed: bool,
 }
 
+impl State {
+  /// Bytes that wait to be written.
+  const fn queued(&self) -> usize {
+    self.small.len() + self.bulk_bytes
+  }
+}
+
 /// Frames to be written: small frames first, then bulk parts in the order of queueing.
 #[derive(Debug)]
 pub struct Outbox {
   state: Mutex<State>,
   ready: Notify,
   stats: Arc<LinkStats>,
+  memory: Holder,
 }
 
 impl Outbox {
-  pub fn new(stats: Arc<LinkStats>) -> Self {
+  pub fn new(stats: Arc<LinkStats>, memory: &Arc<MemoryAccount>) -> Self {
     Self {
       state: Mutex::default(),
       ready: Notify::new(),
       stats,
+      // Bounded by `MAX_QUEUED` and the time for which a peer may be silent, so never closed.
+      memory: memory.open(|| {}),
     }
   }
 
@@ -169,6 +180,7 @@
       state.bulk_bytes += part.len();
       state.bulk.push_back(part);
     }
+    self.memory.count(MemoryKind::Links, state.queued());
     drop(state);
     self.ready.notify_one();
     Ok(())
@@ -177,7 +189,7 @@
   /// Ready when another chunk of a body may be queued.
   pub fn poll_space(&self, cx: &mut Context<'_>) -> Poll<()> {
     let mut state = self.lock();
-    if state.closed || state.bulk_bytes < MAX_BULK_QUEUED {
+    if state.closed || state.queued() < MAX_QUEUED {
       return Poll::Ready(());
     }
     if !state.wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
@@ -208,7 +220,8 @@
         tracing::error!(%error, "a queued frame was not sent");
       }
     }
-    let wakers = if state.bulk_bytes < MAX_BULK_QUEUED {
+    self.memory.count(MemoryKind::Links, state.queued());
+    let wakers = if state.queued() < MAX_QUEUED {
       std::mem::take(&mut state.wakers)
     } else {
       Vec::new()
--- a/crates/nodes/src/link/shared.rs
+++ b/crates/nodes/src/link/shared.rs
@@ -33,9 +33,9 @@
   pub fn new(config: Arc<LinksConfig>, stats: Arc<LinkStats>, peer: Hello) -> Self {
     stats.links.fetch_add(1, Relaxed);
     Self {
+      outbox: Outbox::new(Arc::clone(&stats), &config.memory),
       config,
       peer,
-      outbox: Outbox::new(Arc::clone(&stats)),
       call_ended: Notify::new(),
       state: Mutex::new(ConnectionState::new(Instant::now())),
       stats,
@@ -83,6 +83,13 @@
     });
   }
 
+  /// Ends a call because too much memory is held, also one whose body has arrived completely but is
+  /// not read. Its outcome is unknown.
+  pub(super) fn abandon(&self, stream: &Stream) {
+    stream.discard_body();
+    self.reset(stream, ResetReason::Cancelled);
+  }
+
   /// Stream that a frame of the peer belongs to; `None` when the call has ended on this side. Fails
   /// for a stream that has not been opened yet.
   pub(super) fn find(&self, id: u64) -> Result<Option<Arc<Stream>>, FrameError> {
--- a/crates/nodes/src/link/stream.rs
+++ b/crates/nodes/src/link/stream.rs
@@ -1,13 +1,12 @@
 use {
-  super::{BodyPart, ReceivedHead},
+  super::{BodyPart, ChunkQueue, Link, ReceivedHead, StreamMemory},
   crate::wire::FrameError,
   bytes::Bytes,
   cactusyoke_model::{BodyError, CallFailure},
   http::HeaderMap,
   std::{
-    collections::VecDeque,
     sync::{
-      Mutex, MutexGuard, PoisonError,
+      Arc, Mutex, MutexGuard, PoisonError, Weak,
       atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed},
     },
     task::{Context, Poll, Waker},
@@ -18,12 +17,17 @@
 /// Most credit that a sender may hold, bytes; a peer that grants more violates the protocol.
 const MAX_CREDIT: u64 = 1 << 30;
 
+/// Most bytes of a request body that its reader keeps until the call ends.
+const MAX_KEPT: u64 = 64 * 1024;
+
 #[derive(Debug)]
 struct State {
   /// Outcome that the caller has not taken yet.
   outcome: Option<Result<ReceivedHead, CallFailure>>,
   outcome_known: bool,
-  chunks: VecDeque<Bytes>,
+  chunks: ChunkQueue,
+  /// Bytes that the reader may have kept.
+  kept: u64,
   body_end: Option<Result<Option<HeaderMap>, BodyError>>,
   /// Bytes that the peer may still send.
   receive_credit: u64,
@@ -49,6 +53,9 @@
   queued_parts: AtomicUsize,
   /// The peer does not need the rest of the sent body: its parts in the outbox are dropped.
   reset: AtomicBool,
+  /// Most bytes of the received body that its reader keeps.
+  max_kept: u64,
+  memory: StreamMemory,
 }
 
 fn wake(waker: Option<Waker>) {
@@ -65,16 +72,27 @@
 }
 
 impl Stream {
-  /// New call with `window` bytes of credit in each direction.
-  pub fn new(id: u64, window: u32) -> Self {
-    Self {
+  /// New call that this node makes.
+  pub fn opened(id: u64, link: &Arc<Link>) -> Arc<Self> {
+    Self::new(id, link, 0)
+  }
+
+  /// New call that this node answers.
+  pub fn accepted(id: u64, link: &Arc<Link>) -> Arc<Self> {
+    Self::new(id, link, MAX_KEPT)
+  }
+
+  fn new(id: u64, link: &Arc<Link>, max_kept: u64) -> Arc<Self> {
+    let window = link.config.window;
+    Arc::new_cyclic(|stream| Self {
       id,
       cancelled: CancellationToken::new(),
       window,
       state: Mutex::new(State {
         outcome: None,
         outcome_known: false,
-        chunks: VecDeque::new(),
+        chunks: ChunkQueue::default(),
+        kept: 0,
         body_end: None,
         receive_credit: u64::from(window),
         pending_credit: 0,
@@ -85,7 +103,9 @@
       }),
       queued_parts: AtomicUsize::new(0),
       reset: AtomicBool::new(false),
-    }
+      max_kept,
+      memory: StreamMemory::new(link, Weak::clone(stream)),
+    })
   }
 
   fn lock(&self) -> MutexGuard<'_, State> {
@@ -123,30 +143,35 @@
     self.lock().outcome_known
   }
 
-  /// Records a chunk of the body.
-  pub fn on_data(&self, bytes: Bytes) -> Result<(), FrameError> {
+  /// Records a chunk of the body, a part of the read buffer.
+  pub fn on_data(&self, bytes: &Bytes) -> Result<(), FrameError> {
     let mut state = self.lock();
-    if state.body_end.is_some() {
-      return Err(FrameError::UnexpectedFrame);
+    match &state.body_end {
+      // This side has ended the call in the meantime.
+      Some(Err(_)) => return Ok(()),
+      Some(Ok(_)) => return Err(FrameError::UnexpectedFrame),
+      None => {}
     }
     state.receive_credit = state
       .receive_credit
       .checked_sub(bytes.len() as u64)
       .ok_or(FrameError::CreditExceeded)?;
-    if !bytes.is_empty() {
-      state.chunks.push_back(bytes);
-    }
+    state.chunks.push(bytes);
+    let (unread, kept) = (state.chunks.allocated(), state.kept);
     let waker = state.receive_waker.take();
     drop(state);
     wake(waker);
+    self.memory.record_received(unread, kept as usize);
     Ok(())
   }
 
   /// Records the end of the body.
   pub fn on_end(&self, trailers: Option<HeaderMap>) -> Result<(), FrameError> {
     let mut state = self.lock();
-    if state.body_end.is_some() {
-      return Err(FrameError::UnexpectedFrame);
+    match &state.body_end {
+      Some(Err(_)) => return Ok(()),
+      Some(Ok(_)) => return Err(FrameError::UnexpectedFrame),
+      None => {}
     }
     state.body_end = Some(Ok(trailers));
     let waker = state.receive_waker.take();
@@ -189,6 +214,16 @@
     wake(wakers.1);
   }
 
+  /// Drops the received chunks that are not read; the body ends with an error.
+  pub fn discard_body(&self) {
+    let mut state = self.lock();
+    state.chunks.clear();
+    state.body_end = Some(Err(BodyError::Cancelled));
+    let waker = state.receive_waker.take();
+    drop(state);
+    wake(waker);
+  }
+
   /// Ends the call on the accepting side, after the answer or refusal.
   pub fn finish(&self) {
     let mut state = self.lock();
@@ -224,13 +259,17 @@
   /// Next part of the body.
   pub fn poll_part(&self, cx: &mut Context<'_>) -> Poll<Result<BodyPart, BodyError>> {
     let mut state = self.lock();
-    if let Some(bytes) = state.chunks.pop_front() {
+    if let Some(bytes) = state.chunks.pop() {
       state.pending_credit += bytes.len() as u32;
+      state.kept = (state.kept + bytes.len() as u64).min(self.max_kept);
       let mut credit = 0;
       if state.pending_credit >= self.window / 2 && state.body_end.is_none() {
         credit = std::mem::take(&mut state.pending_credit);
         state.receive_credit += u64::from(credit);
       }
+      let (unread, kept) = (state.chunks.allocated(), state.kept);
+      drop(state);
+      self.memory.record_received(unread, kept as usize);
       return Poll::Ready(Ok(BodyPart::Data(bytes, credit)));
     }
     match &mut state.body_end {
@@ -249,7 +288,7 @@
   pub fn remaining_len(&self) -> Option<u64> {
     let state = self.lock();
     let ended = matches!(state.body_end, Some(Ok(None)));
-    ended.then(|| state.chunks.iter().map(|bytes| bytes.len() as u64).sum())
+    ended.then(|| state.chunks.len())
   }
 
   /// True when nothing is left to consume, not even trailers.
@@ -273,6 +312,11 @@
     Poll::Ready(Some(granted as usize))
   }
 
+  /// Records that bytes of the body being sent wait for credit or room in the outbox; zero for none.
+  pub fn record_unsent(&self, bytes: usize) {
+    self.memory.record_unsent(bytes);
+  }
+
   /// True when sending must stop; otherwise the task of `cx` is woken when it must.
   pub fn poll_stopped(&self, cx: &mut Context<'_>) -> bool {
     let mut state = self.lock();
--- a/crates/nodes/src/links_config.rs
+++ b/crates/nodes/src/links_config.rs
@@ -1,6 +1,7 @@
 use {
+  cactusyoke_memory::MemoryAccount,
   cactusyoke_model::{DataCentre, Incarnation, NodeId},
-  std::time::Duration,
+  std::{sync::Arc, time::Duration},
 };
 
 /// Identity, timeouts and limits of the links of one node.
@@ -26,6 +27,8 @@
   pub max_streams: usize,
   /// Most accepted links that are open at once.
   pub max_links: usize,
+  /// Account of what the links hold.
+  pub memory: Arc<MemoryAccount>,
 }
 
 impl LinksConfig {
@@ -42,6 +45,7 @@
       window: 256 * 1024,
       max_streams: 4096,
       max_links: 4096,
+      memory: Arc::default(),
     }
   }
 }
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use {
   crate::{CallMetrics, Scrape},
+  cactusyoke_memory::MemoryUsage,
   cactusyoke_model::{ClassName, Clock, Revision, ServiceName},
   prometheus_client::{encoding, registry::Registry},
   std::{
@@ -60,6 +61,7 @@
   config: Mutex<Option<(Revision, Instant)>>,
   platform: [[AtomicU64; PLATFORM_RESULTS.len()]; PLATFORM_CALLS.len()],
   members: [AtomicU64; MEMBER_STATUSES.len()],
+  memory: Mutex<MemoryUsage>,
 }
 
 impl Metrics {
@@ -76,6 +78,7 @@
       config: Mutex::default(),
       platform: array::from_fn(|_| array::from_fn(|_| AtomicU64::default())),
       members: array::from_fn(|_| AtomicU64::default()),
+      memory: Mutex::default(),
     }
   }
 
@@ -111,6 +114,11 @@
     }
   }
 
+  /// Sets what is held for callers and other nodes.
+  pub fn set_memory(&self, usage: MemoryUsage) {
+    *self.memory.lock().unwrap_or_else(PoisonError::into_inner) = usage;
+  }
+
   /// All metrics as Prometheus text.
   pub fn encode(&self) -> Result<String, fmt::Error> {
     let mut registry = Registry::with_prefix("cactusyoke");
@@ -140,6 +148,7 @@
       }),
       platform: array::from_fn(|kind| array::from_fn(|result| load(&self.platform[kind][result]))),
       members: array::from_fn(|status| load(&self.members[status])),
+      memory: *self.memory.lock().unwrap_or_else(PoisonError::into_inner),
     }
   }
 }
--- a/crates/operators/src/scrape.rs
+++ b/crates/operators/src/scrape.rs
@@ -2,6 +2,7 @@
   crate::{
     CallMetrics, CallMetricsMap, MEMBER_STATUSES, PLATFORM_CALLS, PLATFORM_RESULTS, WAIT_BOUNDS,
   },
+  cactusyoke_memory::{MemoryKind, MemoryUsage},
   cactusyoke_model::{NotRunReason, Revision, UnknownReason},
   prometheus_client::{
     collector::Collector,
@@ -29,6 +30,7 @@
   pub(crate) config: Option<(Revision, Duration)>,
   pub(crate) platform: [[u64; PLATFORM_RESULTS.len()]; PLATFORM_CALLS.len()],
   pub(crate) members: [u64; MEMBER_STATUSES.len()],
+  pub(crate) memory: MemoryUsage,
 }
 
 impl Collector for Scrape {
@@ -37,6 +39,7 @@
     self.encode_failures(&mut encoder)?;
     self.encode_waits(&mut encoder)?;
     self.encode_node(&mut encoder)?;
+    self.encode_memory(&mut encoder)?;
     self.encode_platform(&mut encoder)
   }
 }
@@ -151,6 +154,20 @@
     )
   }
 
+  fn encode_memory(&self, encoder: &mut DescriptorEncoder) -> fmt::Result {
+    let help = "Bytes held for callers and other nodes, by kind";
+    let mut family = encoder.encode_descriptor("held_bytes", help, None, MetricType::Gauge)?;
+    for kind in MemoryKind::ALL {
+      let bytes = self.memory.bytes[kind as usize] as u64;
+      gauge(&mut family, &[("kind", kind.as_str())], bytes)?;
+    }
+    let help = "Connections and calls closed, and requests refused, because too much was held";
+    let mut family =
+      encoder.encode_descriptor("memory_pressure", help, None, MetricType::Counter)?;
+    counter(&mut family, &[("action", "closed")], self.memory.closed)?;
+    counter(&mut family, &[("action", "refused")], self.memory.refused)
+  }
+
   fn encode_platform(&self, encoder: &mut DescriptorEncoder) -> fmt::Result {
     let help = "Calls to the platform, by kind and result";
     let mut family =
--- a/crates/operators/tests/metrics.rs
+++ b/crates/operators/tests/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics in their text form.
 
 use {
+  cactusyoke_memory::MemoryUsage,
   cactusyoke_model::{Level, ManualClock, NotRunReason, Revision, UnknownReason},
   cactusyoke_operators::Metrics,
   std::{
@@ -31,6 +32,11 @@
   clock.advance(Duration::from_millis(1_500));
   metrics.platform_call("put", "conflict");
   metrics.set_members(5, 1, 2);
+  metrics.set_memory(MemoryUsage {
+    bytes: [1, 2, 3, 4],
+    closed: 5,
+    refused: 6,
+  });
   let text = metrics.encode().unwrap();
   for line in [
     r#"cactusyoke_sent_total{service="orders",class="lookups"} 2"#,
@@ -50,6 +56,8 @@
     "cactusyoke_config_revision 12",
     "cactusyoke_config_age_seconds 1.5",
     r#"cactusyoke_members{status="suspected"} 1"#,
+    r#"cactusyoke_held_bytes{kind="requests"} 2"#,
+    r#"cactusyoke_memory_pressure_total{action="closed"} 5"#,
     r#"cactusyoke_control_bytes_total{direction="sent"} 10"#,
     r#"cactusyoke_platform_calls_total{kind="put",result="conflict"} 1"#,
   ] {
