--- a/crates/cactusyoke/src/settings.rs
+++ b/crates/cactusyoke/src/settings.rs
@@ -3,6 +3,7 @@
 use {
   crate::{Interface, InterfaceName, RawRetryBudget, RawSettings, SettingsError},
   cactusyoke_decisions::load::RetryBounds,
+  cactusyoke_memory::MemoryBudget,
   cactusyoke_model::{ByteSize, DataCentre, NodeId},
   cactusyoke_operators::Token,
   std::{
@@ -78,6 +79,8 @@
   pub queue: usize,
   /// Maximum number of idempotency keys that the node remembers as a witness.
   pub keys: usize,
+  /// Memory that the process may take; `None` for no bound.
+  pub memory: Option<ByteSize>,
   /// Number of groups of witnesses in this data centre.
   pub key_groups: u32,
   /// Time limit of a graceful shutdown.
@@ -127,6 +130,7 @@
       raw.limits.connections as usize,
       1_000_000,
     )?;
+    check_memory(raw.limits.memory)?;
     check_range("limits.queue", raw.limits.queue, MAX_QUEUE)?;
     check_range("limits.keys", raw.limits.keys, 10_000_000)?;
     check_range(
@@ -176,6 +180,7 @@
       body: raw.limits.body,
       queue: raw.limits.queue,
       keys: raw.limits.keys,
+      memory: raw.limits.memory,
       key_groups: raw.key_groups,
       shutdown_limit: parse_time("shutdown_limit", &raw.shutdown_limit)?,
     })
@@ -230,6 +235,13 @@
   Ok(())
 }
 
+fn check_memory(memory: Option<ByteSize>) -> Result<(), SettingsError> {
+  match memory {
+    Some(memory) if memory < MemoryBudget::MIN_MEMORY => Err(SettingsError::Memory(memory)),
+    Some(_) | None => Ok(()),
+  }
+}
+
 fn check_range(field: &'static str, value: usize, max: usize) -> Result<(), SettingsError> {
   if (1..=max).contains(&value) {
     Ok(())
