End a stop before its limit also when the store is silent

Cause: a stop waited for its calls until 7/8 of the limit, ended them for up to 0.19 s, and then removed its entry from the store with a time limit of 1 s of its own: 6.44 s with a call without end and a silent store.

Change: calls are cut off at 6/7 of the limit; the last answers, the listeners and the entry follow side by side and end at 11/12. A request that was cut off before any of it was sent is answered as not run.

Tests: a_stop_without_the_store_ends_before_the_limit, whose case silent_store_and_a_call_without_end fails before ("the node has not ended after 6.000484265s") and passes now; its cases silent_store and refusing_store, and a_hundred_connections_that_end_in_turn_do_not_outlast_the_limit, passed before too. No test was changed.

--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -235,9 +235,16 @@
     head: CallHead,
     request: CallerRequest,
   ) -> Result<Answer, CallFailure> {
-    let body = BufferedBody::read(request.body)
-      .await
-      .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?;
+    let body = tokio::select! {
+      biased;
+      read = BufferedBody::read(request.body) => {
+        read.map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?
+      }
+      // Nothing has been sent.
+      () = self.cut_off.cancelled() => {
+        return Err(CallFailure::not_run(NotRunReason::Draining));
+      }
+    };
     let policy = SendPolicy::of(route, preset);
     Dispatch::new(self, head, body, policy).run().await
   }
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -26,7 +26,7 @@
     net::TcpListener,
     sync::mpsc,
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::{sleep, timeout_at},
   },
   tokio_util::sync::CancellationToken,
 };
@@ -36,7 +36,11 @@
 
 /// One part in this many of the time limit of a shutdown is left for ending the calls that are still
 /// in flight and for leaving.
-const LEAVING_SHARE: u32 = 8;
+const LEAVING_SHARE: u32 = 7;
+
+/// One part in this many of the time limit of a shutdown is not used. A busy machine notices the signal
+/// late, and needs time to close connections after the last wait.
+const MARGIN_SHARE: u32 = 12;
 
 /// Time allowed for closing the listener for outgoing calls.
 const EGRESS_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -137,7 +141,8 @@
   }
 
   /// Refuses new work, waits for the calls in flight and stops. Shortly before `limit`, ends the calls
-  /// that are still in flight; their outcome is unknown.
+  /// that are still in flight; the outcome of those that were sent is unknown. No wait lasts beyond
+  /// `limit`, whether or not the store answers.
   pub async fn shut_down(self, limit: Duration) -> Result<(), Unfinished> {
     tracing::info!(event = "draining", calls = self.core.in_flight.count());
     self.core.ready.store(false, Ordering::SeqCst);
@@ -168,22 +173,33 @@
       self.core.in_flight.wait_empty().await;
     };
     tokio::pin!(finish);
-    let reserve = limit / LEAVING_SHARE;
-    let left = limit.saturating_sub(started.elapsed() + reserve);
-    let finished = timeout(left, &mut finish).await;
+    let cut_off = started + limit.saturating_sub(limit / LEAVING_SHARE);
+    let end = started + limit.saturating_sub(limit / MARGIN_SHARE);
+    let finished = timeout_at(cut_off.into(), &mut finish).await;
     let calls = self.core.in_flight.count();
-    if finished.is_err() {
-      tracing::error!(event = "shutdown_limit_reached", calls);
-      self.core.cut_off.cancel();
-      drop(timeout(reserve / 4, &mut finish).await);
-    }
-    self.stop.cancel();
-    if let Some(egress) = egress {
-      // It has no calls left once the requests of the upstream have ended.
-      let left = limit.saturating_sub(started.elapsed());
-      drop(timeout(left.min(EGRESS_CLOSE_TIMEOUT), egress).await);
+    let ending = async {
+      if finished.is_err() {
+        tracing::error!(event = "shutdown_limit_reached", calls);
+        self.core.cut_off.cancel();
+        // A caller that does not read its answer delays this.
+        drop(timeout_at(end.into(), &mut finish).await);
+      }
+      self.stop.cancel();
+      if let Some(egress) = egress {
+        // It has no calls left once the requests of the upstream have ended.
+        let latest = end.min(Instant::now() + EGRESS_CLOSE_TIMEOUT);
+        drop(timeout_at(latest.into(), egress).await);
+      }
+    };
+    // The store may not answer, so that leaving does not wait for the last calls to end.
+    let leaving = timeout_at(end.into(), self.core.members.leave());
+    let (_ended, left) = tokio::join!(ending, leaving);
+    if left.is_err() {
+      tracing::info!(
+        event = "not_left",
+        reason = "the shutdown limit was reached"
+      );
     }
-    self.core.members.leave().await;
     self.core.watcher.stop();
     stop_loops(&self.loops);
     if finished.is_err() {
