Tell followers of a new revision at once

Cause, by the model: a configuration reaches a node by notifications to eight random nodes, or by the reply of the node that it follows. Replies were sent at once for a new version of the directory, which is passed on before the configuration that came with it is adopted; the next reply, with the new revision, came up to a second later, at each of up to three hops.

Change: the asking node states its revision, and is answered as soon as its source has a newer one (FollowerState, one condition for the product and the model).

Test: a_configuration_is_in_force_in_time_while_a_third_is_turned_away, a model of 83 nodes in four data centres in which all notifications are lost. The model knows revisions and immediate refusals now; no bound was changed.

--- a/crates/cactusyoke/src/control.rs
+++ b/crates/cactusyoke/src/control.rs
@@ -6,7 +6,7 @@
   cactusyoke_decisions::{
     keys::{Process, Roster, RunId, WitnessReply, WitnessRequest},
     load::{CrashId, Fingerprint, QuarantineNotice},
-    membership::{DirectoryUpdate, Freshness},
+    membership::{DirectoryUpdate, FollowerState, Freshness},
   },
   cactusyoke_model::{IdempotencyKey, NodeId, Revision},
   serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -51,11 +51,9 @@
   Release(Fingerprint),
   /// Asks for changes of the directory of nodes.
   Directory {
-    /// Version up to which the asking node knows the directory; `None` for all entries.
-    after: Option<u64>,
-    /// How the asked node was kept up to date when it last replied; `None` for the first request.
-    known: Option<Freshness>,
-    /// Time for which the asked node waits for changes, also of how it is kept up to date.
+    /// What the asking node knows.
+    state: FollowerState,
+    /// Time for which the asked node waits until it has news.
     wait: Duration,
   },
 }
--- a/crates/cactusyoke/src/control_requests.rs
+++ b/crates/cactusyoke/src/control_requests.rs
@@ -106,8 +106,8 @@
         }
         ControlReply::Done
       }
-      ControlRequest::Directory { after, known, wait } => {
-        ControlReply::Directory(self.directory_since(after, known, wait).await)
+      ControlRequest::Directory { state, wait } => {
+        ControlReply::Directory(self.directory_since(&state, wait).await)
       }
     };
     Some(control::encode(&reply))
--- a/crates/cactusyoke/src/directory_client.rs
+++ b/crates/cactusyoke/src/directory_client.rs
@@ -9,8 +9,8 @@
   bytes::Bytes,
   cactusyoke_configuration::{Feed, LeaseStore, Registration, Watcher},
   cactusyoke_decisions::membership::{
-    DirectoryCache, DirectoryUpdate, Freshness, Member, MemberRecord, PeerReply, SourceChoice,
-    Sources, Status, UpstreamInfo,
+    DirectoryCache, DirectoryUpdate, FollowerState, Freshness, Member, MemberRecord, PeerReply,
+    SourceChoice, Sources, Status, UpstreamInfo,
   },
   cactusyoke_model::{Clock, NodeId},
   cactusyoke_nodes::MembersView,
@@ -179,23 +179,37 @@
     self.known.borrow().version
   }
 
-  /// Waits at most `wait` until this node knows changes after a version, or is not kept up to date
-  /// as `known`. Returns the changes and how it is kept up to date.
+  /// Waits at most `wait` until this node has news for a follower. Returns the changes of the
+  /// directory and how this node is kept up to date.
+  ///
+  /// A new revision of the configuration is news of its own: it is adopted only after the change of
+  /// the directory's version that it came with was passed on.
   pub(crate) async fn update_since(
     &self,
-    after: Option<u64>,
-    known: Option<Freshness>,
+    follower: &FollowerState,
     wait: Duration,
   ) -> Option<(DirectoryUpdate, Freshness)> {
-    let mut state = self.known.subscribe();
-    let news = state.wait_for(|own| {
-      let differs = own.version > after || Some(own.freshness) != known;
-      own.version.is_some() && differs
-    });
+    let (mut known, mut adopted) = (self.known.subscribe(), self.watcher.adopted());
+    let news = async {
+      loop {
+        let own = *known.borrow_and_update();
+        let revision = *adopted.borrow_and_update();
+        if follower.lacks(own.version, revision, own.freshness) {
+          return;
+        }
+        let changed = tokio::select! {
+          changed = known.changed() => changed,
+          changed = adopted.changed() => changed,
+        };
+        if changed.is_err() {
+          return;
+        }
+      }
+    };
     drop(timeout(wait, news).await);
     // Read before the changes: they may only be newer.
     let freshness = self.known.borrow().freshness;
-    let update = lock(&self.cache).update_since(after)?;
+    let update = lock(&self.cache).update_since(follower.version)?;
     Some((update, freshness))
   }
 
--- a/crates/cactusyoke/src/directory_follower.rs
+++ b/crates/cactusyoke/src/directory_follower.rs
@@ -7,7 +7,7 @@
     directory_client::DirectoryClient,
     member_source::MemberSource,
   },
-  cactusyoke_decisions::membership::{Freshness, PeerReply},
+  cactusyoke_decisions::membership::{FollowerState, Freshness, PeerReply},
   cactusyoke_model::NodeId,
   std::{sync::Arc, time::Duration},
   tokio::time::sleep,
@@ -58,10 +58,13 @@
     peer: NodeId,
     known: Option<Freshness>,
   ) -> Option<Freshness> {
-    let after = directory.version();
+    let state = FollowerState {
+      version: directory.version(),
+      revision: self.config.load().revision,
+      source: known,
+    };
     let request = ControlRequest::Directory {
-      after,
-      known,
+      state,
       wait: CHANGES_WAIT,
     };
     let limit = CHANGES_WAIT + REPLY_TIMEOUT;
@@ -75,26 +78,24 @@
       freshness: reply.freshness,
       before: known,
     };
-    directory.apply_update(peer, after, &reply.update, stated);
+    directory.apply_update(peer, state.version, &reply.update, stated);
     if reply.revision > self.config.load().revision {
       self.spread.report_newer(peer, reply.revision);
     }
     Some(reply.freshness)
   }
 
-  /// What a node lacks that knows the directory up to version `after`, and that this one is kept up
-  /// to date as `known`; `None` if this node does not know the directory.
+  /// What a node lacks that knows `state`; `None` if this node does not know the directory.
   pub(crate) async fn directory_since(
     &self,
-    after: Option<u64>,
-    known: Option<Freshness>,
+    state: &FollowerState,
     wait: Duration,
   ) -> Option<DirectoryReply> {
     let MemberSource::Directory(directory) = &self.members else {
       return None;
     };
     let wait = wait.min(CHANGES_WAIT);
-    let (update, freshness) = directory.update_since(after, known, wait).await?;
+    let (update, freshness) = directory.update_since(state, wait).await?;
     Some(DirectoryReply {
       update,
       freshness,
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -12,6 +12,7 @@
 mod datagram_error;
 mod directory_cache;
 mod directory_update;
+mod follower_state;
 mod freshness;
 mod gossip_queue;
 mod member;
@@ -33,6 +34,7 @@
   datagram_error::DatagramError,
   directory_cache::DirectoryCache,
   directory_update::{DirectoryChange, DirectoryUpdate},
+  follower_state::FollowerState,
   freshness::Freshness,
   member::{Member, Status},
   member_record::{MemberRecord, UpstreamInfo, UpstreamState},
--- a/crates/decisions/tests/directory.rs
+++ b/crates/decisions/tests/directory.rs
@@ -11,6 +11,7 @@
     prelude::*,
     test_runner::{FileFailurePersistence, RngSeed},
   },
+  rand::{Rng, SeedableRng, rngs::SmallRng},
   std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -22,6 +23,10 @@
 /// of a deployment on a change of its configuration.
 const CHANGE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time within which a configuration must be in force at all nodes while the store turns some away:
+/// the bound of the deployment on which it was late.
+const ADOPTION_LIMIT: Duration = Duration::from_millis(2500);
+
 /// Members of a fleet of which all nodes are known.
 fn fleet(count: usize, centres: usize) -> Vec<Member> {
   let member = |index| Member {
@@ -153,6 +158,31 @@
   }
 }
 
+/// Guards against a configuration that comes into force late at nodes that no notification reaches,
+/// while the store turns a third of the nodes away: 83 nodes in four data centres.
+#[parameterized(refused = { true }, silent = { false })]
+fn a_configuration_is_in_force_in_time_while_a_third_is_turned_away(refused: bool) {
+  let all = (0..83).collect::<Vec<_>>();
+  let mut late = Vec::new();
+  for seed in 0..10 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut model = Model::new(83, 4);
+    model.run(Duration::from_millis(rng.random_range(3000..4000)));
+    model.refuses = refused;
+    for node in &mut model.nodes {
+      node.cut = rng.random_bool(0.35);
+    }
+    // The configuration changes while nodes look for other sources, or later.
+    model.run(Duration::from_millis(rng.random_range(0..2500)));
+    model.configure();
+    let time = model.adoption_time(ADOPTION_LIMIT, &all);
+    if time.is_none() {
+      late.push(seed);
+    }
+  }
+  assert!(late.is_empty(), "late with seeds {late:?}");
+}
+
 /// Guards against a node that has left and is used again because a node that was paused for long
 /// passes on what it knew.
 #[test]
--- a/crates/decisions/tests/directory_model/mod.rs
+++ b/crates/decisions/tests/directory_model/mod.rs
@@ -2,10 +2,10 @@
 
 use {
   cactusyoke_decisions::membership::{
-    DirectoryCache, DirectoryChange, DirectoryUpdate, Freshness, Member, MemberRecord, PeerReply,
-    SourceChoice, Status, UpstreamState,
+    DirectoryCache, DirectoryChange, DirectoryUpdate, FollowerState, Freshness, Member,
+    MemberRecord, PeerReply, SourceChoice, Status, UpstreamState,
   },
-  cactusyoke_model::{Incarnation, NodeId},
+  cactusyoke_model::{Incarnation, NodeId, Revision},
   std::{
     collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
@@ -57,9 +57,7 @@
 struct Request {
   since: Instant,
   peer: usize,
-  after: Option<u64>,
-  /// What the other node last said about itself.
-  before: Option<Freshness>,
+  state: FollowerState,
 }
 
 #[derive(Debug)]
@@ -79,6 +77,10 @@
   pub running: bool,
   /// The store is out of reach.
   pub cut: bool,
+  /// Revision of the configuration that is in force.
+  revision: Revision,
+  /// Revision that was read or fetched and comes into force with the next step.
+  fetched: Revision,
 }
 
 /// The store and the nodes.
@@ -88,11 +90,16 @@
   pub nodes: Vec<Node>,
   centres: usize,
   version: u64,
+  /// Revision of the configuration in the store.
+  revision: Revision,
   /// Changes of the store, with their versions.
   log: Vec<(u64, DirectoryChange)>,
   /// Changes up to this version can no longer be watched.
   compacted: u64,
   pub down: bool,
+  /// Nodes that are cut off are refused at once, also their waiting watches; otherwise they get no
+  /// answer.
+  pub refuses: bool,
   /// Groups of nodes that are cut off from each other; 0 for the main group.
   pub groups: Vec<u8>,
 }
@@ -113,15 +120,19 @@
       calls: 0,
       running: true,
       cut: false,
+      revision: Revision::default(),
+      fetched: Revision::default(),
     });
     let mut model = Self {
       now,
       nodes: nodes.collect(),
       centres,
       version: 1,
+      revision: Revision::default(),
       log: Vec::new(),
       compacted: 0,
       down: false,
+      refuses: false,
       groups: vec![0; count],
     };
     for index in 0..count {
@@ -137,6 +148,12 @@
     self.log.push((self.version, written));
   }
 
+  /// Writes another revision of the configuration.
+  pub fn configure(&mut self) {
+    self.version += 1;
+    self.revision.0 += 1;
+  }
+
   /// Removes the entry of a node.
   pub fn remove(&mut self, index: usize) {
     self.version += 1;
@@ -206,10 +223,25 @@
     None
   }
 
+  /// Time until the last revision of the configuration is in force at all the nodes; `None` if it is
+  /// longer than `limit`. No node is notified of it: the model loses all notifications.
+  pub fn adoption_time(&mut self, limit: Duration, among: &[usize]) -> Option<Duration> {
+    let start = self.now;
+    while self.now - start <= limit {
+      let adopted = |index: &usize| self.nodes[*index].revision == self.revision;
+      if among.iter().all(adopted) {
+        return Some(self.now - start);
+      }
+      self.step();
+    }
+    None
+  }
+
   fn step(&mut self) {
     self.now += STEP;
     for index in 0..self.nodes.len() {
       if self.nodes[index].running {
+        self.nodes[index].revision = self.nodes[index].fetched;
         self.step_store(index);
         self.step_peer(index);
       }
@@ -251,6 +283,7 @@
   fn step_store(&mut self, index: usize) {
     let now = self.now;
     let reachable = !(self.down || self.nodes[index].cut);
+    let refuses = self.refuses;
     match self.nodes[index].watch {
       None if now < self.nodes[index].pauses[0] => {}
       None => {
@@ -273,7 +306,7 @@
         });
       }
       Some(Watch { since, wait, .. }) if !reachable => {
-        if now - since >= wait + CALL_TIMEOUT {
+        if refuses || now - since >= wait + CALL_TIMEOUT {
           let count = self.nodes.len();
           let node = &mut self.nodes[index];
           node.watch = None;
@@ -296,6 +329,7 @@
         }
         node.cache.apply(&update, now);
         node.choice.record_store();
+        node.fetched = self.revision;
       }
     }
   }
@@ -317,8 +351,11 @@
         node.request = Some(Request {
           since: now,
           peer,
-          after: node.cache.version(),
-          before: known.map(|(_, freshness)| freshness),
+          state: FollowerState {
+            version: node.cache.version(),
+            revision: node.revision,
+            source: known.map(|(_, freshness)| freshness),
+          },
         });
       }
       Some(request) => self.await_reply(index, request),
@@ -327,12 +364,7 @@
 
   fn await_reply(&mut self, index: usize, request: Request) {
     let now = self.now;
-    let Request {
-      since,
-      peer,
-      after,
-      before,
-    } = request;
+    let Request { since, peer, state } = request;
     let reachable = self.nodes[peer].running && self.groups[peer] == self.groups[index];
     if !reachable {
       if now - since >= SILENCE {
@@ -344,11 +376,11 @@
       return;
     }
     let freshness = self.nodes[peer].choice.freshness();
-    let newer = self.nodes[peer].cache.version() > after;
-    if !newer && before == Some(freshness) && now - since < PEER_WAIT {
+    let (version, revision) = (self.nodes[peer].cache.version(), self.nodes[peer].revision);
+    if !state.lacks(version, revision, freshness) && now - since < PEER_WAIT {
       return;
     }
-    let answer = self.nodes[peer].cache.update_since(after);
+    let answer = self.nodes[peer].cache.update_since(state.version);
     let asking = &mut self.nodes[index];
     asking.request = None;
     let Some(update) = answer else {
@@ -359,9 +391,12 @@
     let reply = PeerReply {
       version: update.version,
       freshness,
-      before,
+      before: state.source,
     };
-    asking.choice.record_reply(node(peer), after, reply, now);
+    asking
+      .choice
+      .record_reply(node(peer), state.version, reply, now);
+    asking.fetched = asking.fetched.max(revision);
     asking.peer = Some((peer, freshness));
     asking.cache.apply(&update, now);
   }
