--- a/crates/nodes/src/wire/mod.rs
+++ b/crates/nodes/src/wire/mod.rs
@@ -14,7 +14,7 @@
 pub use reset_reason::ResetReason;
 
 /// Version of the link protocol.
-pub const VERSION: u16 = 5;
+pub const VERSION: u16 = 6;
 /// Longest frame, without its length prefix, bytes.
 pub const MAX_FRAME: usize = 64 * 1024;
 /// Longest chunk of a body or control message in one frame, bytes. Half of a frame limits the delay
--- a/crates/nodes/tests/links_failures.rs
+++ b/crates/nodes/tests/links_failures.rs
@@ -255,12 +255,12 @@
 async fn a_version_mismatch_is_reported() {
   let pair = Pair::new().await;
   let mut peer = RawPeer::new(TcpStream::connect(pair.node.0).await.unwrap());
-  peer.hello(NodeId("127.0.0.1:8".parse().unwrap()), 6).await;
+  peer.hello(NodeId("127.0.0.1:8".parse().unwrap()), 7).await;
   assert!(peer.next().await.is_some());
   assert!(peer.next().await.is_none());
   assert_eq!(
-    wire::FrameError::Version { peer_version: 6 }.to_string(),
-    "the other node speaks version `6` of the link protocol and this one `5`: run the same release on both"
+    wire::FrameError::Version { peer_version: 7 }.to_string(),
+    "the other node speaks version `7` of the link protocol and this one `6`: run the same release on both"
   );
   // A later version may have other fields.
   assert_eq!(
