--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -292,11 +292,17 @@
     head: CallHead,
     request: CallerRequest,
   ) -> Result<Answer, CallFailure> {
-    let reading = BufferedBody::read(request.body);
-    let body = timeout_at(head.deadline.into(), reading)
-      .await
-      .map_err(|_elapsed| CallFailure::not_run(NotRunReason::Deadline))?
-      .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?;
+    let reading = timeout_at(head.deadline.into(), BufferedBody::read(request.body));
+    let body = tokio::select! {
+      biased;
+      read = reading => read
+        .map_err(|_elapsed| CallFailure::not_run(NotRunReason::Deadline))?
+        .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?,
+      // Nothing has been sent.
+      () = self.cut_off.cancelled() => {
+        return Err(CallFailure::not_run(NotRunReason::Draining));
+      }
+    };
     let policy = SendPolicy::of(route, preset);
     Dispatch::new(self, head, body, policy).run().await
   }
