Let an instance without a free slot hand a call back

Cause: nodes choose an instance by load reports that are 0.2 to several seconds old, and many choose at the same moment, so that instances are overrun in turn while others have room.

Change: with `balancing: even`, a sender marks a call (`Hop::FreeInstance`) if it may know another instance with room in the same data centre. A node whose upstream has no free slot refuses such a call as not run (`Busy`), and the sender chooses again, at most twice. No message more goes to upstreams; the call is not counted for the retry budget or the retry allowance.

--- a/crates/cactusyoke/src/admission.rs
+++ b/crates/cactusyoke/src/admission.rs
@@ -179,6 +179,11 @@
     slot.wait(waiter).await
   }
 
+  /// True when a call would start without waiting.
+  pub(crate) fn has_room(&self) -> bool {
+    self.lock().gate.has_room()
+  }
+
   /// Smoothed utilisation of the slots.
   pub(crate) fn utilisation(&self) -> f64 {
     self.lock().gate.utilisation()
--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -4,6 +4,7 @@
   crate::{
     Core, Settings, StartError,
     admission::Admission,
+    balancing::Balancing,
     core::InFlight,
     crashes::Crashes,
     directory_client::DirectoryClient,
@@ -116,10 +117,11 @@
     upstream_follower::initial_gate(&settings),
     Arc::clone(&clock),
   );
+  let balancing = Arc::new(Balancing::new(settings.balancing));
   let upstream_config = UpstreamConfig {
     clock: Arc::clone(&clock),
     header_names: names,
-    ..upstream_config(&upstream_view, &crashes, &admission)
+    ..upstream_config(&upstream_view, &crashes, &admission, &balancing)
   };
   let member = Process {
     node: settings.node,
@@ -148,6 +150,7 @@
     parents: Parents::default(),
     log_limiter: EventLimiter::default(),
     load_control: LoadControl::new(clock.now()),
+    balancing,
     retry_budget: settings
       .retry_budget
       .map(|bounds| Mutex::new(RetryBudget::new(bounds))),
@@ -172,11 +175,14 @@
   view: &ViewHandle,
   crashes: &Arc<Crashes>,
   admission: &Arc<Admission>,
+  balancing: &Arc<Balancing>,
 ) -> UpstreamConfig {
   let (crashes, admission) = (Arc::clone(crashes), Arc::clone(admission));
+  let balancing = Arc::clone(balancing);
   UpstreamConfig {
     on_lost_connection: Arc::new(move |lost| crashes.record_lost(&lost)),
     on_stated_rate: Arc::new(move |stated| admission.apply_stated_rate(stated)),
+    on_stated_pace: Arc::new(move || balancing.record_paced()),
     ..UpstreamConfig::new(view.clone())
   }
 }
--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -2,9 +2,9 @@
 
 use {
   crate::{
-    Settings, admission::Admission, crashes::Crashes, event_limiter::EventLimiter,
-    keyed_runs::KeyedRuns, load_control::LoadControl, member_source::MemberSource, meters::Meters,
-    parents::Parents, spread::Spread,
+    Settings, admission::Admission, balancing::Balancing, crashes::Crashes,
+    event_limiter::EventLimiter, keyed_runs::KeyedRuns, load_control::LoadControl,
+    member_source::MemberSource, meters::Meters, parents::Parents, spread::Spread,
   },
   arc_swap::ArcSwap,
   cactusyoke_configuration::{Configuration, Watcher},
@@ -59,6 +59,7 @@
   pub(crate) upstream: Upstream,
   pub(crate) admission: Arc<Admission>,
   pub(crate) load_control: LoadControl,
+  pub(crate) balancing: Arc<Balancing>,
   /// Budget for repeats of calls to the local upstream; `None` for no limit.
   pub(crate) retry_budget: Option<Mutex<RetryBudget>>,
   pub(crate) keyed_runs: KeyedRuns,
--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -33,6 +33,11 @@
 /// Maximum number of times in total that a call is sent when upstreams refuse it.
 const MAX_REFUSED_SENDS: u32 = 10;
 
+/// Maximum number of times that a call is handed back by instances without a free slot. In the
+/// simulation of `even_load.rs`, two leave one call in a hundred waiting while another instance has
+/// room; a full service costs each call two messages more.
+const MAX_HAND_BACKS: u32 = 2;
+
 /// Time past the deadline for which a refusal by another node is still awaited, since a refusal
 /// tells the caller more than an unknown outcome.
 const REFUSAL_GRACE: Duration = Duration::from_millis(20);
@@ -46,6 +51,8 @@
   pub(crate) retries_left: Retries,
   tried: Vec<NodeId>,
   reroutes: usize,
+  /// Number of times that an instance without a free slot handed the call back.
+  hand_backs: u32,
   /// Number of attempts that may have reached an upstream.
   deliveries: u32,
   /// Instances whose upstreams may have received the call.
@@ -72,6 +79,7 @@
       retries_left,
       tried: Vec::new(),
       reroutes: 0,
+      hand_backs: 0,
       deliveries: 0,
       reached: Vec::new(),
       only_reached: false,
@@ -123,7 +131,7 @@
       return Err(CallFailure::not_run(NotRunReason::Deadline));
     }
     match self.choose_instance(now) {
-      Ok(node) => self.send(node, now).await,
+      Ok((node, hop)) => self.send(node, hop, now).await,
       Err(reason) if self.policy.spill && self.head.idempotent => match self.spill_target() {
         Some(centre) => self.relay(&centre, reason).await,
         None => Err(self.refusal(reason)),
@@ -132,8 +140,8 @@
     }
   }
 
-  /// Instance for the next attempt.
-  fn choose_instance(&self, now: Instant) -> Result<NodeId, NotRunReason> {
+  /// Instance for the next attempt, and whether it may hand the call back.
+  fn choose_instance(&self, now: Instant) -> Result<(NodeId, Hop), NotRunReason> {
     let kind = CallKind::of(&self.head);
     if self.head.depth == 0 && !self.core.load_control.admits(kind, now) {
       return Err(NotRunReason::Shed);
@@ -155,7 +163,26 @@
       .core
       .load_control
       .pick(kind, &candidates, &criteria, now);
-    node.ok_or(NotRunReason::NoUpstream)
+    let node = node.ok_or(NotRunReason::NoUpstream)?;
+    let hop = if self.may_be_handed_back()
+      && self
+        .core
+        .load_control
+        .has_alternative(kind, &candidates, node, &self.tried, now)
+    {
+      Hop::FreeInstance
+    } else {
+      Hop::Instance
+    };
+    Ok((node, hop))
+  }
+
+  /// A key is bound to its instances, and a body that cannot be repeated to the first one.
+  fn may_be_handed_back(&self) -> bool {
+    self.core.balancing.is_even()
+      && self.hand_backs < MAX_HAND_BACKS
+      && self.head.key.is_none()
+      && self.body.repeatable()
   }
 
   fn refusal(&self, reason: NotRunReason) -> CallFailure {
@@ -171,7 +198,12 @@
     CallFailure::refused(reason, report)
   }
 
-  async fn send(&mut self, node: NodeId, started: Instant) -> Result<Answer, CallFailure> {
+  async fn send(
+    &mut self,
+    node: NodeId,
+    hop: Hop,
+    started: Instant,
+  ) -> Result<Answer, CallFailure> {
     self.tried.push(node);
     let service = self.head.service.clone();
     let sent = SentCall::new(self.core, &service, node);
@@ -192,9 +224,9 @@
     let running = async {
       if node == self.core.settings.node {
         // Boxed to keep this future small: most calls go to other nodes.
-        Box::pin(self.core.run_locally(call)).await
+        Box::pin(self.core.run_for(hop, call)).await
       } else {
-        self.core.links.call_with(node, call, Hop::Instance).await
+        self.core.links.call_with(node, call, hop).await
       }
     };
     let result = timeout_at(limit.into(), running)
@@ -243,6 +275,9 @@
   }
 
   fn track_answer(&self, node: NodeId, started: Instant, answer: Answer) -> Answer {
+    if answer.report.paced {
+      self.core.balancing.record_paced();
+    }
     if let Some(calls) = self.core.meters.route(&self.head.route) {
       calls.set_level(answer.report.level);
     }
@@ -308,6 +343,13 @@
         }
         // A key is bound to its instances, an upstream's limit on the rate is not.
         NotRunReason::Limit if self.head.key.is_none() => self.may_reroute(),
+        NotRunReason::Busy => {
+          self.hand_backs += 1;
+          if let Some(calls) = self.core.meters.route(&self.head.route) {
+            calls.handed_back();
+          }
+          self.has_untried()
+        }
         NotRunReason::Refused => self.may_retry(true, now),
         _ => false,
       },
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -15,6 +15,7 @@
     Answer, BodyError, Bottleneck, Call, CallFailure, CallHead, Context, Level, NotRunReason,
     Repeat, Report, Retries, ServiceName, SpanId, UnknownReason,
   },
+  cactusyoke_nodes::Hop,
   http_body_util::BodyExt,
   std::{
     sync::{Arc, PoisonError, atomic::Ordering},
@@ -43,8 +44,33 @@
 }
 
 impl Core {
+  /// Runs a call that was sent to this instance.
+  pub(crate) async fn run_for(
+    self: &Arc<Self>,
+    hop: Hop,
+    call: Call,
+  ) -> Result<Answer, CallFailure> {
+    if hop == Hop::FreeInstance {
+      return self.run_if_free(call).await;
+    }
+    self.run_locally(call).await
+  }
+
+  /// Runs a call on the local upstream unless it would have to wait. Checked before anything else, so
+  /// that a call that is handed back does not count for the retry budget.
+  async fn run_if_free(self: &Arc<Self>, call: Call) -> Result<Answer, CallFailure> {
+    if self.serves(&call.head.service) && !self.admission.has_room() {
+      let report = Report {
+        paced: self.balancing.is_paced(),
+        ..self.admission.report()
+      };
+      return Err(CallFailure::refused(NotRunReason::Busy, report));
+    }
+    self.run_locally(call).await
+  }
+
   /// Runs a call on the local upstream, after the checks of quarantine, admission and key.
-  pub(crate) async fn run_locally(self: &Arc<Self>, call: Call) -> Result<Answer, CallFailure> {
+  async fn run_locally(self: &Arc<Self>, call: Call) -> Result<Answer, CallFailure> {
     let Call { head, body } = call;
     let mut buffered = BufferedBody::read_start(body)
       .await
@@ -216,6 +242,7 @@
       unused: nested.unused,
       bottleneck: self.bottleneck(admitted.started).merge(nested.bottleneck),
       waited: admitted.waited,
+      paced: self.balancing.is_paced(),
       ..here
     };
     let core = Arc::clone(self);
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -7,6 +7,7 @@
 //! `upstream_follower` (the upstream's lifecycle).
 
 mod admission;
+mod balancing;
 mod buffered_body;
 mod build;
 mod command;
@@ -51,6 +52,7 @@
 mod upstream_follower;
 
 pub use {
+  balancing::BalancingMode,
   command::Command,
   core::Core,
   interface::{Interface, InterfaceName},
--- a/crates/cactusyoke/src/load_control.rs
+++ b/crates/cactusyoke/src/load_control.rs
@@ -130,6 +130,20 @@
     Some(node)
   }
 
+  /// True when a call to `node` may be handed back, since another candidate may have room for it.
+  pub(crate) fn has_alternative(
+    &self,
+    kind: CallKind<'_>,
+    candidates: &[Candidate],
+    node: NodeId,
+    avoid: &[NodeId],
+    now: Instant,
+  ) -> bool {
+    let inner = self.lock();
+    let router = inner.routers.get(kind.service);
+    router.is_some_and(|router| router.has_alternative(candidates, node, avoid, now))
+  }
+
   /// Records how a call to `node` ended.
   pub(crate) fn record_outcome(
     &self,
--- a/crates/cactusyoke/src/raw_settings.rs
+++ b/crates/cactusyoke/src/raw_settings.rs
@@ -1,5 +1,5 @@
 use {
-  crate::InterfaceName,
+  crate::{BalancingMode, InterfaceName},
   cactusyoke_model::{ByteSize, DataCentre, NodeId, ServiceName},
   serde::Deserialize,
   std::{collections::BTreeMap, net::SocketAddr},
@@ -37,6 +37,9 @@
   /// Address of the upstream beside the node.
   #[serde(default)]
   pub upstream: Option<SocketAddr>,
+  /// How load is balanced among the instances of a service.
+  #[serde(default)]
+  pub balancing: BalancingMode,
   /// Retry budget, shared by all nodes.
   #[serde(default)]
   pub retry_budget: Option<RawRetryBudget>,
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -277,7 +277,7 @@
     let _entered = self.in_flight.enter();
     let answering = async {
       match hop {
-        Hop::Instance => self.run_locally(call).await,
+        Hop::Instance | Hop::FreeInstance => self.run_for(hop, call).await,
         Hop::Relay => self.run_relayed(call).await,
       }
     };
--- a/crates/cactusyoke/src/settings.rs
+++ b/crates/cactusyoke/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a node, read from YAML and checked.
 
 use {
-  crate::{Interface, InterfaceName, RawRetryBudget, RawSettings, SettingsError},
+  crate::{BalancingMode, Interface, InterfaceName, RawRetryBudget, RawSettings, SettingsError},
   cactusyoke_decisions::load::RetryBounds,
   cactusyoke_model::{ByteSize, DataCentre, NodeId},
   cactusyoke_operators::Token,
@@ -62,6 +62,8 @@
   pub platform: SocketAddr,
   /// Protocol between the node and its callers, upstreams and operators.
   pub interface: Interface,
+  /// How load is balanced among the instances of a service.
+  pub balancing: BalancingMode,
   /// Retry budget, shared by all nodes; `None` for no limit beyond those of presets.
   pub retry_budget: Option<RetryBounds>,
   /// Time without a renewal after which the upstream counts as gone.
@@ -168,6 +170,7 @@
         .transpose()?,
       platform: raw.platform,
       interface,
+      balancing: raw.balancing,
       retry_budget,
       renewal: parse_time("renewal", &raw.renewal)?,
       linger: parse_time("linger", &raw.linger)?,
--- a/crates/cactusyoke/tests/common/cluster_builder.rs
+++ b/crates/cactusyoke/tests/common/cluster_builder.rs
@@ -30,6 +30,7 @@
   slots: u32,
   service_time: Duration,
   shutdown_limit: &'static str,
+  balancing: &'static str,
 }
 
 impl ClusterBuilder {
@@ -50,6 +51,7 @@
       slots: 20,
       service_time: Duration::from_millis(2),
       shutdown_limit: "20s",
+      balancing: "sampled",
     }
   }
 
@@ -90,6 +92,12 @@
     self
   }
 
+  /// Sets how load is balanced.
+  pub fn balancing(mut self, balancing: &'static str) -> Self {
+    self.balancing = balancing;
+    self
+  }
+
   /// Starts the cluster and waits until each node serves, or listens if there is no preset.
   pub async fn start(self) -> Cluster {
     let platform = Platform::start().await.expect("a loopback port is free");
@@ -162,7 +170,7 @@
       .join("\n");
     format!(
       "node: {}\ndata_centre: {}\ndata_centres:\n{centres}\ncallers: {}\negress: {}\nannounce: {}\n\
-       operators: {}\ntoken: {TOKEN}\nplatform: {}\nshutdown_limit: {}\n",
+       operators: {}\ntoken: {TOKEN}\nplatform: {}\nshutdown_limit: {}\nbalancing: {}\n",
       listener(7101),
       self.centres[centre],
       listener(7102),
@@ -171,6 +179,7 @@
       listener(7105),
       cluster.platform.address(),
       self.shutdown_limit,
+      self.balancing,
     )
   }
 }
--- a/crates/callers/tests/outcomes.rs
+++ b/crates/callers/tests/outcomes.rs
@@ -47,6 +47,7 @@
   connection = { NotRunReason::Connection, 503, "1" },
   bad_request = { NotRunReason::BadRequest, 400, "" },
   cancelled = { NotRunReason::Cancelled, 503, "1" },
+  busy = { NotRunReason::Busy, 503, "1" },
 )]
 #[test_macro(tokio::test)]
 async fn not_run_responses(reason: NotRunReason, status: u16, retry_after: &str) {
--- a/crates/decisions/src/load/gate/report.rs
+++ b/crates/decisions/src/load/gate/report.rs
@@ -21,6 +21,11 @@
     self.in_flight + self.queued()
   }
 
+  /// True when a call offered now would start without waiting.
+  pub fn has_room(&self) -> bool {
+    self.queue.len() == 0 && self.load().free_slots > 0
+  }
+
   /// Load to report to senders.
   pub fn load(&self) -> InstanceLoad {
     let interval = |capacity: f64| Duration::from_secs_f64(1.0 / capacity);
--- a/crates/decisions/src/load/instance_stats.rs
+++ b/crates/decisions/src/load/instance_stats.rs
@@ -26,6 +26,9 @@
 /// Time for which an unreachable instance gets no calls; doubles with each failed attempt.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(250);
 const MAX_UNREACHABLE_TIME: Duration = Duration::from_secs(4);
+/// Time for which an instance that reported no free slot is not expected to have one. Run times are
+/// tens of milliseconds and more, so that most of its slots are still in use by the same calls.
+const FULL_TIME: Duration = Duration::from_millis(50);
 /// Age at which a load report is ignored, seconds, so that a full instance is tried again.
 const REPORT_EXPIRY_S: f64 = 1.0;
 
@@ -157,6 +160,12 @@
     self.reported_load.completion_interval * ahead
   }
 
+  /// True when all slots were in use a moment ago.
+  pub(super) fn is_full(&self, now: Instant) -> bool {
+    let age = now.saturating_duration_since(self.reported);
+    self.reported_load.free_slots == 0 && age < FULL_TIME
+  }
+
   /// Share of its slots in use, as last reported.
   pub(super) fn utilisation(&self, now: Instant) -> f64 {
     let age = now.saturating_duration_since(self.reported).as_secs_f64();
--- a/crates/decisions/src/load/router.rs
+++ b/crates/decisions/src/load/router.rs
@@ -112,6 +112,32 @@
       .or_else(|| last_resort(candidates, criteria.avoid))
   }
 
+  /// True when a call to `node` may be handed back, since another candidate in the same data centre
+  /// may have room for it.
+  pub fn has_alternative(
+    &self,
+    candidates: &[Candidate],
+    node: NodeId,
+    avoid: &[NodeId],
+    now: Instant,
+  ) -> bool {
+    let Some(chosen) = candidates.iter().find(|candidate| candidate.node == node) else {
+      return false;
+    };
+    let known_full = |candidate: &Candidate| {
+      let stats = self.instances.get(&candidate.node);
+      stats.is_some_and(|stats| stats.is_full(now))
+    };
+    candidates.iter().any(|candidate| {
+      candidate.node != node
+        && candidate.distance == chosen.distance
+        && !avoid.contains(&candidate.node)
+        && !known_full(candidate)
+        && !self.is_unreachable(candidate, now)
+        && !self.is_ejected(candidate, candidates, now)
+    })
+  }
+
   /// Instance in the nearest other data centre with a usable one; `candidates` are ordered by
   /// distance.
   fn pick_remote<'a>(
--- a/crates/decisions/tests/router.rs
+++ b/crates/decisions/tests/router.rs
@@ -2,7 +2,7 @@
 
 use {
   cactusyoke_decisions::load::{CallOutcome, CallSample, Candidate, Criteria, Router},
-  cactusyoke_model::{NodeId, Slots},
+  cactusyoke_model::{InstanceLoad, NodeId, Slots},
   rand::{Rng, SeedableRng, rngs::SmallRng},
   std::{
     net::{Ipv4Addr, SocketAddr},
@@ -175,3 +175,33 @@
   assert_eq!(pick(&[node(0), node(1), node(2)]), None);
   assert_eq!(router.pick(&[], &Criteria::ANY, &mut rng, now), None);
 }
+
+/// Guards against handing a call back although the other candidates are as full, unreachable, in
+/// another data centre or already tried, which would cost messages for nothing.
+#[test]
+fn a_call_is_handed_back_only_when_another_instance_may_have_room() {
+  let now = Instant::now();
+  let mut router = Router::new();
+  let mut list = candidates(&[10, 10], now);
+  let (one, two) = (node(0), node(1));
+  assert!(router.has_alternative(&list, one, &[], now));
+  assert!(!router.has_alternative(&list, one, &[two], now));
+  assert!(!router.has_alternative(&list[..1], one, &[], now));
+  let full = CallSample {
+    outcome: CallOutcome::NotRun,
+    latency: Duration::from_millis(1),
+    waited: Duration::ZERO,
+    route: None,
+    load: Some(InstanceLoad {
+      outstanding: 10,
+      ..InstanceLoad::IDLE
+    }),
+  };
+  router.record_sent(two, now);
+  router.record_outcome(two, &full, now);
+  assert!(!router.has_alternative(&list, one, &[], now));
+  let later = now + Duration::from_millis(60);
+  assert!(router.has_alternative(&list, one, &[], later));
+  list[1].distance = Duration::from_millis(1);
+  assert!(!router.has_alternative(&list, one, &[], later));
+}
--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -81,6 +81,7 @@
   HeaderValue::from_str(&text).expect("digits and a point")
 }
 
+#[expect(clippy::too_many_lines, reason = "one entry for each reason")]
 fn not_run(reason: NotRunReason) -> (StatusCode, Option<Duration>, &'static str) {
   let unavailable = StatusCode::SERVICE_UNAVAILABLE;
   let soon = Some(RETRY_SOON);
@@ -181,6 +182,11 @@
       soon,
       "it was cancelled before it started; send it again after the time in `retry-after`",
     ),
+    NotRunReason::Busy => (
+      unavailable,
+      soon,
+      "all slots of the instance were in use; send it again after the time in `retry-after`",
+    ),
   }
 }
 
--- a/crates/http/src/header_names.rs
+++ b/crates/http/src/header_names.rs
@@ -17,6 +17,9 @@
   pub rate_limit: HeaderName,
   /// Set to 1 by an upstream on its answers once it is about to stop.
   pub leaving: HeaderName,
+  /// Set by an upstream on its answers to its load, and to the pace of its machine as the fourth
+  /// figure; `None` when upstreams state neither.
+  pub load: Option<HeaderName>,
   /// Context that an upstream copies to the calls that it makes; `None` when upstreams copy none.
   pub context: Option<HeaderName>,
   /// Idempotency key; `None` when callers send none.
@@ -38,6 +41,7 @@
   refused: HeaderName::from_static("cactusyoke-refused"),
   rate_limit: HeaderName::from_static("cactusyoke-rate-limit"),
   leaving: HeaderName::from_static("cactusyoke-leaving"),
+  load: None,
   context: Some(HeaderName::from_static(cactusyoke_model::CONTEXT_HEADER)),
   key: Some(HeaderName::from_static(cactusyoke_model::KEY_HEADER)),
   success_mark: None,
--- a/crates/model/src/failure.rs
+++ b/crates/model/src/failure.rs
@@ -132,6 +132,8 @@
     BadRequest => "bad-request",
     /// The caller disconnected before the call started.
     Cancelled => "cancelled",
+    /// The call would have to wait at the instance, and its sender knows another one.
+    Busy => "busy",
   }
 }
 
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -19,6 +19,8 @@
   pub unused: Retries,
   /// Most utilised service below the answering hop or at it.
   pub bottleneck: Bottleneck,
+  /// Whether upstreams of the deployment state the pace of their machines.
+  pub paced: bool,
 }
 
 impl Report {
@@ -29,5 +31,6 @@
     waited: Duration::ZERO,
     unused: Retries::ZERO,
     bottleneck: Bottleneck::NONE,
+    paced: false,
   };
 }
--- a/crates/nodes/src/hop.rs
+++ b/crates/nodes/src/hop.rs
@@ -7,4 +7,6 @@
   Instance,
   /// To a node of its data centre, which the receiving node selects.
   Relay,
+  /// To its own instance, unless the call would have to wait there.
+  FreeInstance,
 }
--- a/crates/nodes/tests/links_calls.rs
+++ b/crates/nodes/tests/links_calls.rs
@@ -129,6 +129,7 @@
         utilisation: 200,
         slot_time: Duration::from_millis(3),
       },
+      paced: true,
     },
   );
   let pending = pair.start(call("/", full_body("x")));
--- a/crates/operators/src/call_metrics.rs
+++ b/crates/operators/src/call_metrics.rs
@@ -20,6 +20,7 @@
   pub(crate) sent: AtomicU64,
   pub(crate) answered: AtomicU64,
   pub(crate) retries: AtomicU64,
+  pub(crate) handed_back: AtomicU64,
   pub(crate) not_run: [AtomicU64; NotRunReason::ALL.len()],
   pub(crate) unknown: [AtomicU64; UnknownReason::ALL.len()],
   pub(crate) wait_buckets: [AtomicU64; WAIT_BOUNDS.len() + 1],
@@ -33,6 +34,7 @@
       sent: AtomicU64::default(),
       answered: AtomicU64::default(),
       retries: AtomicU64::default(),
+      handed_back: AtomicU64::default(),
       not_run: array::from_fn(|_| AtomicU64::default()),
       unknown: array::from_fn(|_| AtomicU64::default()),
       wait_buckets: array::from_fn(|_| AtomicU64::default()),
@@ -68,6 +70,11 @@
     self.retries.fetch_add(1, Relaxed);
   }
 
+  /// Counts a call that an instance without a free slot handed back.
+  pub fn handed_back(&self) {
+    self.handed_back.fetch_add(1, Relaxed);
+  }
+
   /// Counts the time that a call spent in the queue.
   pub fn waited(&self, wait: Duration) {
     let micros = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
--- a/crates/operators/src/scrape.rs
+++ b/crates/operators/src/scrape.rs
@@ -44,12 +44,17 @@
 impl Scrape {
   fn encode_calls(&self, encoder: &mut DescriptorEncoder) -> fmt::Result {
     type Read = fn(&CallMetrics) -> &AtomicU64;
-    let counters: [(&str, &str, Read); 3] = [
+    let counters: [(&str, &str, Read); 4] = [
       ("sent", "Calls sent towards an upstream", |calls| {
         &calls.sent
       }),
       ("answered", "Calls answered whole", |calls| &calls.answered),
       ("retries", "Retries spent", |calls| &calls.retries),
+      (
+        "handed_back",
+        "Calls handed back by an instance without a free slot",
+        |calls| &calls.handed_back,
+      ),
     ];
     for (name, help, read) in counters {
       let mut family = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
--- a/crates/operators/tests/metrics.rs
+++ b/crates/operators/tests/metrics.rs
@@ -19,6 +19,7 @@
   calls.sent();
   calls.answered();
   calls.retried();
+  calls.handed_back();
   calls.not_run(NotRunReason::Shed);
   calls.unknown(UnknownReason::FirstRun);
   calls.waited(Duration::from_micros(100));
@@ -36,6 +37,7 @@
     r#"cactusyoke_sent_total{service="orders",class="lookups"} 2"#,
     r#"cactusyoke_answered_total{service="orders",class="lookups"} 1"#,
     r#"cactusyoke_retries_total{service="orders",class="lookups"} 1"#,
+    r#"cactusyoke_handed_back_total{service="orders",class="lookups"} 1"#,
     r#"cactusyoke_not_run_total{service="orders",class="lookups",reason="shed"} 1"#,
     r#"cactusyoke_unknown_total{service="orders",class="lookups",reason="first-run"} 1"#,
     r#"cactusyoke_queue_wait_seconds_sum{service="orders",class="lookups"} 2.0001"#,
--- a/crates/upstreams/src/call_exchange.rs
+++ b/crates/upstreams/src/call_exchange.rs
@@ -1,7 +1,7 @@
 use {
   crate::{
     AnswerBody, AnswerPart, CallTimer, Expiry, LostConnection, PooledConnection, RequestBody,
-    StatedRate,
+    StatedRate, stated_pace::states_pace,
   },
   bytes::Bytes,
   cactusyoke_http::{CheckedBody, HeaderNames, remove_hop_headers},
@@ -175,6 +175,9 @@
       }
       Err(_reported) => {}
     }
+    if states_pace(names, headers) {
+      (pool.config().on_stated_pace)();
+    }
     if headers
       .get(&names.leaving)
       .is_some_and(|value| value == "1")
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -20,6 +20,7 @@
 mod pooled_connection;
 mod request_body;
 mod silence_detector;
+mod stated_pace;
 mod stated_rate;
 mod tcp_liveness;
 mod tracked_io;
--- a/crates/upstreams/src/upstream_config.rs
+++ b/crates/upstreams/src/upstream_config.rs
@@ -27,6 +27,8 @@
   pub on_lost_connection: Arc<dyn Fn(LostConnection) + Send + Sync>,
   /// Called with what each answer says about the rate of requests, before the call returns.
   pub on_stated_rate: Arc<dyn Fn(StatedRate) + Send + Sync>,
+  /// Called for each answer that states the pace of the upstream's machine.
+  pub on_stated_pace: Arc<dyn Fn() + Send + Sync>,
   /// Names of the headers that the client reads and sets.
   pub header_names: &'static HeaderNames,
 }
@@ -43,6 +45,7 @@
       idle_timeout: Duration::from_secs(30),
       on_lost_connection: Arc::new(|_lost| {}),
       on_stated_rate: Arc::new(|_stated| {}),
+      on_stated_pace: Arc::new(|| {}),
       header_names: HeaderNames::native(),
     }
   }
