--- a/crates/cactusyoke/tests/common/cluster_builder.rs
+++ b/crates/cactusyoke/tests/common/cluster_builder.rs
@@ -31,6 +31,7 @@
   service_time: Duration,
   shutdown_limit: &'static str,
   limits: &'static str,
+  balancing: &'static str,
 }
 
 impl ClusterBuilder {
@@ -52,6 +53,7 @@
       service_time: Duration::from_millis(2),
       shutdown_limit: "20s",
       limits: "{}",
+      balancing: "sampled",
     }
   }
 
@@ -98,6 +100,12 @@
     self
   }
 
+  /// Sets how load is balanced.
+  pub fn balancing(mut self, balancing: &'static str) -> Self {
+    self.balancing = balancing;
+    self
+  }
+
   /// Starts the cluster and waits until each node serves, or listens if there is no preset.
   pub async fn start(self) -> Cluster {
     let platform = Platform::start().await.expect("a loopback port is free");
@@ -171,7 +179,7 @@
     format!(
       "node: {}\ndata_centre: {}\ndata_centres:\n{centres}\ncallers: {}\negress: {}\nannounce: {}\n\
        operators: {}\ntoken: {TOKEN}\nplatform: {}\nshutdown_limit: {}\n\
-       limits: {}\n",
+       limits: {}\nbalancing: {}\n",
       listener(7101),
       self.centres[centre],
       listener(7102),
@@ -181,6 +189,7 @@
       cluster.platform.address(),
       self.shutdown_limit,
       self.limits,
+      self.balancing,
     )
   }
 }
