--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -171,9 +171,7 @@
     NotRunReason::Cancelled => retry_soon(
       "it was cancelled before it started; send it again after the time in `retry-after`",
     ),
-    NotRunReason::Busy => (
-      unavailable,
-      soon,
+    NotRunReason::Busy => retry_soon(
       "all slots of the instance were in use; send it again after the time in `retry-after`",
     ),
   }
