--- a/crates/decisions/tests/shared_bottleneck/simulation.rs
+++ b/crates/decisions/tests/shared_bottleneck/simulation.rs
@@ -15,9 +15,6 @@
 
 const WARM_UP: Duration = Duration::from_secs(5);
 const END: Duration = Duration::from_secs(35);
-const SLOTS: Slots = Slots(22);
-/// Run time of a nested call, milliseconds.
-const CALL_TIME: f64 = 18.0;
 /// One way between two nodes.
 const LATENCY: Duration = Duration::from_millis(1);
 /// Nodes at which requests enter.
@@ -31,49 +28,33 @@
 
 /// Requests of one route.
 #[derive(Clone, Copy, Debug)]
-struct Kind {
-  name: &'static str,
-  rank: ClassRank,
+pub struct Kind {
+  pub name: &'static str,
+  pub rank: ClassRank,
   /// New requests per second.
-  rate: f64,
+  pub rate: f64,
   /// Work before the first call, milliseconds.
-  work: f64,
+  pub work: f64,
   /// Work between two calls, milliseconds.
-  gap: f64,
+  pub gap: f64,
   /// Calls to the tightest service; zero for requests that start there.
-  calls: u32,
-  time_limit: Duration,
+  pub calls: u32,
+  pub time_limit: Duration,
 }
 
-const KINDS: [Kind; 3] = [
-  Kind {
-    name: "look-up",
-    rank: ClassRank(2),
-    rate: 128.0,
-    work: 120.0,
-    gap: 8.0,
-    calls: 10,
-    time_limit: Duration::from_millis(800),
-  },
-  Kind {
-    name: "order",
-    rank: ClassRank(0),
-    rate: 47.0,
-    work: 160.0,
-    gap: 4.0,
-    calls: 5,
-    time_limit: Duration::from_secs(1),
-  },
-  Kind {
-    name: "check",
-    rank: ClassRank(2),
-    rate: 31.0,
-    work: 290.0,
-    gap: 0.0,
-    calls: 0,
-    time_limit: Duration::from_millis(2500),
-  },
-];
+/// Requests, and the instance of the tightest service that serves them.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+  pub kinds: [Kind; 3],
+  pub slots: Slots,
+  /// Mean run time of a nested call, milliseconds.
+  pub call_time: f64,
+  /// Share by which the rates rise and fall around their means, in a period of `period`.
+  pub swing: f64,
+  pub period: Duration,
+  /// Requests that come at the same moment, on average.
+  pub clump: f64,
+}
 
 /// What a node at which requests enter knows.
 #[derive(Debug)]
@@ -131,6 +112,7 @@
 }
 
 pub struct Simulation {
+  load: Load,
   start: Instant,
   now: Instant,
   rng: SmallRng,
@@ -145,10 +127,10 @@
 }
 
 impl Simulation {
-  pub fn run(seed: u64) -> Self {
+  pub fn run(load: Load, seed: u64) -> Self {
     let start = Instant::now();
     let config = GateConfig {
-      slots: SLOTS,
+      slots: load.slots,
       max_queued: 1000,
       queue_wait: Duration::from_millis(150),
       cold_start: Duration::ZERO,
@@ -156,6 +138,7 @@
       nested_wait: 0.25,
     };
     let mut simulation = Self {
+      load,
       start,
       now: start,
       rng: SmallRng::seed_from_u64(seed),
@@ -163,12 +146,14 @@
       sequence: 0,
       gate: Gate::new(config, start),
       entries: (0..ENTRIES).map(|_| Entry::new(start)).collect(),
-      routes: KINDS.map(|kind| kind.name.parse().expect("a valid name")),
+      routes: load
+        .kinds
+        .map(|kind| kind.name.parse().expect("a valid name")),
       requests: Vec::new(),
       outcomes: [Outcomes::default(); 3],
       counts: GateCounts::default(),
     };
-    for kind in 0..KINDS.len() {
+    for kind in 0..load.kinds.len() {
       simulation.schedule(start, Event::Arrival(kind));
     }
     simulation.schedule(start, Event::Poll);
@@ -191,9 +176,21 @@
   fn handle(&mut self, event: Event) {
     match event {
       Event::Arrival(kind) => {
-        let gap = -self.rng.random::<f64>().max(1e-12).ln() / KINDS[kind].rate;
+        let Load {
+          swing,
+          period,
+          clump,
+          ..
+        } = self.load;
+        let turns = (self.now - self.start).as_secs_f64() / period.as_secs_f64();
+        let wave = 1.0 + swing * (turns * std::f64::consts::TAU).sin();
+        let rate = self.load.kinds[kind].rate * wave / clump;
+        let gap = -self.rng.random::<f64>().max(1e-12).ln() / rate;
         self.schedule(self.now + ms(gap * 1000.0), Event::Arrival(kind));
         self.send(kind, false);
+        while clump > 1.0 && self.rng.random_bool(1.0 - 1.0 / clump) {
+          self.send(kind, false);
+        }
       }
       Event::Retry(kind) => self.send(kind, true),
       Event::Offer(request) => self.offer(request),
@@ -214,7 +211,7 @@
     let root = RequestId::random(&mut self.rng);
     let Kind {
       rank, calls, work, ..
-    } = KINDS[kind];
+    } = self.load.kinds[kind];
     let route = &self.routes[kind];
     let entry = self.rng.random_range(0..ENTRIES);
     let Entry { levels, costs } = &self.entries[entry];
@@ -261,7 +258,7 @@
     } = self.requests[request];
     let Kind {
       calls, time_limit, ..
-    } = KINDS[kind];
+    } = self.load.kinds[kind];
     let (ticket, deadline) = (request as u64, sent + time_limit);
     let offer = if calls == 0 {
       self.gate.offer(ticket, priority, deadline, self.now)
@@ -277,8 +274,12 @@
   }
 
   fn start(&mut self, request: usize) {
-    let Kind { calls, work, .. } = KINDS[self.requests[request].kind];
-    let mean = if calls == 0 { work } else { CALL_TIME };
+    let Kind { calls, work, .. } = self.load.kinds[self.requests[request].kind];
+    let mean = if calls == 0 {
+      work
+    } else {
+      self.load.call_time
+    };
     let time = ms(mean * self.rng.random_range(0.5..1.5));
     self.requests[request].slot_time += time;
     self.schedule(self.now + time, Event::Done(request));
@@ -295,10 +296,10 @@
       calls_left,
       ..
     } = self.requests[request];
-    let in_time = self.now <= sent + KINDS[kind].time_limit;
+    let in_time = self.now <= sent + self.load.kinds[kind].time_limit;
     if calls_left > 1 && in_time {
       self.requests[request].calls_left -= 1;
-      let gap = ms(KINDS[kind].gap) + LATENCY * 2;
+      let gap = ms(self.load.kinds[kind].gap) + LATENCY * 2;
       self.schedule(self.now + gap, Event::Offer(request));
     } else {
       self.end(request, in_time);
@@ -335,9 +336,12 @@
     if success {
       let service = "warehouse".parse().expect("a valid name");
       let bottleneck = Bottleneck::new(&service, 1.0, slot_time);
-      entry
-        .costs
-        .record(&self.routes[kind], KINDS[kind].rank, bottleneck, self.now);
+      entry.costs.record(
+        &self.routes[kind],
+        self.load.kinds[kind].rank,
+        bottleneck,
+        self.now,
+      );
     } else {
       self.refuse(request);
     }
@@ -353,7 +357,7 @@
   /// Refuses a root request, or fails the request of a nested call.
   fn drop_call(&mut self, request: usize) {
     self.observe(request);
-    if KINDS[self.requests[request].kind].calls > 0 {
+    if self.load.kinds[self.requests[request].kind].calls > 0 {
       self.end(request, false);
       return;
     }
