--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -54,7 +54,7 @@
   command::Command,
   core::Core,
   interface::{Interface, InterfaceName},
-  raw_settings::{RawCentre, RawLimits, RawRetryBudget, RawSettings},
+  raw_settings::{RawCentre, RawLimits, RawRetryBudget, RawSettings, RawUsageCaps},
   server::{Server, Unfinished},
   settings::{Centre, Settings},
   settings_error::SettingsError,
--- a/crates/cactusyoke/src/raw_settings.rs
+++ b/crates/cactusyoke/src/raw_settings.rs
@@ -40,6 +40,9 @@
   /// Retry budget, shared by all nodes.
   #[serde(default)]
   pub retry_budget: Option<RawRetryBudget>,
+  /// Allowed excess over the usage caps of tenants, of all nodes together.
+  #[serde(default)]
+  pub usage_caps: Option<RawUsageCaps>,
   /// Time without a renewal after which the upstream counts as gone, such as `5s`.
   #[serde(default = "default_renewal")]
   pub renewal: String,
@@ -84,6 +87,20 @@
   pub window: String,
 }
 
+/// Allowed excess over usage caps as written in YAML.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawUsageCaps {
+  /// Length of the sliding window, such as `5s`.
+  pub window: String,
+  /// Excess in the window, as a part of what the cap allows there.
+  #[serde(default)]
+  pub over: f64,
+  /// Further excess in the window, requests.
+  #[serde(default)]
+  pub slack: f64,
+}
+
 /// Limits as written in YAML.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/cactusyoke/src/settings.rs
+++ b/crates/cactusyoke/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of a node, read from YAML and checked.
 
 use {
-  crate::{Interface, InterfaceName, RawRetryBudget, RawSettings, SettingsError},
-  cactusyoke_decisions::load::RetryBounds,
+  crate::{Interface, InterfaceName, RawRetryBudget, RawSettings, RawUsageCaps, SettingsError},
+  cactusyoke_decisions::{load::RetryBounds, quota::QuotaBounds},
   cactusyoke_model::{ByteSize, DataCentre, NodeId},
   cactusyoke_operators::Token,
   std::{
@@ -24,6 +24,12 @@
 /// Largest allowed value of `threads`.
 const MAX_THREADS: usize = 64;
 
+/// Shortest window for usage caps.
+const MIN_CAP_WINDOW: Duration = Duration::from_secs(1);
+
+/// Longest window for usage caps.
+const MAX_CAP_WINDOW: Duration = Duration::from_hours(1);
+
 /// Default distance of another data centre in the same region.
 const CENTRE_DISTANCE: Duration = Duration::from_millis(1);
 
@@ -64,6 +70,8 @@
   pub interface: Interface,
   /// Retry budget, shared by all nodes; `None` for no limit beyond those of presets.
   pub retry_budget: Option<RetryBounds>,
+  /// Allowed excess over the usage caps of tenants; none by default.
+  pub usage_caps: QuotaBounds,
   /// Time without a renewal after which the upstream counts as gone.
   pub renewal: Duration,
   /// Time for which callers are still served after the signal to stop.
@@ -137,6 +145,7 @@
     check_range("threads", raw.threads, MAX_THREADS)?;
     let interface = check_interface(&raw)?;
     let retry_budget = raw.retry_budget.as_ref().map(check_budget).transpose()?;
+    let usage_caps = raw.usage_caps.as_ref().map(check_caps).transpose()?;
     let mut centres = BTreeMap::new();
     let region = raw.data_centres[&raw.data_centre].region.clone();
     for (name, centre) in raw.data_centres {
@@ -169,6 +178,7 @@
       platform: raw.platform,
       interface,
       retry_budget,
+      usage_caps: usage_caps.unwrap_or_default(),
       renewal: parse_time("renewal", &raw.renewal)?,
       linger: parse_time("linger", &raw.linger)?,
       threads: raw.threads,
@@ -206,6 +216,19 @@
   })
 }
 
+fn check_caps(raw: &RawUsageCaps) -> Result<QuotaBounds, SettingsError> {
+  let window = parse_time("usage_caps.window", &raw.window)?;
+  let within = (0.0..=1.0).contains(&raw.over) && (0.0..=1e6).contains(&raw.slack);
+  if !(MIN_CAP_WINDOW..=MAX_CAP_WINDOW).contains(&window) || !within {
+    return Err(SettingsError::UsageCaps);
+  }
+  Ok(QuotaBounds {
+    window,
+    over: raw.over,
+    slack: raw.slack,
+  })
+}
+
 fn check_node(node: NodeId) -> Result<(), SettingsError> {
   if node.0.ip().is_unspecified() || node.0.port() == 0 {
     return Err(SettingsError::NodeAddress(node));
--- a/crates/cactusyoke/src/settings_error.rs
+++ b/crates/cactusyoke/src/settings_error.rs
@@ -33,6 +33,8 @@
   Missing(&'static str),
   /// A part of the retry budget is out of range.
   RetryBudget,
+  /// `usage_caps` has a value out of range.
+  UsageCaps,
   /// Error in the file at a path.
   InFile(String, Box<Self>),
 }
@@ -90,6 +92,9 @@
       Self::RetryBudget => f.write_str(
         "`retry_budget` cannot be used: write `ratio` and `slack` from 0 to 1000000 and a `window` above 0s",
       ),
+      Self::UsageCaps => f.write_str(
+        "`usage_caps` cannot be used: write a `window` from 1s to 1h, `over` from 0 to 1 and `slack` from 0 to 1000000",
+      ),
       Self::InFile(path, error) => write!(f, "`{path}`: {error}"),
     }
   }
--- a/crates/cactusyoke/tests/settings.rs
+++ b/crates/cactusyoke/tests/settings.rs
@@ -58,7 +58,7 @@
   range = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nkey_groups: 0", "`key_groups` is 0: write a whole number from 1 to 1024" },
   time = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nshutdown_limit: soon", "`shutdown_limit` is `soon`: write a time such as `500us`, `30s` or `2min`" },
   token = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\ntoken: secret", "`token`: the token is not usable: use at least 16 printable ASCII characters without spaces" },
-  unknown = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nplatfrom: x", "the settings cannot be read: unknown field `platfrom`, expected one of `node`, `data_centre`, `data_centres`, `callers`, `egress`, `announce`, `operators`, `token`, `platform`, `interface`, `service`, `upstream`, `retry_budget`, `renewal`, `linger`, `threads`, `limits`, `key_groups`, `shutdown_limit` at line 10 column 1" },
+  unknown = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nplatfrom: x", "the settings cannot be read: unknown field `platfrom`, expected one of `node`, `data_centre`, `data_centres`, `callers`, `egress`, `announce`, `operators`, `token`, `platform`, `interface`, `service`, `upstream`, `retry_budget`, `usage_caps`, `renewal`, `linger`, `threads`, `limits`, `key_groups`, `shutdown_limit` at line 10 column 1" },
 )]
 fn wrong_settings_are_refused(from: &str, to: &str, message: &str) {
   let name = format!(
