Admit root requests of tenants within their usage caps

Entry nodes check the cap after the key and answer 429 with a Retry-After when all nodes together have admitted too much. Nodes exchange leases by control requests, only while the preset has tenants with a cap.

Process tests: two of three nodes get most of a cap and stay within the bound, and nodes that are paused and restarted one after the other admit nothing more.

--- a/crates/cactusyoke/src/build.rs
+++ b/crates/cactusyoke/src/build.rs
@@ -19,6 +19,7 @@
     roster_cache::RosterCache,
     spread::{Spread, SpreadActor},
     upstream_follower,
+    usage_caps::UsageCaps,
   },
   cactusyoke_configuration::{Configuration, LeaseStore, RetryLimits, Store, Watcher},
   cactusyoke_decisions::{
@@ -152,6 +153,7 @@
       .retry_budget
       .map(|bounds| Mutex::new(RetryBudget::new(bounds))),
     keyed_runs: KeyedRuns::new(rosters, settings.keys),
+    usage_caps: UsageCaps::new(settings.usage_caps, settings.node, incarnation, clock.now()),
     spread: Spread::default(),
     in_force: Mutex::default(),
     meters: Meters::new(metrics),
--- a/crates/cactusyoke/src/control.rs
+++ b/crates/cactusyoke/src/control.rs
@@ -7,6 +7,7 @@
     keys::{Process, Roster, RunId, WitnessReply, WitnessRequest},
     load::{CrashId, Fingerprint, QuarantineNotice},
     membership::{DirectoryUpdate, Freshness},
+    quota::{LeaseReply, LeaseRequest},
   },
   cactusyoke_model::{IdempotencyKey, NodeId, Revision},
   serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -58,6 +59,8 @@
     /// Time for which the asked node waits for changes, also of how it is kept up to date.
     wait: Duration,
   },
+  /// Asks the granter of a group of tenants for tokens of their usage caps.
+  Leases(LeaseRequest),
 }
 
 /// Reply to a [`ControlRequest`].
@@ -79,6 +82,8 @@
   Revision(Revision),
   /// Changes of the directory; `None` when the node does not know it.
   Directory(Option<DirectoryReply>),
+  /// Tokens; `None` for a request that a later one has overtaken.
+  Leases(Option<LeaseReply>),
 }
 
 /// What a node knows of the directory of nodes.
--- a/crates/cactusyoke/src/control_requests.rs
+++ b/crates/cactusyoke/src/control_requests.rs
@@ -106,6 +106,7 @@
         }
         ControlReply::Done
       }
+      ControlRequest::Leases(request) => ControlReply::Leases(self.grant(from, &request)),
       ControlRequest::Directory { after, known, wait } => {
         ControlReply::Directory(self.directory_since(after, known, wait).await)
       }
--- a/crates/cactusyoke/src/core.rs
+++ b/crates/cactusyoke/src/core.rs
@@ -4,7 +4,7 @@
   crate::{
     Settings, admission::Admission, crashes::Crashes, event_limiter::EventLimiter,
     keyed_runs::KeyedRuns, load_control::LoadControl, member_source::MemberSource, meters::Meters,
-    parents::Parents, spread::Spread,
+    parents::Parents, spread::Spread, usage_caps::UsageCaps,
   },
   arc_swap::ArcSwap,
   cactusyoke_configuration::{Configuration, Watcher},
@@ -62,6 +62,7 @@
   /// Budget for repeats of calls to the local upstream; `None` for no limit.
   pub(crate) retry_budget: Option<Mutex<RetryBudget>>,
   pub(crate) keyed_runs: KeyedRuns,
+  pub(crate) usage_caps: UsageCaps,
   pub(crate) spread: Spread,
   pub(crate) meters: Meters,
   pub(crate) draining: AtomicBool,
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -3,7 +3,7 @@
 use {
   crate::{
     Core, Interface, buffered_body::BufferedBody, dispatch::Dispatch, event_limiter::Verdict,
-    parents::Parent, send_policy::SendPolicy, tenants,
+    parents::Parent, send_policy::SendPolicy, tenants, usage_caps::Admitted,
   },
   cactusyoke_callers::{CallHandler, CallerRequest, Limits},
   cactusyoke_model::{
@@ -107,6 +107,7 @@
     let route = find_route(&preset, &request)?;
     let tenant = self.identify_tenant(&preset, route, &mut request, started)?;
     let tenant = tenant.as_deref();
+    let admitted = self.admit_tenant(route, tenant, started)?;
     let root = root_id(&request);
     let head = CallHead {
       root,
@@ -127,6 +128,9 @@
     };
     let result = self.send(&preset, route, head, request).await;
     self.record_outcome(call, &result);
+    if let (Some(admitted), Err(CallFailure::NotRun { .. })) = (&admitted, &result) {
+      self.usage_caps.refund(admitted);
+    }
     result
       .map_err(|failure| failure.with_retry_delay(self.load_control.retry_delay(route, &service)))
   }
@@ -197,6 +201,30 @@
     tenant
   }
 
+  /// Checks the usage cap of the tenant. A refusal is recorded.
+  fn admit_tenant(
+    &self,
+    route: &Route,
+    tenant: Option<&Tenant>,
+    started: Instant,
+  ) -> Result<Option<Admitted>, CallFailure> {
+    let Some(tenant) = tenant else {
+      return Ok(None);
+    };
+    let admitted = self.usage_caps.admit(tenant, started);
+    if let Err(failure) = &admitted {
+      let call = CallSummary {
+        route,
+        tenant: Some(&tenant.name),
+        priority: Priority::new(route.rank, RequestId(0)),
+        depth: 0,
+        started,
+      };
+      self.record_outcome(call, &Err(*failure));
+    }
+    admitted
+  }
+
   /// Counts an outcome. Failures are also logged, at a limited rate.
   fn record_outcome(&self, call: CallSummary<'_>, result: &Result<Answer, CallFailure>) {
     let CallSummary {
--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -50,6 +50,7 @@
 mod tenants;
 mod tracked_body;
 mod upstream_follower;
+mod usage_caps;
 
 pub use {
   command::Command,
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -7,7 +7,7 @@
     gateway::{Egress, Gateway},
     listeners::Listeners,
     operator_node::OperatorNode,
-    upstream_follower,
+    upstream_follower, usage_caps,
   },
   cactusyoke_callers::Limits,
   cactusyoke_configuration::ObservedStore,
@@ -99,6 +99,7 @@
     };
     let core = build(parts, &listeners, &stop).await?;
     let loops = start_loops(&core).await?;
+    usage_caps::start(&core, stop.child_token());
     let limits = Limits {
       connections: core.settings.connections as usize,
       body: core.settings.body,
--- a/crates/cactusyoke/tests/platform_support/mod.rs
+++ b/crates/cactusyoke/tests/platform_support/mod.rs
@@ -89,6 +89,7 @@
       "node: {}\ndata_centre: dc-{}\ndata_centres:\n  dc-1: {{region: r}}\n  dc-2: {{region: r}}\n\
        callers: {}\negress: {}\nannounce: {}\noperators: {}\nplatform: {}\ninterface: platform\n\
        service: plaques\nupstream: {}\nretry_budget: {{ratio: 0.2, slack: 48, window: 10s}}\n\
+       usage_caps: {{window: 5s, over: 0.1, slack: 20}}\n\
        shutdown_limit: 6s\nlinger: 1s\nthreads: 1\n",
       at(7101),
       (number - 1) % 2 + 1,
--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -121,6 +121,11 @@
       None,
       "no route of the preset in force matches its method and path; do not send it again unchanged",
     ),
+    NotRunReason::UsageCap => (
+      StatusCode::TOO_MANY_REQUESTS,
+      Some(RETRY_SOON),
+      "the tenant has sent as many requests as its usage cap allows; send it again after the time in `retry-after`",
+    ),
     NotRunReason::UnknownKey => (
       StatusCode::UNAUTHORIZED,
       None,
--- a/crates/model/src/failure.rs
+++ b/crates/model/src/failure.rs
@@ -114,6 +114,8 @@
     NoPreset => "no-preset",
     /// The request has no key of a tenant, though its route needs one.
     UnknownKey => "unknown-key",
+    /// The tenant of the request is at its usage cap.
+    UsageCap => "usage-cap",
     /// The request is quarantined because it crashed upstreams before.
     Quarantined => "quarantined",
     /// The retry allowance of the call tree is spent.
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -65,6 +65,12 @@
   pub control_sent: AtomicU64,
   /// Control bytes received from other nodes.
   pub control_received: AtomicU64,
+  /// Exchanges with granters of usage caps that were answered.
+  pub cap_exchanges: AtomicU64,
+  /// Exchanges with granters of usage caps that were not answered.
+  pub cap_failures: AtomicU64,
+  /// Tokens of usage caps that granters gave to the node.
+  pub cap_tokens: AtomicU64,
   clock: Arc<dyn Clock>,
   calls: Mutex<CallMetricsMap>,
   tenants: Mutex<TenantMetricsMap>,
@@ -82,6 +88,9 @@
       queued: AtomicU64::default(),
       control_sent: AtomicU64::default(),
       control_received: AtomicU64::default(),
+      cap_exchanges: AtomicU64::default(),
+      cap_failures: AtomicU64::default(),
+      cap_tokens: AtomicU64::default(),
       clock,
       calls: Mutex::default(),
       tenants: Mutex::default(),
@@ -159,6 +168,8 @@
       queued: load(&self.queued),
       control_sent: load(&self.control_sent),
       control_received: load(&self.control_received),
+      cap_exchanges: [load(&self.cap_exchanges), load(&self.cap_failures)],
+      cap_tokens: load(&self.cap_tokens),
       config: config.map(|(revision, since)| {
         let age = self.clock.now().saturating_duration_since(since);
         (revision, age)
--- a/crates/operators/src/scrape.rs
+++ b/crates/operators/src/scrape.rs
@@ -28,6 +28,9 @@
   pub(crate) queued: u64,
   pub(crate) control_sent: u64,
   pub(crate) control_received: u64,
+  /// Exchanges about usage caps that were answered, and that were not.
+  pub(crate) cap_exchanges: [u64; 2],
+  pub(crate) cap_tokens: u64,
   pub(crate) config: Option<(Revision, Duration)>,
   pub(crate) platform: [[u64; PLATFORM_RESULTS.len()]; PLATFORM_CALLS.len()],
   pub(crate) members: [u64; MEMBER_STATUSES.len()],
@@ -181,7 +184,19 @@
       &mut family,
       &[("direction", "received")],
       self.control_received,
-    )
+    )?;
+    self.encode_caps(encoder)
+  }
+
+  fn encode_caps(&self, encoder: &mut DescriptorEncoder) -> fmt::Result {
+    let help = "Exchanges with granters of usage caps, by result";
+    let mut family = encoder.encode_descriptor("cap_exchanges", help, None, MetricType::Counter)?;
+    for (result, count) in ["answered", "failed"].into_iter().zip(self.cap_exchanges) {
+      counter(&mut family, &[("result", result)], count)?;
+    }
+    let help = "Tokens of usage caps leased to the node";
+    let family = encoder.encode_descriptor("cap_tokens", help, None, MetricType::Counter)?;
+    ConstCounter::new(self.cap_tokens).encode(family)
   }
 
   fn encode_platform(&self, encoder: &mut DescriptorEncoder) -> fmt::Result {
