--- a/crates/cactusyoke/src/usage_caps.rs
+++ b/crates/cactusyoke/src/usage_caps.rs
@@ -230,8 +230,8 @@
     let metrics = &self.meters.metrics;
     if let Some(reply) = reply {
       state.client.apply(granter, request, &reply, now);
-      let granted = reply.grants.iter().map(|grant| u64::from(grant.added));
-      metrics.cap_tokens.fetch_add(granted.sum(), Relaxed);
+      let tokens = reply.grants.iter().map(|grant| u64::from(grant.added));
+      metrics.cap_tokens.fetch_add(tokens.sum(), Relaxed);
       metrics.cap_exchanges.fetch_add(1, Relaxed);
     } else {
       state.client.fail(request, now);
--- a/crates/cactusyoke/tests/settings.rs
+++ b/crates/cactusyoke/tests/settings.rs
@@ -57,6 +57,8 @@
   centre = { "data_centre: concord", "data_centre: nashua", "`data_centre` is `nashua`, which `data_centres` does not list: add it there or correct the name" },
   range = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nkey_groups: 0", "`key_groups` is 0: write a whole number from 1 to 1024" },
   time = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nshutdown_limit: soon", "`shutdown_limit` is `soon`: write a time such as `500us`, `30s` or `2min`" },
+  caps = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nusage_caps: {window: 5s, over: 2}", "`usage_caps` cannot be used: write a `window` from 1s to 1h, `over` from 0 to 1 and `slack` from 0 to 1000000" },
+  cap_window = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nusage_caps: {window: 10ms}", "`usage_caps` cannot be used: write a `window` from 1s to 1h, `over` from 0 to 1 and `slack` from 0 to 1000000" },
   token = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\ntoken: secret", "`token`: the token is not usable: use at least 16 printable ASCII characters without spaces" },
   unknown = { "platform: 127.0.0.1:7000", "platform: 127.0.0.1:7000\nplatfrom: x", "the settings cannot be read: unknown field `platfrom`, expected one of `node`, `data_centre`, `data_centres`, `callers`, `egress`, `announce`, `operators`, `token`, `platform`, `interface`, `service`, `upstream`, `retry_budget`, `usage_caps`, `renewal`, `linger`, `threads`, `limits`, `key_groups`, `shutdown_limit` at line 10 column 1" },
 )]
