--- a/crates/cactusyoke/src/lib.rs
+++ b/crates/cactusyoke/src/lib.rs
@@ -51,13 +51,14 @@
 mod tenants;
 mod tracked_body;
 mod upstream_follower;
+mod usage_caps;
 
 pub use {
   balancing::BalancingMode,
   command::Command,
   core::Core,
   interface::{Interface, InterfaceName},
-  raw_settings::{RawCentre, RawLimits, RawRetryBudget, RawSettings},
+  raw_settings::{RawCentre, RawLimits, RawRetryBudget, RawSettings, RawUsageCaps},
   server::{Server, Unfinished},
   settings::{Centre, Settings},
   settings_error::SettingsError,
