Shed the surplus of hot tenants first under overload

Entry nodes compare each tenant's recent requests with its own usual rate at the node, and give the surplus the second half of the class, which gates shed first. All other requests of tenants get the first half. A part of each tenant's requests is never surplus, so that it is served at least a quarter as often as all. Costly routes use the same position of the request, so that the smaller share stays. Presets without tenants are treated as before.

--- a/crates/cactusyoke/src/load_control.rs
+++ b/crates/cactusyoke/src/load_control.rs
@@ -2,7 +2,7 @@
 
 use {
   cactusyoke_decisions::load::{
-    CallOutcome, CallSample, Candidate, Costs, Criteria, Levels, RetryRatio, Router,
+    CallOutcome, CallSample, Candidate, Costs, Criteria, Levels, RetryRatio, Router, TenantShares,
     WeightedRoundRobin, retry_delay,
   },
   cactusyoke_model::{
@@ -23,6 +23,7 @@
   ratios: HashMap<RouteName, RetryRatio>,
   round_robins: HashMap<RouteName, WeightedRoundRobin>,
   costs: Costs,
+  tenant_shares: TenantShares,
 }
 
 /// Levels, costs and retry ratios by route, loads by instance.
@@ -64,6 +65,7 @@
       ratios: HashMap::new(),
       round_robins: HashMap::new(),
       costs: Costs::new(),
+      tenant_shares: TenantShares::new(),
     };
     Self {
       inner: Mutex::new(inner),
@@ -112,8 +114,14 @@
       // The halves of a shared rank belong to different classes.
       return Priority::within(rank, sub_levels, root);
     }
-    let inner = self.lock();
-    inner.costs.priority(&route.name, rank, root, now)
+    let mut inner = self.lock();
+    let Some(tenant) = tenant else {
+      return inner.costs.priority(&route.name, rank, root, now);
+    };
+    let share = inner.tenant_shares.record(&tenant.name, now);
+    inner
+      .costs
+      .tenant_priority(&route.name, rank, root, share, now)
   }
 
   /// Records what a root request cost the most utilised service in its call tree.
--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -33,7 +33,9 @@
 mod retry_delay;
 mod retry_ratio;
 mod router;
+mod tenant_shares;
 mod ticket_state;
+mod usual_share;
 mod weighted_round_robin;
 
 pub use call_sample::{CallOutcome, CallSample};
@@ -55,6 +57,8 @@
 pub use retry_delay::retry_delay;
 pub use retry_ratio::RetryRatio;
 pub use router::Router;
+pub use tenant_shares::TenantShares;
+pub use usual_share::UsualShare;
 pub use weighted_round_robin::WeightedRoundRobin;
 
 use {
--- a/crates/decisions/src/load/costs.rs
+++ b/crates/decisions/src/load/costs.rs
@@ -1,8 +1,7 @@
 use {
-  super::DeterministicMap,
+  super::{DeterministicMap, UsualShare},
   cactusyoke_model::{Bottleneck, ClassRank, Priority, RequestId, RouteName},
   std::time::{Duration, Instant},
-  xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Smoothing of the cost of a route.
@@ -13,9 +12,9 @@
 const MAX_ROUTES: usize = 1024;
 /// Multiple of the lowest competing cost above which a route counts as costly.
 const COSTLY_RATIO: f64 = 1.2;
-/// Share of the requests of a costly route, in 1/256, that stays in the first half of its class, so
-/// that costly routes are not starved.
-const PROTECTED_SHARE: u64 = 154;
+/// Share of the requests of a costly route that stays in the first half of its class, so that costly
+/// routes are not starved.
+const PROTECTED_SHARE: UsualShare = UsualShare::of_256(154.0);
 
 #[derive(Clone, Copy, Debug)]
 struct Cost {
@@ -84,22 +83,42 @@
     root: RequestId,
     now: Instant,
   ) -> Priority {
-    let Some((own, others)) = self.compare(route, rank, now) else {
-      return Priority::new(rank, root);
-    };
-    let (cheapest, costliest) = others;
-    if costliest <= cheapest * COSTLY_RATIO {
-      return Priority::new(rank, root);
+    match self.is_costly(route, rank, now) {
+      None => Priority::new(rank, root),
+      Some(true) if !PROTECTED_SHARE.includes(root) => Priority::second_half(rank, root),
+      Some(_) => Priority::first_half(rank, root),
     }
-    // The sub-level is taken from other bits of the hash.
-    let protected = (xxh3_64(&root.0.to_le_bytes()) >> 32) % 256 < PROTECTED_SHARE;
-    if own > cheapest * COSTLY_RATIO && !protected {
-      Priority::second_half(rank, root)
-    } else {
+  }
+
+  /// Priority of a root request of a tenant with this share of usual requests. The surplus goes to
+  /// the second half of the class, as do the requests of costly routes. Both use the same position
+  /// of the request, so that the smaller of the two shares stays in the first half, not their
+  /// product.
+  pub fn tenant_priority(
+    &self,
+    route: &RouteName,
+    rank: ClassRank,
+    root: RequestId,
+    share: UsualShare,
+    now: Instant,
+  ) -> Priority {
+    let costly = self.is_costly(route, rank, now) == Some(true);
+    let deferred = costly && !PROTECTED_SHARE.includes(root);
+    if share.includes(root) && !deferred {
       Priority::first_half(rank, root)
+    } else {
+      Priority::second_half(rank, root)
     }
   }
 
+  /// True when the requests of a route cost more than those of the cheapest competing one; `None`
+  /// when the competing routes do not differ, or the cost of the route is not known.
+  fn is_costly(&self, route: &RouteName, rank: ClassRank, now: Instant) -> Option<bool> {
+    let (own, (cheapest, costliest)) = self.compare(route, rank, now)?;
+    let differ = costliest > cheapest * COSTLY_RATIO;
+    differ.then_some(own > cheapest * COSTLY_RATIO)
+  }
+
   /// Cost of a route, and the lowest and highest costs of the routes that compete with it.
   fn compare(&self, route: &RouteName, rank: ClassRank, now: Instant) -> Option<(f64, (f64, f64))> {
     let own = self.routes.get(&(route.clone(), rank))?;
--- a/crates/decisions/tests/spread_load.rs
+++ b/crates/decisions/tests/spread_load.rs
@@ -4,7 +4,8 @@
 use {
   cactusyoke_decisions::load::{
     CallOutcome, CallSample, Candidate, Completion, Costs, Criteria, Gate, GateConfig,
-    OfferOutcome, RetryBounds, RetryBudget, Router, WeightedRoundRobin, retry_delay,
+    OfferOutcome, RetryBounds, RetryBudget, Router, TenantShares, UsualShare, WeightedRoundRobin,
+    retry_delay,
   },
   cactusyoke_model::{
     Bottleneck, ClassRank, InstanceLoad, NodeId, Priority, RequestId, RouteName, ServiceName, Slots,
@@ -85,6 +86,46 @@
   assert!(second.count() >= 300);
 }
 
+/// Guards against starving a tenant with a surplus on a costly route: of its requests, the smaller of
+/// the two shares stays in the first half of the class, not their product.
+#[test]
+fn the_smaller_of_the_shares_of_route_and_tenant_stays() {
+  let now = Instant::now();
+  let mut costs = Costs::new();
+  let (status, browse) = (route("plaque-status"), route("map-browse"));
+  for _ in 0..100 {
+    costs.record(&status, RANK, bottleneck(360), now);
+    costs.record(&browse, RANK, bottleneck(88), now);
+  }
+  let mut shares = TenantShares::new();
+  let at = |millis| now + ms(millis);
+  let name = |name: &str| name.parse().expect("a valid name");
+  let mut share = UsualShare::ALL;
+  for second in 0..20 {
+    for request in 0..100 {
+      let time = at(second * 1000 + request * 10);
+      shares.record(&name(&format!("other-{}", request % 10)), time);
+      // One request a second in the first 15 s, then 100.
+      if request == 0 || second >= 15 {
+        share = shares.record(&name("hot"), time);
+      }
+    }
+  }
+  let first_half = |route: &RouteName, share: UsualShare| {
+    let first = (0..10_000).filter(|root| {
+      let priority = costs.tenant_priority(route, RANK, RequestId(*root), share, now);
+      priority.half_index().is_multiple_of(2)
+    });
+    first.count()
+  };
+  assert_eq!(first_half(&browse, UsualShare::ALL), 10_000);
+  let costly = first_half(&status, UsualShare::ALL);
+  assert!((5_500..6_500).contains(&costly), "{costly}");
+  let surplus = first_half(&browse, share);
+  assert!((1_000..4_000).contains(&surplus), "{surplus}");
+  assert_eq!(first_half(&status, share), surplus);
+}
+
 /// Guards against ranking routes of equal cost differently, which would shed some of their requests
 /// without need.
 #[test]
