--- a/crates/http/src/failure_response.rs
+++ b/crates/http/src/failure_response.rs
@@ -88,7 +88,6 @@
   HeaderValue::from_str(&text).expect("digits and a point")
 }
 
-#[expect(clippy::too_many_lines, reason = "one entry for each reason")]
 fn not_run(reason: NotRunReason) -> (StatusCode, Option<Duration>, &'static str) {
   let unavailable = StatusCode::SERVICE_UNAVAILABLE;
   let later = Some(RETRY_LATER);
