Take the bounds on shares of tenants from what callers are promised

The bounds of a_hot_tenant_loses_its_own_surplus were set from measured figures, per case. They are 0.9 of the other tenants' requests and 0.8 for their worst tenth again, as first written, for all cases: the service has room for them and for a quarter of the mean share of the hot tenants.

--- a/crates/decisions/tests/tenant_shares.rs
+++ b/crates/decisions/tests/tenant_shares.rs
@@ -60,28 +60,45 @@
   fairness
 }
 
+/// Share of the other tenants' requests that is served beside hot tenants. The service has room for
+/// 1.05 times what all of them usually send, and for a quarter of the mean share of the hot ones.
+const OTHERS_SERVED: f64 = 0.9;
+
+/// The same for the tenth of them that is served least.
+const WORST_TENTH_SERVED: f64 = 0.8;
+
 /// Guards against tenants that are refused because another one sends many times its usual, and
 /// against starving that one: each tenant is served at least a quarter as often as all.
-///
-/// The bounds for the other tenants are what was measured, less random variation. With `largest` and
-/// `several`, the usual requests and the parts of the hot tenants that may not be starved are more
-/// than the service has room for; in the first second, part of the surplus is not known as such.
 #[parameterized(
-  one = { ONE_HOT, 0.88, 0.8 },
-  largest = { Load { hot: &[0], ..ONE_HOT }, 0.78, 0.65 },
-  medium = { Load { hot: &[5], factor: 20.0, ..ONE_HOT }, 0.88, 0.8 },
-  several = { Load { hot: &[1, 3, 6], ..ONE_HOT }, 0.72, 0.6 },
-  few_nodes = { Load { spread: 3, ..ONE_HOT }, 0.93, 0.88 },
-  one_node = { Load { hot: &[4], spread: 1, ..ONE_HOT }, 0.95, 0.93 },
+  one = { ONE_HOT },
+  largest = { Load { hot: &[0], ..ONE_HOT } },
+  medium = { Load { hot: &[5], factor: 20.0, ..ONE_HOT } },
+  several = { Load { hot: &[1, 3, 6], ..ONE_HOT } },
+  few_nodes = { Load { spread: 3, ..ONE_HOT } },
+  one_node = { Load { hot: &[4], spread: 1, ..ONE_HOT } },
 )]
-fn a_hot_tenant_loses_its_own_surplus(load: Load, others: f64, worst_tenth: f64) {
+fn a_hot_tenant_loses_its_own_surplus(load: Load) {
   for seed in SEEDS {
     let fairness = run(load, seed);
-    assert!(fairness.others >= others, "seed {seed}: {fairness:?}");
     assert!(
-      fairness.worst_tenth >= worst_tenth,
+      fairness.others >= OTHERS_SERVED && fairness.worst_tenth >= WORST_TENTH_SERVED,
       "seed {seed}: {fairness:?}"
     );
+  }
+}
+
+/// Guards against starving the hot tenants, or a tenant with few requests beside them.
+#[parameterized(
+  one = { ONE_HOT },
+  largest = { Load { hot: &[0], ..ONE_HOT } },
+  medium = { Load { hot: &[5], factor: 20.0, ..ONE_HOT } },
+  several = { Load { hot: &[1, 3, 6], ..ONE_HOT } },
+  few_nodes = { Load { spread: 3, ..ONE_HOT } },
+  one_node = { Load { hot: &[4], spread: 1, ..ONE_HOT } },
+)]
+fn no_tenant_is_starved(load: Load) {
+  for seed in SEEDS {
+    let fairness = run(load, seed);
     assert!(
       fairness.worst >= fairness.all / 4.0,
       "seed {seed}: {fairness:?}"
