Mend what reviews of the new parts found

- An instance whose upstream states a rate looked full while idle, since its tokens were refilled only when a call started.
- A handed back call whose other instances failed is queued by one that handed it back, instead of being refused.
- A key after a tab is a key, and is not passed on.
- The linger time takes at most half of the shutdown limit.
- A usage cap counts a request once its body, or the start of a large one, has arrived: bodies held back could run all at once.
- Replies about usage caps may take 750 ms (250 ms before), and a granter is left only after a second of silence: replies of a busy machine are late in a row.
- A holder that was dropped while the account closed it left its bytes among those expected back for ever, after which reads of all callers stopped.
- A call whose last chunk was read at once stayed marked as waiting for its peer; a call closed by the account could close its link; an early answer left a reservation of up to 128 KiB; heads in the outbox were not counted; a request without room was cut instead of refused.

--- a/crates/cactusyoke/src/admission.rs
+++ b/crates/cactusyoke/src/admission.rs
@@ -181,7 +181,8 @@
 
   /// True when a call would start without waiting.
   pub(crate) fn has_room(&self) -> bool {
-    self.lock().gate.has_room()
+    let now = self.clock.now();
+    self.lock().gate.has_room(now)
   }
 
   /// Smoothed utilisation of the slots.
--- a/crates/cactusyoke/src/dispatch.rs
+++ b/crates/cactusyoke/src/dispatch.rs
@@ -53,6 +53,8 @@
   reroutes: usize,
   /// Number of times that an instance without a free slot handed the call back.
   hand_backs: u32,
+  /// Instances that handed the call back. One of them gets it if no other is left.
+  full: Vec<NodeId>,
   /// Number of attempts that may have reached an upstream.
   deliveries: u32,
   /// Instances whose upstreams may have received the call.
@@ -80,6 +82,7 @@
       tried: Vec::new(),
       reroutes: 0,
       hand_backs: 0,
+      full: Vec::new(),
       deliveries: 0,
       reached: Vec::new(),
       only_reached: false,
@@ -345,10 +348,11 @@
         NotRunReason::Limit if self.head.key.is_none() => self.may_reroute(),
         NotRunReason::Busy => {
           self.hand_backs += 1;
+          self.full.extend(self.tried.last().copied());
           if let Some(calls) = self.core.meters.route(&self.head.route) {
             calls.handed_back();
           }
-          self.has_untried()
+          self.has_untried() || self.return_to_full()
         }
         NotRunReason::Refused => self.may_retry(true, now),
         _ => false,
@@ -360,7 +364,17 @@
   /// Counts a reroute; true when the call, which reached no upstream, may go to another instance.
   fn may_reroute(&mut self) -> bool {
     self.reroutes += 1;
-    self.reroutes <= MAX_REROUTES && !self.tried.is_empty() && self.has_untried()
+    self.reroutes <= MAX_REROUTES
+      && !self.tried.is_empty()
+      && (self.has_untried() || self.return_to_full())
+  }
+
+  /// Lets the instances that handed the call back queue it; false when none did.
+  fn return_to_full(&mut self) -> bool {
+    let full = std::mem::take(&mut self.full);
+    self.tried.retain(|node| !full.contains(node));
+    self.hand_backs = MAX_HAND_BACKS;
+    !full.is_empty()
   }
 
   /// Counts a delivery, and takes one retry if the call may be sent again although it may have
--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -8,8 +8,8 @@
   cactusyoke_callers::{CallHandler, CallerRequest, Limits},
   cactusyoke_memory::MemoryAccount,
   cactusyoke_model::{
-    Answer, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Repeat, Report,
-    RequestId, Retries, Route, SpanId, Tenant, TenantName, UnknownReason,
+    Answer, Body, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Repeat,
+    Report, RequestId, Retries, Route, SpanId, Tenant, TenantName, UnknownReason,
   },
   http::HeaderValue,
   std::{sync::Arc, time::Instant},
@@ -117,8 +117,19 @@
     let route = find_route(&preset, &request)?;
     let tenant = self.identify_tenant(&preset, route, &mut request, started)?;
     let tenant = tenant.as_deref();
-    let admitted = self.admit_tenant(route, tenant, started)?;
     let root = root_id(&request);
+    let base = self.base_head(&request, route, started);
+    let mut call = CallSummary {
+      route,
+      tenant: tenant.map(|tenant| &tenant.name),
+      priority: Priority::new(route.rank, root),
+      depth: 0,
+      started,
+    };
+    let body = self.read_body(request.body, base.deadline).await;
+    let body = body.inspect_err(|failure| self.record_outcome(call, &Err(*failure)))?;
+    // Counted for its usage cap only now: a request whose body is held back runs later.
+    let admitted = self.admit_tenant(route, tenant, self.clock.now())?;
     let head = CallHead {
       root,
       tenant: tenant.map(|tenant| tenant.name.clone()),
@@ -126,17 +137,12 @@
       depth: 0,
       repeat: Repeat::No,
       retries: route.retries,
-      ..self.base_head(&request, route, started)
+      ..base
     };
+    call.priority = head.priority;
     let service = head.service.clone();
-    let call = CallSummary {
-      route,
-      tenant: tenant.map(|tenant| &tenant.name),
-      priority: head.priority,
-      depth: 0,
-      started,
-    };
-    let result = self.send(&preset, route, head, request).await;
+    let policy = SendPolicy::of(route, &preset);
+    let result = Dispatch::new(self, head, body, policy).run().await;
     self.record_outcome(call, &result);
     if let (Some(admitted), Err(CallFailure::NotRun { .. })) = (&admitted, &result) {
       self.usage_caps.refund(admitted);
@@ -176,7 +182,11 @@
       call,
       done: false,
     };
-    let result = self.send(&preset, route, head, request).await;
+    let policy = SendPolicy::of(route, &preset);
+    let result = match self.read_body(request.body, head.deadline).await {
+      Ok(body) => Dispatch::new(self, head, body, policy).run().await,
+      Err(failure) => Err(failure),
+    };
     outgoing.finish(&result);
     let call = CallSummary {
       route,
@@ -313,26 +323,16 @@
     HeaderValue::from_str(service.as_str()).ok()
   }
 
-  async fn send(
-    self: &Arc<Self>,
-    preset: &Preset,
-    route: &Route,
-    head: CallHead,
-    request: CallerRequest,
-  ) -> Result<Answer, CallFailure> {
-    let reading = timeout_at(head.deadline.into(), BufferedBody::read(request.body));
-    let body = tokio::select! {
+  /// Reads a body, or its start if it is large, until the deadline. Nothing has been sent before.
+  async fn read_body(&self, body: Body, deadline: Instant) -> Result<BufferedBody, CallFailure> {
+    let reading = timeout_at(deadline.into(), BufferedBody::read(body));
+    tokio::select! {
       biased;
       read = reading => read
         .map_err(|_elapsed| CallFailure::not_run(NotRunReason::Deadline))?
-        .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest))?,
-      // Nothing has been sent.
-      () = self.cut_off.cancelled() => {
-        return Err(CallFailure::not_run(NotRunReason::Draining));
-      }
-    };
-    let policy = SendPolicy::of(route, preset);
-    Dispatch::new(self, head, body, policy).run().await
+        .map_err(|_error| CallFailure::not_run(NotRunReason::BadRequest)),
+      () = self.cut_off.cancelled() => Err(CallFailure::not_run(NotRunReason::Draining)),
+    }
   }
 
   /// Preset of the adopted configuration, which is put in force if it is not yet.
--- a/crates/cactusyoke/src/server.rs
+++ b/crates/cactusyoke/src/server.rs
@@ -148,7 +148,7 @@
     tracing::info!(event = "draining", calls = self.core.in_flight.count());
     self.core.ready.store(false, Ordering::SeqCst);
     let started = Instant::now();
-    sleep(self.core.settings.linger).await;
+    sleep(self.core.settings.linger.min(limit / 2)).await;
     // Drained only after the linger time: the upstream may outlive this node, so it stays in use
     // for as long as callers are served.
     self.core.set_draining(true);
--- a/crates/cactusyoke/src/tenants.rs
+++ b/crates/cactusyoke/src/tenants.rs
@@ -63,6 +63,6 @@
 /// Key in `Bearer KEY` credentials.
 fn key_of(credentials: &[u8]) -> Option<&[u8]> {
   let (scheme, key) = credentials.split_at_checked(SCHEME.len())?;
-  let spaced = key.first().is_none_or(|byte| *byte == b' ');
+  let spaced = key.first().is_none_or(u8::is_ascii_whitespace);
   (scheme.eq_ignore_ascii_case(SCHEME) && spaced).then(|| key.trim_ascii())
 }
--- a/crates/decisions/src/load/gate.rs
+++ b/crates/decisions/src/load/gate.rs
@@ -255,7 +255,7 @@
     self.earliest_expiry = self.next_expiry();
   }
 
-  fn can_start(&mut self, now: Instant) -> bool {
+  pub(super) fn can_start(&mut self, now: Instant) -> bool {
     let limit = self.rate_limit.as_mut();
     self.in_flight < self.limit.current() && limit.is_none_or(|limit| limit.admits(now))
   }
--- a/crates/decisions/src/load/gate/report.rs
+++ b/crates/decisions/src/load/gate/report.rs
@@ -22,8 +22,8 @@
   }
 
   /// True when a call offered now would start without waiting.
-  pub fn has_room(&self) -> bool {
-    self.queue.len() == 0 && self.load().free_slots > 0
+  pub fn has_room(&mut self, now: Instant) -> bool {
+    self.queue.len() == 0 && self.can_start(now)
   }
 
   /// Load to report to senders.
--- a/crates/decisions/src/quota/granter_link.rs
+++ b/crates/decisions/src/quota/granter_link.rs
@@ -13,6 +13,9 @@
 /// Failed exchanges in a row after which another granter is chosen.
 const MAX_FAILURES: u32 = 2;
 
+/// Silence of a granter without which it is not left: replies of a busy machine are late in a row.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Longest time until a node follows a change of the preferred granter while the former one answers.
 /// Nodes change at different times, so that few shares at once are between two granters.
 const MOVE_TIME: Duration = Duration::from_secs(8);
@@ -171,7 +174,11 @@
     }
     self.sent = None;
     self.failures += 1;
+    let silent = self
+      .answered
+      .is_none_or(|answered| now.saturating_duration_since(answered) >= SILENCE);
     if self.failures >= MAX_FAILURES
+      && silent
       && let Some(granter) = self.granter.filter(|granter| *granter != own)
     {
       self.avoided.insert(granter, now + AVOID_TIME);
--- a/crates/decisions/src/quota/timing.rs
+++ b/crates/decisions/src/quota/timing.rs
@@ -36,8 +36,9 @@
     }
   }
 
-  /// Time without a reply after which an exchange has failed.
+  /// Time without a reply after which an exchange has failed. Tokens are usable for a time that is
+  /// counted from their request, so that a late reply is worth less but never too much.
   pub fn timeout(&self) -> Duration {
-    self.interval
+    (self.interval * 3).min(Self::LEASE * 3 / 4)
   }
 }
--- a/crates/http/src/connection_memory.rs
+++ b/crates/http/src/connection_memory.rs
@@ -97,8 +97,8 @@
     let request = REQUEST_BYTES + 2 * fields.sum::<usize>();
     self.request.store(request, Relaxed);
     self.body.store(0, Relaxed);
-    self.hold(MemoryKind::Requests, request);
-    true
+    // Nothing has been sent, so that the request can still be refused.
+    self.holder.set(MemoryKind::Requests, request)
   }
 
   /// Records that the caller owes bytes of a body, or does not any more.
@@ -128,6 +128,8 @@
 
   /// Records the end of the request, whose answer follows.
   pub(crate) fn end_request(&self) {
+    // What still arrives is passed on, not kept.
+    self.body.store(MAX_KEPT, Relaxed);
     self.holder.set(MemoryKind::Requests, 0);
   }
 
--- a/crates/memory/src/account.rs
+++ b/crates/memory/src/account.rs
@@ -169,7 +169,7 @@
     let searched_at = self.searched_at.load(Relaxed);
     let due = searched_at == 0 || staying >= searched_at + budget.limit / SEARCH_SHARE;
     if staying > budget.close_above && due {
-      self.close_waiting(staying - budget.close_down_to);
+      self.close_waiting(budget.close_down_to);
       let left = self.staying();
       let enough = left <= budget.close_above;
       self
@@ -191,21 +191,28 @@
     }
   }
 
-  pub(crate) fn remove(&self, id: u64, leaving: usize) {
+  pub(crate) fn remove(&self, entry: &Entry) {
     if self.budget.is_some() {
-      self.lock().remove(&id);
-      self.leaving.fetch_sub(leaving, Relaxed);
+      let mut holders = self.lock();
+      holders.remove(&entry.id);
+      self.leaving.fetch_sub(entry.leaving(), Relaxed);
     }
   }
 
-  /// Closes holders that wait for their peer until `excess` bytes are about to be given back.
-  fn close_waiting(&self, excess: usize) {
+  /// Closes holders that wait for their peer until `target` bytes are about to be left.
+  fn close_waiting(&self, target: usize) {
     let holders = self.lock();
+    // Another thread may just have closed enough.
+    let excess = self.staying().saturating_sub(target);
+    if excess == 0 {
+      return;
+    }
     let candidates = holders.values().filter_map(|entry| entry.candidate());
     let chosen = choose(candidates.collect(), excess);
     let chosen = chosen
       .iter()
       .filter_map(|candidate| holders.get(&candidate.id).cloned())
+      .filter(|entry| self.mark(entry))
       .collect::<Vec<_>>();
     drop(holders);
     if chosen.is_empty() {
@@ -214,15 +221,28 @@
     (self.report)(MemoryPressure::Closed(chosen.len()), self.staying());
     // Closed without the lock, since closing may drop the holder.
     for entry in chosen {
-      self.close(&entry);
+      entry.close();
     }
   }
 
-  pub(crate) fn close(&self, entry: &Entry) {
+  /// Marks a holder as closed; false when it was before. Must be called under the lock of the holders:
+  /// a holder that is dropped at the same time would otherwise leave its bytes among those expected
+  /// back for ever.
+  fn mark(&self, entry: &Entry) -> bool {
     let leaving = entry.total();
-    if entry.mark_closed(leaving) {
+    let first = entry.mark_closed(leaving);
+    if first {
       self.leaving.fetch_add(leaving, Relaxed);
       self.closed.fetch_add(1, Relaxed);
+    }
+    first
+  }
+
+  pub(crate) fn close(&self, entry: &Entry) {
+    let holders = self.lock();
+    let first = self.mark(entry);
+    drop(holders);
+    if first {
       entry.close();
     }
   }
--- a/crates/memory/src/holder.rs
+++ b/crates/memory/src/holder.rs
@@ -51,6 +51,11 @@
     first
   }
 
+  /// Bytes that the account expects back since the holder was closed.
+  pub(crate) fn leaving(&self) -> usize {
+    self.leaving.load(Relaxed)
+  }
+
   pub(crate) fn close(&self) {
     (self.close)();
   }
@@ -168,8 +173,6 @@
       let bytes = self.entry.bytes[kind as usize].swap(0, Relaxed);
       self.account.release(kind, bytes);
     }
-    self
-      .account
-      .remove(self.entry.id, self.entry.leaving.load(Relaxed));
+    self.account.remove(&self.entry);
   }
 }
--- a/crates/nodes/src/link/outbox.rs
+++ b/crates/nodes/src/link/outbox.rs
@@ -146,6 +146,7 @@
     wire::encode(frame, &mut state.small)?;
     let len = (state.small.len() - before) as u64;
     state.queued_bytes += len;
+    self.memory.count(MemoryKind::Links, state.queued());
     drop(state);
     if frame.is_control() {
       self.stats.control_out.fetch_add(len, Relaxed);
@@ -247,6 +248,8 @@
     state.closed = true;
     state.small = Vec::new();
     state.bulk.clear();
+    state.bulk_bytes = 0;
+    self.memory.count(MemoryKind::Links, state.queued());
     let wakers = std::mem::take(&mut state.wakers);
     drop(state);
     wakers.into_iter().for_each(Waker::wake);
--- a/crates/nodes/src/link/shared.rs
+++ b/crates/nodes/src/link/shared.rs
@@ -86,8 +86,8 @@
   /// Ends a call because too much memory is held, also one whose body has arrived completely but is
   /// not read. Its outcome is unknown.
   pub(super) fn abandon(&self, stream: &Stream) {
-    stream.discard_body();
     self.reset(stream, ResetReason::Cancelled);
+    stream.discard_body();
   }
 
   /// Stream that a frame of the peer belongs to; `None` when the call has ended on this side. Fails
--- a/crates/nodes/src/link/stream.rs
+++ b/crates/nodes/src/link/stream.rs
@@ -119,6 +119,10 @@
     end: bool,
   ) -> Result<(), FrameError> {
     let mut state = self.lock();
+    // This side has ended the call in the meantime.
+    if matches!(state.body_end, Some(Err(_))) {
+      return Ok(());
+    }
     if state.outcome_known || state.body_end.is_some() {
       return Err(FrameError::UnexpectedFrame);
     }
@@ -158,10 +162,11 @@
       .ok_or(FrameError::CreditExceeded)?;
     state.chunks.push(bytes);
     let (unread, kept) = (state.chunks.allocated(), state.kept);
+    self.memory.state_received(unread, kept as usize);
     let waker = state.receive_waker.take();
     drop(state);
+    self.memory.charge();
     wake(waker);
-    self.memory.record_received(unread, kept as usize);
     Ok(())
   }
 
@@ -268,8 +273,9 @@
         state.receive_credit += u64::from(credit);
       }
       let (unread, kept) = (state.chunks.allocated(), state.kept);
+      self.memory.state_received(unread, kept as usize);
       drop(state);
-      self.memory.record_received(unread, kept as usize);
+      self.memory.charge();
       return Poll::Ready(Ok(BodyPart::Data(bytes, credit)));
     }
     match &mut state.body_end {
--- a/crates/nodes/src/link/stream_memory.rs
+++ b/crates/nodes/src/link/stream_memory.rs
@@ -36,13 +36,20 @@
     })
   }
 
-  /// Records what is held of the received body: `unread` bytes wait for the reader, and `kept` bytes
-  /// stay with it. Must not be called under the lock of the stream or the link.
-  pub(super) fn record_received(&self, unread: usize, kept: usize) {
+  /// States what is held of the received body: `unread` bytes wait for the reader, and `kept` bytes
+  /// stay with it. Called under the lock of the stream, so that a later state is not overwritten by an
+  /// earlier one.
+  pub(super) fn state_received(&self, unread: usize, kept: usize) {
     let holder = self.holder();
     holder.record_progress();
     holder.set_owing(unread > 0);
-    if !holder.set(MemoryKind::Links, unread + kept) {
+    holder.count(MemoryKind::Links, unread + kept);
+  }
+
+  /// Closes holders if too much is held. Must not be called under the lock of the stream or the link.
+  pub(super) fn charge(&self) {
+    let holder = self.holder();
+    if !holder.add(MemoryKind::Links, 0) {
       holder.close();
     }
   }
