--- a/crates/decisions/tests/rate_limit.rs
+++ b/crates/decisions/tests/rate_limit.rs
@@ -277,3 +277,26 @@
   let next = run.gate.next_poll().expect("calls are queued");
   assert!(next > run.now, "{:?} ago", run.now - next);
 }
+
+// Guards against an idle instance that hands calls back, because the tokens of its rate were only
+// counted again when a call came.
+#[test]
+fn an_idle_gate_has_room_again_without_a_call() {
+  let mut run = Run::new();
+  run
+    .gate
+    .set_rate_limit(Some(rate("5")), run.start, run.start);
+  let deadline = run.start + Duration::from_secs(5);
+  let mut ticket = 0;
+  while run.gate.has_room(run.start) {
+    let outcome = run.gate.offer(ticket, Priority(0), deadline, run.start);
+    assert_eq!(outcome, OfferOutcome::Start);
+    ticket += 1;
+  }
+  for ticket in 0..ticket {
+    run
+      .gate
+      .finish(ticket, Completion::Succeeded, run.start + RUN_TIME);
+  }
+  assert!(run.gate.has_room(run.start + Duration::from_secs(1)));
+}
