Record refusals before the send in one place, and build load reports in one

Log lines of requests with an unknown key or over a usage cap name the request's own sub-level in place of a placeholder, and those over a cap the whole time since the request arrived: since the body is read before the cap is checked, they showed the time since then. run_for checks for room itself, and the report that says whether upstreams state their pace has one source.

--- a/crates/cactusyoke/src/gateway.rs
+++ b/crates/cactusyoke/src/gateway.rs
@@ -3,13 +3,13 @@
 use {
   crate::{
     Core, Interface, buffered_body::BufferedBody, dispatch::Dispatch, event_limiter::Verdict,
-    parents::Parent, send_policy::SendPolicy, tenants, usage_caps::Admitted,
+    parents::Parent, send_policy::SendPolicy, tenants,
   },
   cactusyoke_callers::{CallHandler, CallerRequest, Limits},
   cactusyoke_memory::MemoryAccount,
   cactusyoke_model::{
     Answer, Body, CallFailure, CallHead, Context, Level, NotRunReason, Preset, Priority, Repeat,
-    Report, RequestId, Retries, Route, SpanId, Tenant, TenantName, UnknownReason,
+    Report, RequestId, Retries, Route, SpanId, TenantName, UnknownReason,
   },
   http::HeaderValue,
   std::{sync::Arc, time::Instant},
@@ -115,21 +115,25 @@
     let _guard = self.enter()?;
     let preset = self.preset()?;
     let route = find_route(&preset, &request)?;
-    let tenant = self.identify_tenant(&preset, route, &mut request, started)?;
-    let tenant = tenant.as_deref();
     let root = root_id(&request);
-    let base = self.base_head(&request, route, started);
     let mut call = CallSummary {
       route,
-      tenant: tenant.map(|tenant| &tenant.name),
+      tenant: None,
       priority: Priority::new(route.rank, root),
       depth: 0,
       started,
     };
+    let tenant = tenants::identify(&preset, route, &mut request.headers);
+    let tenant = self.record_refusal(call, tenant)?;
+    let tenant = tenant.as_deref();
+    call.tenant = tenant.map(|tenant| &tenant.name);
+    let base = self.base_head(&request, route, started);
     let body = self.read_body(request.body, base.deadline).await;
-    let body = body.inspect_err(|failure| self.record_outcome(call, &Err(*failure)))?;
+    let body = self.record_refusal(call, body)?;
     // Counted for its usage cap only now: a request whose body is held back runs later.
-    let admitted = self.admit_tenant(route, tenant, self.clock.now())?;
+    let now = self.clock.now();
+    let admitted = tenant.map(|tenant| self.usage_caps.admit(tenant, now));
+    let admitted = self.record_refusal(call, admitted.transpose())?.flatten();
     let head = CallHead {
       root,
       tenant: tenant.map(|tenant| tenant.name.clone()),
@@ -199,50 +203,13 @@
     result
   }
 
-  /// Tenant of a root request, see [`tenants::identify`]. A refusal is recorded.
-  fn identify_tenant(
+  /// Records a failed check before a request is sent.
+  fn record_refusal<T>(
     &self,
-    preset: &Preset,
-    route: &Route,
-    request: &mut CallerRequest,
-    started: Instant,
-  ) -> Result<Option<Arc<Tenant>>, CallFailure> {
-    let tenant = tenants::identify(preset, route, &mut request.headers);
-    if let Err(failure) = &tenant {
-      let call = CallSummary {
-        route,
-        tenant: None,
-        priority: Priority::new(route.rank, RequestId(0)),
-        depth: 0,
-        started,
-      };
-      self.record_outcome(call, &Err(*failure));
-    }
-    tenant
-  }
-
-  /// Checks the usage cap of the tenant. A refusal is recorded.
-  fn admit_tenant(
-    &self,
-    route: &Route,
-    tenant: Option<&Tenant>,
-    started: Instant,
-  ) -> Result<Option<Admitted>, CallFailure> {
-    let Some(tenant) = tenant else {
-      return Ok(None);
-    };
-    let admitted = self.usage_caps.admit(tenant, started);
-    if let Err(failure) = &admitted {
-      let call = CallSummary {
-        route,
-        tenant: Some(&tenant.name),
-        priority: Priority::new(route.rank, RequestId(0)),
-        depth: 0,
-        started,
-      };
-      self.record_outcome(call, &Err(*failure));
-    }
-    admitted
+    call: CallSummary<'_>,
+    checked: Result<T, CallFailure>,
+  ) -> Result<T, CallFailure> {
+    checked.inspect_err(|failure| self.record_outcome(call, &Err(*failure)))
   }
 
   /// Counts an outcome. Failures are also logged, at a limited rate.
--- a/crates/cactusyoke/src/instance.rs
+++ b/crates/cactusyoke/src/instance.rs
@@ -44,29 +44,27 @@
 }
 
 impl Core {
-  /// Runs a call that was sent to this instance.
+  /// Runs a call that was sent to this instance, or hands it back if it must not wait here. That is
+  /// checked before anything else, so that a call that is handed back does not count for the retry
+  /// budget.
   pub(crate) async fn run_for(
     self: &Arc<Self>,
     hop: Hop,
     call: Call,
   ) -> Result<Answer, CallFailure> {
-    if hop == Hop::FreeInstance {
-      return self.run_if_free(call).await;
+    let may_wait = hop != Hop::FreeInstance;
+    if !may_wait && self.serves(&call.head.service) && !self.admission.has_room() {
+      return Err(CallFailure::refused(NotRunReason::Busy, self.load_report()));
     }
     self.run_locally(call).await
   }
 
-  /// Runs a call on the local upstream unless it would have to wait. Checked before anything else, so
-  /// that a call that is handed back does not count for the retry budget.
-  async fn run_if_free(self: &Arc<Self>, call: Call) -> Result<Answer, CallFailure> {
-    if self.serves(&call.head.service) && !self.admission.has_room() {
-      let report = Report {
-        paced: self.balancing.is_paced(),
-        ..self.admission.report()
-      };
-      return Err(CallFailure::refused(NotRunReason::Busy, report));
+  /// Load of the local upstream, and whether an upstream is known to state the pace of its machine.
+  fn load_report(&self) -> Report {
+    Report {
+      paced: self.balancing.is_paced(),
+      ..self.admission.report()
     }
-    self.run_locally(call).await
   }
 
   /// Runs a call on the local upstream, after the checks of quarantine, admission and key.
@@ -242,13 +240,12 @@
     admitted: Admitted,
     nested: NestedReport,
   ) -> Answer {
-    let here = self.admission.report();
+    let here = self.load_report();
     let report = Report {
       level: here.level.min(nested.level),
       unused: nested.unused,
       bottleneck: self.bottleneck(admitted.started).merge(nested.bottleneck),
       waited: admitted.waited,
-      paced: self.balancing.is_paced(),
       ..here
     };
     let core = Arc::clone(self);
