Review case 7: a request that crashes servers after its client has left

The evidence of a crash is recorded by the future of the call at its end; when the client leaves, that future is dropped, and a server that goes on working on the request crashes a moment later without any suspicion against it.

No product code.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -365,6 +365,7 @@
             self.running += 1
         try:
             self.runs.setdefault(name, []).append((now(), self.id, body))
+            await self.begin(name)
             await asyncio.sleep(self.work(name))
         finally:
             self.free()
@@ -372,6 +373,9 @@
         await self.reply(writer, 200, name, seal, pattern(name, self.answer_size))
         self.answered[name] = 200
 
+    async def begin(self, name):
+        """What happens to the server when it begins to run a request."""
+
     def free(self):
         while self.waiting:
             turn = self.waiting.popleft()
@@ -386,6 +390,61 @@
         await writer.drain()
 
 
+class CrashingServer(Server):
+    """Server that crashes `after` seconds of work on a request, if `crashes(id)` says so.
+
+    It works on such a request also after the connection of the request was closed. A crash ends its
+    process: it accepts no more connections, all that are open are reset, and it sends nothing more.
+    `DOWN` seconds later it is back at its address, as a new boot with a new id.
+    """
+
+    DOWN = 2.0
+
+    def __init__(self, *arguments, crashes, after=0.0):
+        super().__init__(*arguments)
+        self.crashes, self.after = crashes, after
+        self.boot = 0
+        self.connections = {}
+        self.fatal = set()
+        # Time and id of each crash.
+        self.crashed = []
+
+    async def start(self):
+        self.boot += 1
+        self.id = f"i-{self.service}-{self.ip.replace('.', '-')}-{self.boot}"
+        self.running, self.sequence = 0, 0
+        self.waiting.clear()
+        await super().start()
+
+    async def serve(self, reader, writer):
+        task = asyncio.current_task()
+        self.connections[task] = writer
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.connections.pop(task, None)
+
+    async def begin(self, name):
+        if not self.crashes(name):
+            return
+        self.fatal.add(asyncio.create_task(self.crash(self.id)))
+        # Its answer never comes.
+        await asyncio.sleep(3600)
+
+    async def crash(self, boot):
+        await asyncio.sleep(self.after)
+        if self.id != boot or not self.server.is_serving():
+            return
+        self.crashed.append((now(), self.id))
+        self.server.close()
+        self.heartbeats.cancel()
+        for task, writer in list(self.connections.items()):
+            writer.transport.abort()
+            task.cancel()
+        await asyncio.sleep(self.DOWN)
+        await self.start()
+
+
 # --- nodes ----------------------------------------------------------------------------------------
 
 
@@ -487,6 +546,34 @@
                 writer.close()
 
 
+async def ask(address, host, path, name, body, limit_s):
+    """Sends one request on a new connection; returns the status and body of its answer.
+
+    The status is "closed" or "no answer in time" where there is no complete answer.
+    """
+    writer = None
+    try:
+        async with asyncio.timeout(1):
+            reader, writer = await asyncio.open_connection(address, 8304)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {name}\r\n"
+            f"X-Deadline-Ms: {int(limit_s * 1000)}\r\nContent-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        async with asyncio.timeout(limit_s + 1):
+            line, headers = await read_head(reader)
+            answer = await read_body(reader, headers, until_close=True)
+        return int(line.split(" ")[1]), answer.decode("latin1")
+    except TimeoutError:
+        return "no answer in time", ""
+    except (OSError, asyncio.IncompleteReadError):
+        return "closed", ""
+    finally:
+        if writer:
+            writer.close()
+
+
 def raise_file_limit():
     """Up to the limit that the machine allows anyway."""
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
